Lay out the packages, schemas and ports

The schemas of objects, head record, peer messages and settings, the ports to store, platform, clock and log, and the checks: format, lint, types, layers.

--- /dev/null
+++ b/packages/schema/src/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Schemas of every object, record, message and setting, with the types inferred from them.
+ *
+ * @module
+ */
+export * as config from "./config.ts";
+export * as head from "./head.ts";
+export * as http from "./http.ts";
+export * as errors from "./errors.ts";
+export * as names from "./names.ts";
+export * as peer from "./peer.ts";
+export * as settings from "./settings.ts";
+export * as storeKeys from "./store_keys.ts";
--- /dev/null
+++ b/packages/schema/src/names.ts
@@ -0,0 +1,41 @@
+/**
+ * Names by which objects, VMs and members refer to one another.
+ *
+ * @module
+ */
+import * as v from "valibot";
+
+/** The longest name of an object. */
+export const MAX_NAME_CHARACTERS = 63;
+
+/** The name of an object: lower-case letters, digits and hyphens, starting with a letter. */
+export const nameSchema = v.pipe(
+  v.string(),
+  v.regex(/^[a-z](?:[a-z0-9-]*[a-z0-9])?$/, "must be lower-case letters, digits and hyphens"),
+  v.maxLength(MAX_NAME_CHARACTERS, `must have at most ${MAX_NAME_CHARACTERS} characters`),
+);
+
+/** A host and port, such as `127.0.0.1:7100`; hosts are IP numbers. */
+export const addressSchema = v.pipe(
+  v.string(),
+  v.regex(
+    /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+    "must be an IP number and a port",
+  ),
+);
+
+/** A whole number above zero. */
+export const positiveIntegerSchema = v.pipe(v.number(), v.integer(), v.minValue(1));
+
+/** A whole number of zero or more. */
+export const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
+
+/** A duration in milliseconds, above zero. */
+export const durationMsSchema = positiveIntegerSchema;
+
+/** Splits `host:port`; the address must have passed {@link addressSchema}. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const separatorIndex = address.lastIndexOf(":");
+  const host = address.slice(0, separatorIndex).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(separatorIndex + 1)) };
+}
--- /dev/null
+++ b/packages/schema/src/settings.ts
@@ -0,0 +1,92 @@
+/**
+ * Settings of the programs, read from TOML files.
+ *
+ * @module
+ */
+import * as v from "valibot";
+import {
+  addressSchema,
+  countSchema,
+  durationMsSchema,
+  nameSchema,
+  positiveIntegerSchema,
+} from "./names.ts";
+
+/** Certificate files in PEM; peers must present a certificate that the authority signed. */
+export const tlsSchema = v.strictObject({
+  certificateFile: v.string(),
+  keyFile: v.string(),
+  authorityFile: v.optional(v.string()),
+});
+
+/** How to reach the platform store. */
+export const storeSchema = v.strictObject({
+  url: v.pipe(v.string(), v.url()),
+  timeoutMs: v.optional(durationMsSchema, 1_000),
+  readsPerSecond: v.optional(positiveIntegerSchema, 40),
+  writesPerSecond: v.optional(positiveIntegerSchema, 30),
+});
+
+/** How log lines are written. */
+export const logSchema = v.strictObject({
+  level: v.optional(v.picklist(["debug", "info", "warn", "error"]), "info"),
+  format: v.optional(v.picklist(["text", "json"]), "text"),
+});
+
+/** Times that all members share. */
+export const timingSchema = v.strictObject({
+  heartbeatMs: v.optional(durationMsSchema, 500),
+  freshForMs: v.optional(durationMsSchema, 2_500),
+  suspectAfterMs: v.optional(durationMsSchema, 3_000),
+  memberLeaseSeconds: v.optional(positiveIntegerSchema, 6),
+  headPollMs: v.optional(durationMsSchema, 1_000),
+});
+
+/** Settings of `jackdawlink-entry`. */
+export const entrySettingsSchema = v.strictObject({
+  memberId: nameSchema,
+  availabilityZone: nameSchema,
+  callerAddress: addressSchema,
+  operatorAddress: addressSchema,
+  peerAddress: addressSchema,
+  /** The address told to peers, where it differs from the one listened on. */
+  advertisedPeerAddress: v.optional(addressSchema),
+  shutdownGraceMs: v.optional(durationMsSchema, 2_000),
+  claimWindowMs: v.optional(durationMsSchema, 600_000),
+  claimShards: v.optional(positiveIntegerSchema, 16),
+  store: storeSchema,
+  log: v.optional(logSchema, {}),
+  timing: v.optional(timingSchema, {}),
+  callerTls: v.optional(tlsSchema),
+  peerTls: v.optional(tlsSchema),
+});
+
+/** Settings of `jackdawlink-steward`. */
+export const stewardSettingsSchema = v.strictObject({
+  stewardId: nameSchema,
+  availabilityZone: nameSchema,
+  operatorAddress: addressSchema,
+  callerAddress: addressSchema,
+  platformUrl: v.pipe(v.string(), v.url()),
+  roundMs: v.optional(durationMsSchema, 500),
+  leaseSeconds: v.optional(positiveIntegerSchema, 6),
+  maxPlacementsPerRound: v.optional(countSchema, 500),
+  store: storeSchema,
+  log: v.optional(logSchema, {}),
+});
+
+/** Settings of `jackdawlink`, the command line. */
+export const cliSettingsSchema = v.strictObject({
+  store: storeSchema,
+  entries: v.optional(v.array(addressSchema), []),
+  stewards: v.optional(v.array(addressSchema), []),
+  operator: v.optional(v.string(), "operator"),
+});
+
+export type TlsSettings = v.InferOutput<typeof tlsSchema>;
+export type StoreSettings = v.InferOutput<typeof storeSchema>;
+export type LogSettings = v.InferOutput<typeof logSchema>;
+export type TimingSettings = v.InferOutput<typeof timingSchema>;
+export type EntrySettings = v.InferOutput<typeof entrySettingsSchema>;
+export type StewardSettings = v.InferOutput<typeof stewardSettingsSchema>;
+export type CliSettings = v.InferOutput<typeof cliSettingsSchema>;
--- /dev/null
+++ b/packages/schema/src/store_keys.ts
@@ -0,0 +1,66 @@
+/**
+ * The layout of the platform store: every key of the project is made here.
+ *
+ * @module
+ */
+
+/** Everything of the project lies below this prefix. */
+export const ROOT = "/jackdawlink/";
+/** The head record. */
+export const HEAD = `${ROOT}head`;
+/** Chunks of configuration text, by digest. */
+export const CHUNK_PREFIX = `${ROOT}chunks/`;
+/** One record for each published revision. */
+export const HISTORY_PREFIX = `${ROOT}history/`;
+/** Keys attached to the leases of live members. */
+export const ALIVE_PREFIX = `${ROOT}alive/`;
+/** Claims of idempotency keys, by shard. */
+export const CLAIM_PREFIX = `${ROOT}claims/`;
+/** One record for each VM; it names the VM's one pool. */
+export const VM_PREFIX = `${ROOT}vms/`;
+/** One record for each pool: its budget tokens. */
+export const POOL_PREFIX = `${ROOT}pools/`;
+/** One record for each maintenance wave: its progress. */
+export const WAVE_PREFIX = `${ROOT}waves/`;
+/** Segments of job records. */
+export const JOB_PREFIX = `${ROOT}jobs/`;
+/** One record for each worker: its health and quarantine. */
+export const WORKER_PREFIX = `${ROOT}workers/`;
+
+/** The digits of a revision in a key, so that keys sort by revision. */
+const REVISION_DIGITS = 12;
+
+/** The key of the chunk with a digest. */
+export function chunkKey(digest: string): string {
+  return `${CHUNK_PREFIX}${digest}`;
+}
+
+/** The key of the history record of a revision. */
+export function historyKey(revision: number): string {
+  return `${HISTORY_PREFIX}${String(revision).padStart(REVISION_DIGITS, "0")}`;
+}
+
+/** The key that exists while the lease of an incarnation runs. */
+export function aliveKey(memberId: string, incarnation: string): string {
+  return `${ALIVE_PREFIX}${memberId}/${incarnation}`;
+}
+
+/** The key of a VM's record. */
+export function vmKey(vm: string): string {
+  return `${VM_PREFIX}${vm}`;
+}
+
+/** The key of a pool's record. */
+export function poolKey(pool: string): string {
+  return `${POOL_PREFIX}${pool}`;
+}
+
+/** The key of a wave's record. */
+export function waveKey(wave: string): string {
+  return `${WAVE_PREFIX}${wave}`;
+}
+
+/** The key of a worker's record. */
+export function workerKey(worker: string): string {
+  return `${WORKER_PREFIX}${worker}`;
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,25 @@
+import { defineConfig } from "vitest/config";
+
+/** Unit and model tests run in parallel; tests with real processes run one file at a time. */
+export default defineConfig({
+  test: {
+    projects: [
+      {
+        test: {
+          name: "unit",
+          include: ["packages/*/src/**/*_test.ts"],
+          testTimeout: 60_000,
+        },
+      },
+      {
+        test: {
+          name: "processes",
+          include: ["packages/*/test/**/*_test.ts"],
+          testTimeout: 180_000,
+          hookTimeout: 60_000,
+          fileParallelism: false,
+        },
+      },
+    ],
+  },
+});
