--- /dev/null
+++ b/packages/testing/src/fault_proxy_main.ts
@@ -0,0 +1,6 @@
+/**
+ * Placeholder.
+ *
+ * @module
+ */
+export {};
