Decide claims of idempotency keys per shard

A shard of claims is rebuilt from stored records and decides on each new claim. A key whose submission did not run is free again; one without a known end never is.

--- /dev/null
+++ b/packages/policy/src/claims/ids.ts
@@ -0,0 +1,32 @@
+/**
+ * Idempotency keys: UUIDs of version 7, whose first 48 bits are a time.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import * as uuid from "uuid";
+
+/** The version of UUID that carries its time. */
+const TIME_ORDERED_VERSION = 7;
+/** The hexadecimal digits of the time, after hyphens are removed. */
+const TIME_DIGITS = 12;
+
+/** The time inside a UUIDv7 in milliseconds since the Unix epoch; null for any other text. */
+export function timeOfIdMs(id: string): number | null {
+  if (!uuid.validate(id) || uuid.version(id) !== TIME_ORDERED_VERSION) {
+    return null;
+  }
+  return Number.parseInt(id.replaceAll("-", "").slice(0, TIME_DIGITS), 16);
+}
+
+/** The digest under which a team's key is kept; two teams never share one. */
+export function digestOfKey(team: string, idempotencyKey: string): string {
+  return createHash("sha256").update(`${team}\n${idempotencyKey.toLowerCase()}`).digest(
+    "base64url",
+  );
+}
+
+/** The shard of a digest, from zero. */
+export function shardOfDigest(keyDigest: string, shardCount: number): number {
+  return Buffer.from(keyDigest, "base64url").readUInt32BE(0) % shardCount;
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,6 +1,7 @@
 /**
- * Placeholder.
+ * Decisions without I/O, clock or randomness: state, event and time in, new state and effects out.
  *
  * @module
  */
-export {};
+export * as claimIds from "./claims/ids.ts";
+export * as claimShard from "./claims/shard.ts";
--- a/packages/schema/src/mod.ts
+++ b/packages/schema/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * as claims from "./claims.ts";
 export * as config from "./config.ts";
 export * as head from "./head.ts";
 export * as http from "./http.ts";
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -140,15 +140,16 @@
     "answered",
     "mayHaveRun",
     "mismatch",
-    "tooOld",
+    "outsideWindow",
     "unavailable",
   ]),
   status: v.nullable(countSchema),
 });
 
-/** Tells the owner of a shard how a claimed request ended. */
+/** Tells the owner of a shard how a claimed request ended; `notRun` frees the key again. */
 export const claimOutcomeSchema = v.object({
   type: v.literal("claimOutcome"),
+  requestId: v.string(),
   idempotencyKey: v.string(),
   team: nameSchema,
   outcome: v.picklist(["answered", "notRun", "unknown"]),
--- a/packages/schema/src/store_keys.ts
+++ b/packages/schema/src/store_keys.ts
@@ -45,6 +45,16 @@
   return `${ALIVE_PREFIX}${memberId}/${incarnation}`;
 }
 
+/** The key of the record that names the owner of a shard of claims. */
+export function claimOwnerKey(shard: number): string {
+  return `${CLAIM_PREFIX}${shard}/owner`;
+}
+
+/** The prefix of the segments of a shard of claims. */
+export function claimSegmentPrefix(shard: number): string {
+  return `${CLAIM_PREFIX}${shard}/segments/`;
+}
+
 /** The key of a VM's record. */
 export function vmKey(vm: string): string {
   return `${VM_PREFIX}${vm}`;
