Claim idempotency keys across entries by group commit

Purpose: a keyed request runs at most once, also after the death of its entry. Weighed: a claim in memory of the key's owner (lost with it), one store write per request (over the store's budget at a few hundred keyed requests a second), and a group commit guarded by the owner record's revision. The last needs one write for any number of claims within 40 ms, and no clock decides who owns a shard.

Seen to fail first, each by one removal, found by the model test: no compare on the owner record (two grants), ended keys claimable (two grants), a failed compare taken as stored (two grants).

--- /dev/null
+++ b/packages/entry/src/claims/shard_owner.ts
@@ -0,0 +1,276 @@
+/**
+ * The owner's side of claims: takes over shards and commits claims in groups.
+ *
+ * Every commit is one transaction for all shards with something to store, conditional on this process
+ * still being named in each shard's owner record. An owner that was replaced therefore fails at its
+ * next write, whatever its clock says.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import * as v from "valibot";
+import { OwnedShard } from "./owned_shard.ts";
+
+type ClaimResult = policy.claimShard.ClaimResult;
+
+/** The shortest time between the starts of two commits; it bounds the writes of one entry. */
+const COMMIT_SPACING_MS = 40;
+/** How long a failed commit or takeover waits before the next try. */
+const RETRY_DELAY_MS = 200;
+/** How often keys that have left the window are forgotten. */
+const FORGET_INTERVAL_MS = 10_000;
+
+/** What a shard owner is built from. */
+export interface ShardOwnerOptions {
+  readonly memberId: string;
+  readonly shardCount: number;
+  readonly window: policy.claimShard.WindowOptions;
+  readonly store: ports.store.Store;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+}
+
+/** Owns some shards of claims. */
+export class ShardOwner {
+  readonly #options: ShardOwnerOptions;
+  readonly #shards = new Map<number, OwnedShard>();
+  readonly #takeovers = new Map<number, Promise<OwnedShard | null>>();
+  #lastCommitAtMs = Number.NEGATIVE_INFINITY;
+  #lastForgetAtMs = Number.NEGATIVE_INFINITY;
+  #isCommitting = false;
+  #stopTimer: (() => void) | null = null;
+  #isStopped = false;
+
+  constructor(options: ShardOwnerOptions) {
+    this.#options = options;
+  }
+
+  /** The answer to a claim, once it is stored where it has to be; null where none can be given. */
+  async claim(request: schema.peer.ClaimRequest): Promise<ClaimResult | null> {
+    const idTimeMs = policy.claimIds.timeOfIdMs(request.idempotencyKey);
+    if (idTimeMs === null) {
+      return { result: "outsideWindow", status: null };
+    }
+    const keyDigest = policy.claimIds.digestOfKey(request.team, request.idempotencyKey);
+    const shard = await this.#shardOf(keyDigest);
+    if (shard === null) {
+      return null;
+    }
+    const { requestId, fingerprint } = request;
+    return this.#claimIn(shard, {
+      kind: "claimed",
+      keyDigest,
+      requestId,
+      fingerprint,
+      idTimeMs,
+      claimedAtMs: this.#options.clock.wallMs(),
+    });
+  }
+
+  /** Records how a submission ended; stored with the next commit. */
+  finish(outcome: schema.peer.ClaimOutcome): void {
+    const idTimeMs = policy.claimIds.timeOfIdMs(outcome.idempotencyKey);
+    if (idTimeMs === null) {
+      return;
+    }
+    const keyDigest = policy.claimIds.digestOfKey(outcome.team, outcome.idempotencyKey);
+    const { requestId, status } = outcome;
+    void this.#shardOf(keyDigest).then((shard) => {
+      shard?.end({
+        kind: "ended",
+        keyDigest,
+        requestId,
+        idTimeMs,
+        outcome: outcome.outcome,
+        status,
+      });
+      this.#scheduleCommit();
+    });
+  }
+
+  /** Stops timers. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#stopTimer?.();
+  }
+
+  #claimIn(shard: OwnedShard, claim: schema.claims.Claimed): Promise<ClaimResult | null> {
+    const answer = shard.answerNow(claim, this.#options.clock.wallMs());
+    if (answer !== null) {
+      return Promise.resolve(answer);
+    }
+    return new Promise((resolve) => {
+      shard.wait({ claim, resolve });
+      this.#scheduleCommit();
+    });
+  }
+
+  async #shardOf(keyDigest: string): Promise<OwnedShard | null> {
+    const index = policy.claimIds.shardOfDigest(keyDigest, this.#options.shardCount);
+    const owned = this.#shards.get(index);
+    if (owned !== undefined) {
+      return owned;
+    }
+    const running = this.#takeovers.get(index);
+    if (running !== undefined) {
+      return await running;
+    }
+    const takeover = this.#takeOver(index);
+    this.#takeovers.set(index, takeover);
+    const shard = await takeover;
+    this.#takeovers.delete(index);
+    if (shard !== null) {
+      this.#shards.set(index, shard);
+    }
+    return shard;
+  }
+
+  /** Writes this process into the owner record, then reads what earlier owners have stored. */
+  async #takeOver(index: number): Promise<OwnedShard | null> {
+    const ownerRevision = await this.#writeOwner(index);
+    if (ownerRevision === null) {
+      return null;
+    }
+    const stored = await this.#options.store.list(schema.storeKeys.claimSegmentPrefix(index));
+    if (stored.isErr()) {
+      this.#options.log.warn("Segments not read.", { shard: index, reason: stored.error.message });
+      return null;
+    }
+    const shard = new OwnedShard({ index, ownerRevision, window: this.#options.window });
+    for (const { key, value } of stored.value) {
+      if (!this.#load(shard, key, value)) {
+        return null;
+      }
+    }
+    this.#options.log.info("Shard taken over.", { shard: index, keys: shard.size });
+    return shard;
+  }
+
+  async #writeOwner(index: number): Promise<number | null> {
+    const { store, memberId, log } = this.#options;
+    const key = schema.storeKeys.claimOwnerKey(index);
+    const before = await store.get(key);
+    if (before.isErr()) {
+      log.warn("Owner not read.", { shard: index, reason: before.error.message });
+      return null;
+    }
+    const owner: schema.claims.Owner = { memberId, changeId: randomUUID() };
+    const value = JSON.stringify(owner);
+    const modRevision = before.value?.modRevision ?? 0;
+    const written = await store.transact([{ key, modRevision }], [{ kind: "put", key, value }]);
+    if (written.isOk()) {
+      return written.value.succeeded ? written.value.storeRevision : null;
+    }
+    // The answer may have been lost after the write took effect; the change id tells.
+    const after = await store.get(key);
+    return after.isOk() && after.value?.value === value ? after.value.modRevision : null;
+  }
+
+  /** A segment that can't be read makes the shard unusable: the keys in it must not run again. */
+  #load(shard: OwnedShard, key: string, value: string): boolean {
+    const segment = parseSegment(value);
+    if (segment === null) {
+      this.#options.log.error("Segment not understood.", { shard: shard.index, key });
+      return false;
+    }
+    shard.load(key, segment.records);
+    return true;
+  }
+
+  #scheduleCommit(): void {
+    if (this.#stopTimer !== null || this.#isCommitting || this.#isStopped) {
+      return;
+    }
+    const sinceLastMs = this.#options.clock.nowMs() - this.#lastCommitAtMs;
+    this.#commitAfter(Math.max(0, COMMIT_SPACING_MS - sinceLastMs));
+  }
+
+  #commitAfter(delayMs: number): void {
+    this.#stopTimer = this.#options.clock.after(delayMs, () => {
+      this.#stopTimer = null;
+      void this.#commit();
+    });
+  }
+
+  async #commit(): Promise<void> {
+    const nowWallMs = this.#options.clock.wallMs();
+    this.#forgetExpired(nowWallMs);
+    const shards = [...this.#shards.values()].filter((shard) => shard.prepare(nowWallMs));
+    if (shards.length === 0) {
+      return;
+    }
+    this.#isCommitting = true;
+    this.#lastCommitAtMs = this.#options.clock.nowMs();
+    const isSettled = await this.#write(shards);
+    this.#isCommitting = false;
+    if (this.#isStopped) {
+      return;
+    }
+    if (!isSettled) {
+      this.#commitAfter(RETRY_DELAY_MS);
+    } else if ([...this.#shards.values()].some((shard) => shard.hasWork)) {
+      this.#scheduleCommit();
+    }
+  }
+
+  /**
+   * Writes the prepared segments. After a failure the same keys and values are written again, so that a
+   * first write that takes effect late changes nothing. Returns false where that is still to be done.
+   */
+  async #write(shards: readonly OwnedShard[]): Promise<boolean> {
+    const compares = shards.map((shard) => shard.ownerCompare());
+    const puts = shards.map((shard) => shard.segmentWrite());
+    const deletes = this.#deletesOf(shards);
+    const outcome = await this.#options.store.transact(compares, [...puts, ...deletes]);
+    if (outcome.isErr()) {
+      this.#options.log.warn("Commit failed.", { reason: outcome.error.message });
+      return false;
+    }
+    if (!outcome.value.succeeded) {
+      this.#abandon(shards);
+      return true;
+    }
+    for (const shard of shards) {
+      shard.committed();
+    }
+    return true;
+  }
+
+  #deletesOf(shards: readonly OwnedShard[]): ports.store.Write[] {
+    const nowWallMs = this.#options.clock.wallMs();
+    const keys = shards.flatMap((shard) => shard.takeExpiredSegmentKeys(nowWallMs));
+    return keys.map((key) => ({ kind: "delete", key }));
+  }
+
+  #forgetExpired(nowWallMs: number): void {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs - this.#lastForgetAtMs < FORGET_INTERVAL_MS) {
+      return;
+    }
+    this.#lastForgetAtMs = nowMs;
+    for (const shard of this.#shards.values()) {
+      shard.forgetExpired(nowWallMs);
+    }
+  }
+
+  /** Another process owns one of the shards; each is taken over again when it is next asked for. */
+  #abandon(shards: readonly OwnedShard[]): void {
+    for (const shard of shards) {
+      this.#options.log.warn("Shard lost.", { shard: shard.index });
+      this.#shards.delete(shard.index);
+      shard.abandon();
+    }
+  }
+}
+
+function parseSegment(value: string): schema.claims.Segment | null {
+  try {
+    const parsed = v.safeParse(schema.claims.segmentSchema, JSON.parse(value));
+    return parsed.success ? parsed.output : null;
+  } catch {
+    return null;
+  }
+}
--- a/packages/policy/src/claims/shard_test.ts
+++ b/packages/policy/src/claims/shard_test.ts
@@ -27,7 +27,12 @@
   it.each([
     { name: "a new key", records: [], ask: {}, expected: "store" },
     { name: "the same submission", records: [claimed()], ask: {}, expected: "granted" },
-    { name: "a running one", records: [claimed()], ask: { requestId: "second" }, expected: "running" },
+    {
+      name: "a running one",
+      records: [claimed()],
+      ask: { requestId: "second" },
+      expected: "running",
+    },
     {
       name: "one without an end after a long time",
       records: [claimed({ claimedAtMs: 0 })],
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -5,3 +5,4 @@
  */
 export * as claimIds from "./claims/ids.ts";
 export * as claimShard from "./claims/shard.ts";
+export * as rendezvous from "./rendezvous.ts";
