--- /dev/null
+++ b/packages/adapters/src/call_budget.ts
@@ -0,0 +1,38 @@
+/**
+ * A token bucket for the store calls of one process.
+ *
+ * @module
+ */
+
+const MS_PER_SECOND = 1_000;
+
+/** Allows a rate of calls, with bursts of one second's worth. */
+export class CallBudget {
+  readonly #perSecond: number;
+  readonly #nowMs: () => number;
+  #tokens: number;
+  #updatedAtMs: number;
+
+  constructor(perSecond: number, nowMs: () => number) {
+    this.#perSecond = perSecond;
+    this.#nowMs = nowMs;
+    this.#tokens = perSecond;
+    this.#updatedAtMs = nowMs();
+  }
+
+  /** Reserves one call; the wait until it may start in milliseconds, or null if that is too long. */
+  reserve(maxWaitMs: number): number | null {
+    this.#refill();
+    const waitMs = this.#tokens >= 1 ? 0 : ((1 - this.#tokens) * MS_PER_SECOND) / this.#perSecond;
+    if (waitMs > maxWaitMs) return null;
+    this.#tokens -= 1;
+    return waitMs;
+  }
+
+  #refill(): void {
+    const nowMs = this.#nowMs();
+    const gained = ((nowMs - this.#updatedAtMs) * this.#perSecond) / MS_PER_SECOND;
+    this.#tokens = Math.min(this.#perSecond, this.#tokens + gained);
+    this.#updatedAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/config_repository.ts
@@ -0,0 +1,218 @@
+/**
+ * Reads and publishes configurations: content-addressed chunks, named by the head.
+ *
+ * A publish writes the missing chunks, the history record and the head in one transaction, and deletes
+ * the chunks that the new head no longer names. So the store always holds exactly the chunks of the
+ * head; a reader that finds one missing has an old head and reads again. Only a change too large for
+ * one transaction writes its chunks beforehand.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import * as policy from "@jackdawlink/policy";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type { HeadRecord, HeadRepository } from "./head_repository.ts";
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+
+/** Another operator published first; `changes` leads from the checked configuration to theirs. */
+export const ConfigConflictError = schema.errors.ConflictError.subclass("ConfigConflictError", {
+  props: { revision: 0, author: "", changes: [] as readonly policy.configDiff.ObjectChange[] },
+});
+
+/** A configuration was refused; `findings` says why. */
+export const ConfigCheckError = schema.errors.CheckError.subclass("ConfigCheckError", {
+  props: { findings: [] as readonly policy.findings.Finding[] },
+});
+
+/** A configuration with its head, and the store's revision of the head. */
+export interface ConfigRecord extends ports.members.Snapshot, HeadRecord {}
+
+/** A configuration to publish, checked against `base`. */
+export interface Publication {
+  readonly base: ConfigRecord;
+  readonly config: schema.config.Config;
+  readonly author: string;
+  readonly summary: string;
+  readonly timeoutMs?: number;
+}
+
+/** The most chunk text that goes along with the head in one transaction. */
+const MAX_TRANSACTION_CHUNK_BYTES = 786_432;
+/** The most chunks written or deleted in one transaction; the service takes 128 operations. */
+const MAX_TRANSACTION_CHUNKS = 100;
+/** The largest value that the service takes. */
+const MAX_CHUNK_BYTES = 1_000_000;
+/** Beyond this number of missing chunks one list is cheaper than single reads. */
+const MAX_SINGLE_CHUNK_READS = 4;
+/** How often a read starts over because the head has moved on. */
+const MAX_READ_ATTEMPTS = 5;
+/** How often a publish starts over because only members or fences have changed. */
+const MAX_REBASES = 20;
+
+/** The configurations in the store. Keeps the chunks last read, so that a change reads only new ones. */
+export class ConfigRepository {
+  readonly #store: ports.store.Store;
+  readonly #headRepository: HeadRepository;
+  #texts = new Map<string, string>();
+
+  constructor(
+    { store, headRepository }: { store: ports.store.Store; headRepository: HeadRepository },
+  ) {
+    this.#store = store;
+    this.#headRepository = headRepository;
+  }
+
+  /** The newest head with its configuration. */
+  read(): ResultAsync<ConfigRecord, JackdawlinkError> {
+    return new ResultAsync(this.#read());
+  }
+
+  /** Publishes a configuration that has no errors, or fails with a conflict that carries the difference. */
+  publish(publication: Publication): ResultAsync<ConfigRecord, JackdawlinkError> {
+    return new ResultAsync(this.#publish(publication));
+  }
+
+  async #read(): Promise<Result<ConfigRecord, JackdawlinkError>> {
+    for (let attempt = 1; attempt <= MAX_READ_ATTEMPTS; attempt += 1) {
+      const record = await this.#headRepository.read();
+      if (record.isErr()) return err(record.error);
+      const texts = await this.#readChunks(record.value.head.chunks);
+      if (texts.isErr()) return err(texts.error);
+      if (texts.value === null) continue;
+      return policy.configChunks.joinChunks(texts.value)
+        .map((config) => ({ ...record.value, config }));
+    }
+    return err(
+      new schema.errors.StoreUnavailableError("The head moved on faster than it could be read"),
+    );
+  }
+
+  /** The texts of chunks; null where one is gone. */
+  async #readChunks(
+    refs: readonly schema.head.ChunkRef[],
+  ): Promise<Result<readonly string[] | null, JackdawlinkError>> {
+    const missing = refs.filter((ref) => !this.#texts.has(ref.digest));
+    const read = await this.#readMissing(missing.map((ref) => ref.digest));
+    if (read.isErr()) return err(read.error);
+    const texts = new Map<string, string>();
+    for (const { digest } of refs) {
+      const text = this.#texts.get(digest) ?? read.value.get(digest);
+      if (text === undefined) return ok(null);
+      if (policy.configChunks.digestOf(text) !== digest) return err(corruptChunk(digest));
+      texts.set(digest, text);
+    }
+    this.#texts = texts;
+    return ok([...texts.values()]);
+  }
+
+  async #readMissing(
+    digests: readonly string[],
+  ): Promise<Result<Map<string, string>, JackdawlinkError>> {
+    if (digests.length === 0) return ok(new Map());
+    const { CHUNK_PREFIX, chunkKey } = schema.storeKeys;
+    const read = digests.length > MAX_SINGLE_CHUNK_READS
+      ? await this.#store.list(CHUNK_PREFIX)
+      : await ResultAsync.combine(digests.map((digest) => this.#store.get(chunkKey(digest))));
+    return read.map((found) => {
+      const values = found.filter((value) => value !== null);
+      return new Map(values.map(({ key, value }) => [key.slice(CHUNK_PREFIX.length), value]));
+    });
+  }
+
+  async #publish(publication: Publication): Promise<Result<ConfigRecord, JackdawlinkError>> {
+    const { config } = publication;
+    const findings = policy.configCheck.checkConfig(config).filter(policy.configCheck.isError);
+    if (findings.length > 0) return err(checkError(findings));
+    let base: HeadRecord = publication.base;
+    for (let attempt = 0; attempt <= MAX_REBASES; attempt += 1) {
+      const moved = await this.#move(base, publication);
+      if (moved.isOk()) return ok({ ...moved.value, config });
+      if (!(moved.error instanceof schema.errors.ConflictError)) return err(moved.error);
+      const current = await this.#read();
+      if (current.isErr()) return err(current.error);
+      if (current.value.head.configRevision !== publication.base.head.configRevision) {
+        return err(conflictError(publication.base, current.value));
+      }
+      base = current.value;
+    }
+    return err(new schema.errors.ConflictError("The member list changes too fast to publish"));
+  }
+
+  async #move(
+    base: HeadRecord,
+    { base: checked, config, author, summary, timeoutMs }: Publication,
+  ): Promise<Result<HeadRecord, JackdawlinkError>> {
+    const chunks = policy.configChunks.splitConfig(config);
+    const tooLarge = chunks.find((chunk) => chunk.bytes > MAX_CHUNK_BYTES);
+    if (tooLarge !== undefined) return err(oversizedChunk(tooLarge));
+    const stored = new Set(base.head.chunks.map((ref) => ref.digest));
+    const missing = chunks.filter((chunk) => !stored.has(chunk.digest));
+    const writes = await this.#prepareWrites(missing);
+    if (writes.isErr()) return err(writes.error);
+    return await this.#headRepository.change(base, {
+      edit: { chunks: chunks.map(({ digest, bytes }) => ({ digest, bytes })) },
+      author,
+      summary,
+      changes: policy.configDiff.diffConfigs(checked.config, config)
+        .map(policy.configDiff.describeChange),
+      writes: [...writes.value, ...deletions(base.head, chunks)],
+      timeoutMs,
+    });
+  }
+
+  /** The puts that go along with the head; what is too much for one transaction is written at once. */
+  async #prepareWrites(
+    missing: readonly policy.configChunks.Chunk[],
+  ): Promise<Result<readonly ports.store.Write[], JackdawlinkError>> {
+    const missingBytes = missing.reduce((sum, chunk) => sum + chunk.bytes, 0);
+    const puts = missing.map((chunk): ports.store.Write => ({
+      kind: "put",
+      key: schema.storeKeys.chunkKey(chunk.digest),
+      value: chunk.text,
+    }));
+    if (missingBytes <= MAX_TRANSACTION_CHUNK_BYTES && puts.length <= MAX_TRANSACTION_CHUNKS / 2) {
+      return ok(puts);
+    }
+    for (const put of puts) {
+      const written = await this.#store.transact([], [put]);
+      if (written.isErr()) return err(written.error);
+    }
+    return ok([]);
+  }
+}
+
+/** Deletes the chunks of the old head that the new one doesn't name. */
+function deletions(
+  old: schema.head.Head,
+  chunks: readonly policy.configChunks.Chunk[],
+): readonly ports.store.Write[] {
+  const kept = new Set(chunks.map((chunk) => chunk.digest));
+  return old.chunks
+    .filter((ref) => !kept.has(ref.digest))
+    .slice(0, MAX_TRANSACTION_CHUNKS / 2)
+    .map((ref) => ({ kind: "delete", key: schema.storeKeys.chunkKey(ref.digest) }));
+}
+
+function checkError(findings: readonly policy.findings.Finding[]): JackdawlinkError {
+  const message = `The configuration has ${findings.length} errors; nothing was published`;
+  return new ConfigCheckError(message, { props: { findings } });
+}
+
+function conflictError(checked: ConfigRecord, current: ConfigRecord): JackdawlinkError {
+  const { revision, author } = current.head;
+  const changes = policy.configDiff.diffConfigs(checked.config, current.config);
+  const message = `The configuration was checked against revision ${checked.head.revision}, ` +
+    `but ${author} has published since; the newest is ${revision}`;
+  return new ConfigConflictError(message, { props: { revision, author, changes } });
+}
+
+function corruptChunk(digest: string): JackdawlinkError {
+  return new schema.errors.InvalidInputError(`Chunk ${digest} does not have its digest`);
+}
+
+function oversizedChunk({ bytes }: policy.configChunks.Chunk): JackdawlinkError {
+  const message = `A chunk of the configuration has ${bytes} bytes, more than the store takes`;
+  return new schema.errors.InvalidInputError(message);
+}
--- /dev/null
+++ b/packages/adapters/src/head_repository.ts
@@ -0,0 +1,252 @@
+/**
+ * Reads the head record and moves it by compare-and-swap. A lost answer is resolved by reading again
+ * for the change's id.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { BackOff } from "./back_off.ts";
+import * as history from "./history.ts";
+import { decodeStored } from "./stored_json.ts";
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+
+/** No answer told whether a change took effect before the time was up; history has its id if it did. */
+export const OutcomeUnknownError = schema.errors.StoreUnavailableError.subclass(
+  "OutcomeUnknownError",
+  { props: { changeId: "" } },
+);
+
+/** The head with the store's revision of it, zero before the first. */
+export interface HeadRecord {
+  readonly head: schema.head.Head;
+  readonly modRevision: number;
+}
+
+/** What a change replaces in the head; what is left out stays. */
+export type HeadEdit = Partial<Pick<schema.head.Head, "chunks" | "members" | "fences">>;
+
+/** One change of the head. */
+export interface HeadChange {
+  readonly edit: HeadEdit;
+  readonly author: string;
+  readonly summary: string;
+  /** Lines for the history record. */
+  readonly changes?: readonly string[];
+  /** Writes of the same transaction. */
+  readonly writes?: readonly ports.store.Write[];
+  readonly timeoutMs?: number;
+}
+
+/** An edit that is made again from the newest head whenever another writer was first. */
+export interface HeadUpdate {
+  /** Null where nothing is left to do. `nextRevision` is the revision that the edit would have. */
+  readonly mutate: (head: schema.head.Head, nextRevision: number) => HeadEdit | null;
+  readonly author: string;
+  readonly summary: string;
+  readonly timeoutMs?: number;
+}
+
+/** What a {@link HeadRepository} is made of. */
+export interface HeadRepositoryOptions {
+  readonly store: ports.store.Store;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  /** Makes the unique id of a change. */
+  readonly newChangeId?: () => string;
+  /** A random source between 0 and 1, for jitter. */
+  readonly random?: () => number;
+}
+
+/** How long a change is tried, unless the caller says otherwise. */
+export const DEFAULT_TIMEOUT_MS = 10_000;
+
+/** The one place that writes the head. */
+export class HeadRepository {
+  readonly #store: ports.store.Store;
+  readonly #clock: ports.clock.Clock;
+  readonly #log: ports.log.Log;
+  readonly #newChangeId: () => string;
+  readonly #random: () => number;
+
+  constructor({ store, clock, log, newChangeId, random }: HeadRepositoryOptions) {
+    this.#store = store;
+    this.#clock = clock;
+    this.#log = log;
+    this.#newChangeId = newChangeId ?? (() => crypto.randomUUID());
+    this.#random = random ?? Math.random;
+  }
+
+  /** The newest head; the empty one before the first change. */
+  read(): ResultAsync<HeadRecord, JackdawlinkError> {
+    return this.#store.get(schema.storeKeys.HEAD).andThen((stored) => {
+      if (stored === null) return ok({ head: schema.head.EMPTY_HEAD, modRevision: 0 });
+      return decodeStored(stored, schema.head.headSchema)
+        .map((head) => ({ head, modRevision: stored.modRevision }));
+    });
+  }
+
+  /**
+   * Moves the head from `base`, or fails with `ConflictError` if another writer was first. Succeeds with
+   * the head as this change made it, also where a later revision has overtaken it.
+   */
+  change(base: HeadRecord, change: HeadChange): ResultAsync<HeadRecord, JackdawlinkError> {
+    return new ResultAsync(this.#change(base, change));
+  }
+
+  /** Reads, edits and moves the head, again and again until it succeeds or the time is up. */
+  update(update: HeadUpdate): ResultAsync<HeadRecord, JackdawlinkError> {
+    return new ResultAsync(this.#update(update));
+  }
+
+  /** The history records that are kept, oldest first. */
+  readHistory(): ResultAsync<readonly history.HistoryRecord[], JackdawlinkError> {
+    return this.#store.list(schema.storeKeys.HISTORY_PREFIX).andThen((stored) => {
+      const records: history.HistoryRecord[] = [];
+      for (const value of stored) {
+        const record = decodeStored(value, history.historyRecordSchema);
+        if (record.isErr()) return err(record.error);
+        records.push(record.value);
+      }
+      return ok(records);
+    });
+  }
+
+  async #update(update: HeadUpdate): Promise<Result<HeadRecord, JackdawlinkError>> {
+    const { mutate, author, summary, timeoutMs = DEFAULT_TIMEOUT_MS } = update;
+    const deadlineMs = this.#clock.nowMs() + timeoutMs;
+    const backOff = new BackOff({ random: this.#random });
+    for (;;) {
+      const base = await this.read();
+      const leftMs = deadlineMs - this.#clock.nowMs();
+      if (base.isErr()) {
+        if (leftMs <= 0 || !isTransient(base.error)) return err(base.error);
+        await this.#sleep(Math.min(leftMs, backOff.failed()));
+        continue;
+      }
+      const edit = mutate(base.value.head, base.value.head.revision + 1);
+      if (edit === null) return ok(base.value);
+      const changed = await this.#change(base.value, { edit, author, summary, timeoutMs: leftMs });
+      if (changed.isOk() || !(changed.error instanceof schema.errors.ConflictError)) return changed;
+      if (this.#clock.nowMs() >= deadlineMs) return changed;
+      await this.#sleep(backOff.failed());
+    }
+  }
+
+  async #change(
+    base: HeadRecord,
+    { edit, author, summary, changes = [], writes = [], timeoutMs = DEFAULT_TIMEOUT_MS }:
+      HeadChange,
+  ): Promise<Result<HeadRecord, JackdawlinkError>> {
+    const head = nextHead(base.head, {
+      ...edit,
+      changeId: this.#newChangeId(),
+      author,
+      summary,
+      changedAtMs: this.#clock.wallMs(),
+    });
+    const result = await this.#commit({ base, head, timeoutMs }, [
+      { kind: "put", key: schema.storeKeys.HEAD, value: JSON.stringify(head) },
+      ...history.historyWrites(head, changes),
+      ...writes,
+    ]);
+    this.#logOutcome(head, result);
+    return result;
+  }
+
+  async #commit(
+    { base, head, timeoutMs }: { base: HeadRecord; head: schema.head.Head; timeoutMs: number },
+    writes: readonly ports.store.Write[],
+  ): Promise<Result<HeadRecord, JackdawlinkError>> {
+    const deadlineMs = this.#clock.nowMs() + timeoutMs;
+    const compares = [{ key: schema.storeKeys.HEAD, modRevision: base.modRevision }];
+    const backOff = new BackOff({ random: this.#random });
+    let isOutcomeOpen = false;
+    for (;;) {
+      const sent = await this.#store.transact(compares, writes);
+      if (sent.isOk() && sent.value.succeeded) {
+        return ok({ head, modRevision: sent.value.storeRevision });
+      }
+      if (sent.isErr() && !isTransient(sent.error)) return err(sent.error);
+      isOutcomeOpen ||= sent.isErr() && !(sent.error instanceof schema.errors.StoreBudgetError);
+      const settled = sent.isOk() && !isOutcomeOpen
+        ? err(conflictError(base.head))
+        : await this.#settle(base, head);
+      if (settled !== null) return settled;
+      const leftMs = deadlineMs - this.#clock.nowMs();
+      if (leftMs <= 0) return err(outcomeUnknown(head, sent.isErr() ? sent.error : undefined));
+      await this.#sleep(Math.min(leftMs, backOff.failed()));
+    }
+  }
+
+  /** Whether a change with a lost answer took effect; null while that cannot be told. */
+  async #settle(
+    base: HeadRecord,
+    head: schema.head.Head,
+  ): Promise<Result<HeadRecord, JackdawlinkError> | null> {
+    const current = await this.read();
+    if (current.isErr()) return isTransient(current.error) ? null : err(current.error);
+    if (current.value.modRevision === base.modRevision) return null;
+    if (current.value.head.changeId === head.changeId) return ok(current.value);
+    return await this.#settleFromHistory(base, head);
+  }
+
+  /** A later revision hides the head's change id; the history record of the revision still has it. */
+  async #settleFromHistory(
+    base: HeadRecord,
+    head: schema.head.Head,
+  ): Promise<Result<HeadRecord, JackdawlinkError> | null> {
+    const stored = await this.#store.get(schema.storeKeys.historyKey(head.revision));
+    if (stored.isErr()) return isTransient(stored.error) ? null : err(stored.error);
+    if (stored.value === null) return err(outcomeUnknown(head));
+    const record = decodeStored(stored.value, history.historyRecordSchema);
+    if (record.isErr()) return err(record.error);
+    const isOurs = record.value.changeId === head.changeId;
+    return isOurs
+      ? ok({ head, modRevision: stored.value.modRevision })
+      : err(conflictError(base.head));
+  }
+
+  #logOutcome(head: schema.head.Head, result: Result<HeadRecord, JackdawlinkError>): void {
+    const fields = { revision: head.revision, changeId: head.changeId, summary: head.summary };
+    if (result.isOk()) this.#log.info("Head moved", fields);
+    else this.#log.warn("Head not moved", { ...fields, reason: result.error.message });
+  }
+
+  #sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => this.#clock.after(delayMs, resolve));
+  }
+}
+
+function nextHead(
+  base: schema.head.Head,
+  change: HeadEdit & Pick<schema.head.Head, "changeId" | "author" | "summary" | "changedAtMs">,
+): schema.head.Head {
+  const revision = base.revision + 1;
+  return {
+    ...base,
+    ...change,
+    revision,
+    configRevision: change.chunks === undefined ? base.configRevision : revision,
+    membersRevision: change.members === undefined ? base.membersRevision : revision,
+  };
+}
+
+/** Whether the same call may succeed later. */
+function isTransient(error: JackdawlinkError): boolean {
+  return error instanceof schema.errors.StoreUnavailableError;
+}
+
+function conflictError(base: schema.head.Head): JackdawlinkError {
+  return new schema.errors.ConflictError(
+    `Another writer has moved the head on from revision ${base.revision}`,
+  );
+}
+
+function outcomeUnknown(head: schema.head.Head, cause?: unknown): JackdawlinkError {
+  const message = `It is not known whether change ${head.changeId} took effect; ` +
+    `look for it in the history at revision ${head.revision}`;
+  return new OutcomeUnknownError(message, { props: { changeId: head.changeId }, cause });
+}
--- a/packages/adapters/src/mod.ts
+++ b/packages/adapters/src/mod.ts
@@ -1,6 +1,14 @@
 /**
- * Placeholder.
+ * Implementations of the ports.
  *
  * @module
  */
-export {};
+export * as backOff from "./back_off.ts";
+export * as clock from "./clock.ts";
+export * as configRepository from "./config_repository.ts";
+export * as headRepository from "./head_repository.ts";
+export * as history from "./history.ts";
+export * as log from "./log.ts";
+export * as platformStore from "./platform_store.ts";
+export * as settings from "./settings.ts";
+export * as storedJson from "./stored_json.ts";
--- /dev/null
+++ b/packages/adapters/src/platform_store.ts
@@ -0,0 +1,258 @@
+/**
+ * The platform store over etcd's JSON gateway.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import * as undici from "undici";
+import * as v from "valibot";
+import { BackOff } from "./back_off.ts";
+import { CallBudget } from "./call_budget.ts";
+import * as codec from "./gateway_codec.ts";
+import { StoreWatch } from "./store_watch.ts";
+
+/** The header by which a process names itself to the platform. */
+export const CLIENT_HEADER = "jackdawlink-client";
+
+/** The store answered with something that is not of its protocol. */
+export const StoreAnswerError = schema.errors.StoreUnavailableError.subclass("StoreAnswerError");
+
+/** The store refused the call for good; it had no effect. */
+export const StoreRefusedError = schema.errors.JackdawlinkError.subclass("StoreRefusedError");
+
+/** What a {@link PlatformStore} is made of. */
+export interface PlatformStoreOptions {
+  readonly settings: schema.settings.StoreSettings;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  /** Names this process to the platform. */
+  readonly clientId?: string;
+  /** A random source between 0 and 1, for jitter. */
+  readonly random?: () => number;
+}
+
+type Kind = "read" | "write";
+
+interface CallOptions<TSchema> {
+  readonly kind: Kind;
+  readonly body: unknown;
+  readonly answer: TSchema;
+}
+
+/** A failed status with its reason; only the first characters of a body are kept. */
+const MAX_REASON_CHARACTERS = 200;
+const HTTP_OK = 200;
+/** Statuses of calls that are wrong in themselves; the same call would be refused again. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 404, 413]);
+
+/**
+ * The store of one process, with a budget of calls. After a failure the next calls wait for a jittered
+ * back-off, inside their own time-out.
+ */
+export class PlatformStore implements ports.store.Store {
+  readonly #options: PlatformStoreOptions;
+  readonly #random: () => number;
+  readonly #pool: undici.Pool;
+  readonly #headers: Record<string, string>;
+  readonly #budgets: Record<Kind, CallBudget>;
+  readonly #backOff: BackOff;
+  readonly #watches = new Set<StoreWatch>();
+  #notBeforeMs = 0;
+
+  constructor(options: PlatformStoreOptions) {
+    const { settings, clock } = options;
+    this.#options = options;
+    this.#random = options.random ?? Math.random;
+    this.#pool = new undici.Pool(new URL(settings.url).origin, { pipelining: 1 });
+    this.#headers = {
+      "content-type": "application/json",
+      ...(options.clientId === undefined ? {} : { [CLIENT_HEADER]: options.clientId }),
+    };
+    this.#budgets = {
+      read: new CallBudget(settings.readsPerSecond, () => clock.nowMs()),
+      write: new CallBudget(settings.writesPerSecond, () => clock.nowMs()),
+    };
+    this.#backOff = new BackOff({ random: this.#random });
+  }
+
+  get(key: string): ResultAsync<ports.store.StoredValue | null, schema.errors.JackdawlinkError> {
+    const body = { key: codec.encodeBytes(key) };
+    return this.#call("/v3/kv/range", { kind: "read", body, answer: codec.rangeAnswerSchema })
+      .map((answer) => answer.kvs[0] ?? null);
+  }
+
+  list(
+    prefix: string,
+  ): ResultAsync<readonly ports.store.StoredValue[], schema.errors.JackdawlinkError> {
+    const body = { key: codec.encodeBytes(prefix), range_end: codec.prefixEnd(prefix) };
+    return this.#call("/v3/kv/range", { kind: "read", body, answer: codec.rangeAnswerSchema })
+      .map((answer) => answer.kvs);
+  }
+
+  transact(
+    compares: readonly ports.store.Compare[],
+    writes: readonly ports.store.Write[],
+  ): ResultAsync<ports.store.TransactionOutcome, schema.errors.JackdawlinkError> {
+    const body = codec.encodeTransaction(compares, writes);
+    return this.#call("/v3/kv/txn", { kind: "write", body, answer: codec.transactionAnswerSchema })
+      .map((answer) => ({
+        succeeded: answer.succeeded,
+        storeRevision: answer.header.revision,
+      }));
+  }
+
+  grantLease(ttlSeconds: number): ResultAsync<string, schema.errors.JackdawlinkError> {
+    const body = { TTL: String(ttlSeconds) };
+    return this.#call("/v3/lease/grant", {
+      kind: "write",
+      body,
+      answer: codec.leaseGrantAnswerSchema,
+    }).map((answer) => answer.ID);
+  }
+
+  keepLeaseAlive(leaseId: string): ResultAsync<boolean, schema.errors.JackdawlinkError> {
+    return this.#call("/v3/lease/keepalive", {
+      kind: "write",
+      body: { ID: leaseId },
+      answer: codec.keepAliveAnswerSchema,
+    }).map((answer) => answer.result.TTL > 0);
+  }
+
+  revokeLease(leaseId: string): ResultAsync<void, schema.errors.JackdawlinkError> {
+    return this.#call("/v3/lease/revoke", {
+      kind: "write",
+      body: { ID: leaseId },
+      answer: codec.emptyAnswerSchema,
+    }).map(() => undefined);
+  }
+
+  watch(prefix: string, onChange: () => void): () => void {
+    const watch = new StoreWatch({
+      pool: this.#pool,
+      headers: this.#headers,
+      prefix,
+      onChange,
+      clock: this.#options.clock,
+      log: this.#options.log,
+      random: this.#random,
+    });
+    this.#watches.add(watch);
+    watch.start();
+    return () => {
+      watch.stop();
+      this.#watches.delete(watch);
+    };
+  }
+
+  /** Ends the watches and closes the connections. */
+  async close(): Promise<void> {
+    for (const watch of this.#watches) watch.stop();
+    await this.#pool.destroy();
+  }
+
+  #call<TSchema extends v.GenericSchema>(
+    path: string,
+    options: CallOptions<TSchema>,
+  ): ResultAsync<v.InferOutput<TSchema>, schema.errors.JackdawlinkError> {
+    return new ResultAsync(this.#callWithinTimeout(path, options));
+  }
+
+  async #callWithinTimeout<TSchema extends v.GenericSchema>(
+    path: string,
+    { kind, body, answer }: CallOptions<TSchema>,
+  ): Promise<Result<v.InferOutput<TSchema>, schema.errors.JackdawlinkError>> {
+    const { settings, clock } = this.#options;
+    const deadlineMs = clock.nowMs() + settings.timeoutMs;
+    const waitMs = this.#budgets[kind].reserve(settings.timeoutMs);
+    if (waitMs === null) return err(overBudget(kind));
+    const backOffMs = this.#notBeforeMs - clock.nowMs();
+    await this.#sleep(Math.min(settings.timeoutMs, Math.max(waitMs, backOffMs)));
+    const result = await this.#exchange(path, { body, timeoutMs: deadlineMs - clock.nowMs() });
+    this.#noteOutcome(path, result);
+    return result.andThen((value) => decodeAnswer(path, value, answer));
+  }
+
+  async #exchange(
+    path: string,
+    { body, timeoutMs }: { body: unknown; timeoutMs: number },
+  ): Promise<Result<unknown, schema.errors.JackdawlinkError>> {
+    if (timeoutMs <= 0) return err(unavailable(path, "no time was left after the back-off"));
+    try {
+      const response = await this.#pool.request({
+        method: "POST",
+        path,
+        headers: this.#headers,
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+      });
+      const text = await response.body.text();
+      if (response.statusCode === HTTP_OK) return parseJson(path, text);
+      const reason = `${response.statusCode} ${text.slice(0, MAX_REASON_CHARACTERS)}`;
+      if (REFUSED_STATUSES.has(response.statusCode)) return err(refused(path, reason));
+      return err(unavailable(path, reason));
+    } catch (cause) {
+      return err(unavailable(path, (cause as Error).message, cause));
+    }
+  }
+
+  #noteOutcome(
+    path: string,
+    result: Result<unknown, schema.errors.JackdawlinkError>,
+  ): void {
+    if (result.isOk() || result.error instanceof StoreRefusedError) {
+      this.#backOff.succeeded();
+      return;
+    }
+    const backOffMs = Math.round(this.#backOff.failed());
+    this.#notBeforeMs = this.#options.clock.nowMs() + backOffMs;
+    this.#options.log.warn("Store call failed", { path, backOffMs, reason: result.error.message });
+  }
+
+  #sleep(delayMs: number): Promise<void> {
+    if (delayMs <= 0) return Promise.resolve();
+    return new Promise((resolve) => this.#options.clock.after(delayMs, resolve));
+  }
+}
+
+function parseJson(
+  path: string,
+  text: string,
+): Result<unknown, schema.errors.JackdawlinkError> {
+  try {
+    return ok(JSON.parse(text));
+  } catch (cause) {
+    return err(new StoreAnswerError(`The store's answer to ${path} is not JSON`, { cause }));
+  }
+}
+
+function decodeAnswer<TSchema extends v.GenericSchema>(
+  path: string,
+  value: unknown,
+  answerSchema: TSchema,
+): Result<v.InferOutput<TSchema>, schema.errors.JackdawlinkError> {
+  const parsed = v.safeParse(answerSchema, value);
+  if (parsed.success) return ok(parsed.output);
+  const issues = parsed.issues.map((issue) => `${v.getDotPath(issue) ?? ""}: ${issue.message}`);
+  return err(new StoreAnswerError(`The store's answer to ${path} is malformed: ${issues[0]}`));
+}
+
+function unavailable(
+  path: string,
+  reason: string,
+  cause?: unknown,
+): schema.errors.JackdawlinkError {
+  const message = `The store did not answer ${path}: ${reason}`;
+  return new schema.errors.StoreUnavailableError(message, { cause });
+}
+
+function refused(path: string, reason: string): schema.errors.JackdawlinkError {
+  return new StoreRefusedError(`The store refused ${path}: ${reason}`);
+}
+
+function overBudget(kind: Kind): schema.errors.JackdawlinkError {
+  return new schema.errors.StoreBudgetError(
+    `The budget of store ${kind}s of this process is used up`,
+  );
+}
--- /dev/null
+++ b/packages/cli/src/exit_codes.ts
@@ -0,0 +1,34 @@
+/**
+ * Exit codes of `jackdawlink`.
+ *
+ * @module
+ */
+import * as schema from "@jackdawlink/schema";
+
+/** What each exit code means. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** A check found errors, or the command was refused. */
+  refused: 1,
+  /** The command line, the settings or a file is not usable. */
+  usage: 2,
+  /** Another operator published first. */
+  conflict: 3,
+  /** The store did not answer; the message says whether the change may have taken effect. */
+  storeUnavailable: 4,
+  /** Published, but not yet in force when the time was up. */
+  notYetInForce: 5,
+} as const;
+
+/** Error classes with their exit codes; the first that fits counts. */
+const CODES_BY_ERROR = [
+  [schema.errors.ConflictError, EXIT_CODES.conflict],
+  [schema.errors.StoreUnavailableError, EXIT_CODES.storeUnavailable],
+  [schema.errors.InvalidInputError, EXIT_CODES.usage],
+] as const;
+
+/** The exit code of a failed command. */
+export function exitCodeOf(error: schema.errors.JackdawlinkError): number {
+  const match = CODES_BY_ERROR.find(([errorClass]) => error instanceof errorClass);
+  return match?.[1] ?? EXIT_CODES.refused;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,8 @@
 /**
- * Placeholder.
+ * `jackdawlink`: the operators' command line.
  *
  * @module
  */
-export {};
+import { runProgram } from "./program.ts";
+
+process.exitCode = await runProgram(process.argv.slice(2));
--- /dev/null
+++ b/packages/cli/src/operator_client.ts
@@ -0,0 +1,98 @@
+/**
+ * Asks entries and stewards over their operators' HTTP interface.
+ *
+ * @module
+ */
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import * as undici from "undici";
+import * as v from "valibot";
+
+/** `GET /v1/status` of an entry. */
+export const statusSchema = v.object({
+  memberId: v.string(),
+  incarnation: v.nullable(v.string()),
+  fresh: v.boolean(),
+  revision: v.number(),
+  members: v.optional(
+    v.array(
+      v.object({ memberId: v.string(), revision: v.number(), heardAgeMs: v.nullable(v.number()) }),
+    ),
+    [],
+  ),
+});
+
+/** `GET /v1/explain/<id>` of an entry or steward: the log lines that it still has of an id. */
+export const explanationSchema = v.object({
+  lines: v.array(v.object({
+    atMs: v.number(),
+    part: v.optional(v.string(), ""),
+    message: v.string(),
+    fields: v.optional(v.record(v.string(), v.unknown()), {}),
+  })),
+});
+
+export type Status = v.InferOutput<typeof statusSchema>;
+export type Explanation = v.InferOutput<typeof explanationSchema>;
+/** One log line, with the address of the process that wrote it. */
+export type ExplainedLine = Explanation["lines"][number] & { readonly address: string };
+
+/** Processes that don't answer within this time count as out of reach. */
+const REQUEST_TIMEOUT_MS = 1_000;
+const HTTP_OK = 200;
+
+/** One HTTP client for all addresses. */
+export class OperatorClient {
+  readonly #agent = new undici.Agent();
+
+  status(address: string): ResultAsync<Status, schema.errors.JackdawlinkError> {
+    return this.#get(address, { path: "/v1/status", answer: statusSchema });
+  }
+
+  explain(address: string, id: string): ResultAsync<Explanation, schema.errors.JackdawlinkError> {
+    const path = `/v1/explain/${encodeURIComponent(id)}`;
+    return this.#get(address, { path, answer: explanationSchema });
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #get<TSchema extends v.GenericSchema>(
+    address: string,
+    { path, answer }: { path: string; answer: TSchema },
+  ): ResultAsync<v.InferOutput<TSchema>, schema.errors.JackdawlinkError> {
+    return new ResultAsync(this.#request(address, { path, answer }));
+  }
+
+  async #request<TSchema extends v.GenericSchema>(
+    address: string,
+    { path, answer }: { path: string; answer: TSchema },
+  ): Promise<Result<v.InferOutput<TSchema>, schema.errors.JackdawlinkError>> {
+    try {
+      const response = await undici.request(`http://${address}${path}`, {
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== HTTP_OK) {
+        return err(unreachable(address, `status ${response.statusCode}`));
+      }
+      const parsed = v.safeParse(answer, JSON.parse(text));
+      return parsed.success
+        ? ok(parsed.output)
+        : err(unreachable(address, `malformed answer: ${parsed.issues[0].message}`));
+    } catch (cause) {
+      return err(unreachable(address, (cause as Error).message, cause));
+    }
+  }
+}
+
+function unreachable(
+  address: string,
+  reason: string,
+  cause?: unknown,
+): schema.errors.JackdawlinkError {
+  const message = `${address} gave no usable answer: ${reason}`;
+  return new schema.errors.PeerUnavailableError(message, { cause });
+}
--- /dev/null
+++ b/packages/cli/src/publishing.ts
@@ -0,0 +1,69 @@
+/**
+ * Publishes a change of the configuration.
+ *
+ * @module
+ */
+import * as adapters from "@jackdawlink/adapters";
+import * as policy from "@jackdawlink/policy";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result } from "neverthrow";
+import type { Session } from "./session.ts";
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+type ConfigRecord = adapters.configRepository.ConfigRecord;
+
+/** A published change. Where nothing changed, `changes` is empty and the record is the old one. */
+export interface Published {
+  readonly record: ConfigRecord;
+  readonly changes: readonly policy.configDiff.ObjectChange[];
+  readonly warnings: readonly policy.findings.Finding[];
+}
+
+/** A change to publish. */
+export interface ChangeRequest {
+  readonly base: ConfigRecord;
+  readonly config: schema.config.Config;
+  readonly summary: string;
+}
+
+/** Makes the new configuration from the newest one. */
+export type ConfigEdit = (
+  config: schema.config.Config,
+) => Result<schema.config.Config, JackdawlinkError>;
+
+/** How often an edit of one object is made again after a conflict. */
+const MAX_EDIT_ATTEMPTS = 10;
+
+/** Publishes a configuration that was made from `base`. */
+export async function publish(
+  session: Session,
+  { base, config, summary }: ChangeRequest,
+): Promise<Result<Published, JackdawlinkError>> {
+  const changes = policy.configDiff.diffConfigs(base.config, config);
+  const warnings = policy.configCheck.checkConfig(config)
+    .filter((finding) => !policy.configCheck.isError(finding));
+  if (changes.length === 0) return ok({ record: base, changes, warnings });
+  const author = session.settings.operator;
+  return await session.configRepository.publish({ base, config, author, summary })
+    .map((record) => ({ record, changes, warnings }));
+}
+
+/** Edits the newest configuration; after a conflict the edit is made again from the newer one. */
+export async function publishEdit(
+  session: Session,
+  { summary, edit }: { summary: string; edit: ConfigEdit },
+): Promise<Result<Published, JackdawlinkError>> {
+  let last: JackdawlinkError | null = null;
+  for (let attempt = 1; attempt <= MAX_EDIT_ATTEMPTS; attempt += 1) {
+    const base = await session.configRepository.read();
+    if (base.isErr()) return err(base.error);
+    const config = edit(base.value.config);
+    if (config.isErr()) return err(config.error);
+    const published = await publish(session, { base: base.value, config: config.value, summary });
+    if (published.isOk() || !(published.error instanceof schema.errors.ConflictError)) {
+      return published;
+    }
+    last = published.error;
+  }
+  return err(last ?? new schema.errors.ConflictError("Other operators publish too fast"));
+}
--- /dev/null
+++ b/packages/policy/src/checks/backend_servers.ts
@@ -0,0 +1,83 @@
+/**
+ * Checks of backend servers, their VMs and their services.
+ *
+ * @module
+ */
+import type * as schema from "@jackdawlink/schema";
+import type { Finding } from "../findings.ts";
+import { error, groupBy, warning } from "./check.ts";
+
+type Named = readonly [string, schema.config.BackendServer];
+
+/** A VM serves one pool, and lies in one availability zone and rack. */
+export function checkVms(config: schema.config.Config): readonly Finding[] {
+  const byVm = groupBy<Named>(Object.entries(config.backendServers), ([, server]) => server.vm);
+  return [...byVm.values()].flatMap((servers) => [
+    ...checkPool(config, servers),
+    ...checkLocation(servers, "availabilityZone"),
+    ...checkLocation(servers, "rack"),
+  ]);
+}
+
+function checkPool(config: schema.config.Config, servers: readonly Named[]): readonly Finding[] {
+  const pools = servers.map(([, { service }]) => config.services[service]?.pool);
+  const firstPool = pools.find((pool) => pool !== undefined);
+  return servers.flatMap(([name, server], index) => {
+    const pool = pools[index];
+    if (pool === undefined || pool === firstPool) return [];
+    const place = { kind: "backendServers", name, field: "vm", promise: "one-pool" } as const;
+    return [error(place, `VM "${server.vm}" is in pool "${firstPool}" and in pool "${pool}"`)];
+  });
+}
+
+function checkLocation(
+  servers: readonly Named[],
+  field: "availabilityZone" | "rack",
+): readonly Finding[] {
+  const first = servers[0]?.[1][field];
+  return servers
+    .filter(([, server]) => server[field] !== first)
+    .map(([name, server]) =>
+      error(
+        { kind: "backendServers", name, field, promise: "availability-budget" },
+        `VM "${server.vm}" is in "${first}" and in "${server[field]}"`,
+      )
+    );
+}
+
+/** Two backend servers at one address would share their slots unknowingly. */
+export function checkAddresses(config: schema.config.Config): readonly Finding[] {
+  const named: Named[] = Object.entries(config.backendServers);
+  return [...groupBy(named, ([, server]) => server.address)].flatMap(([address, servers]) =>
+    servers.slice(1).map(([name]) =>
+      error(
+        { kind: "backendServers", name, field: "address", promise: "own-answer" },
+        `address ${address} is also that of "${servers[0]?.[0]}"`,
+      )
+    )
+  );
+}
+
+/** A request needs a connection of its own, so slots beyond the connections can't be used. */
+export function checkConnections(config: schema.config.Config): readonly Finding[] {
+  return Object.entries(config.backendServers)
+    .filter(([, server]) => server.connections < server.slots)
+    .map(([name, { connections, slots }]) =>
+      error(
+        { kind: "backendServers", name, field: "connections", promise: "own-answer" },
+        `${connections} connections are fewer than ${slots} slots`,
+      )
+    );
+}
+
+/** A service needs backend servers that take work. */
+export function checkServices(config: schema.config.Config): readonly Finding[] {
+  const servers = Object.values(config.backendServers);
+  return Object.keys(config.services).flatMap((name) => {
+    const place = { kind: "services", name, field: "", promise: "on-time" } as const;
+    const own = servers.filter((server) => server.service === name);
+    if (own.length === 0) return [warning(place, "no backend server serves it")];
+    const isAllDraining = own.every((server) => server.draining);
+    return isAllDraining ? [warning(place, "all its backend servers are draining")] : [];
+  });
+}
--- /dev/null
+++ b/packages/policy/src/checks/maintenance.ts
@@ -0,0 +1,156 @@
+/**
+ * Checks of pools, availability budgets and maintenance waves.
+ *
+ * @module
+ */
+import type * as schema from "@jackdawlink/schema";
+import type { Finding } from "../findings.ts";
+import { error, groupBy, type Place, vmsOf, warning } from "./check.ts";
+
+/** One pool lends its VMs to the others. */
+export function checkSparePool(config: schema.config.Config): readonly Finding[] {
+  const spares = Object.entries(config.pools).filter(([, pool]) => pool.spare);
+  const place = { kind: "pools", field: "spare", promise: "on-time" } as const;
+  if (Object.keys(config.pools).length > 0 && spares.length === 0) {
+    return [warning({ ...place, name: "" }, "no pool is the spare pool")];
+  }
+  return spares.slice(1).map(([name]) =>
+    error({ ...place, name }, `pool "${spares[0]?.[0]}" is the spare pool already`)
+  );
+}
+
+/** A pool has one availability budget. */
+export function checkBudgets(config: schema.config.Config): readonly Finding[] {
+  const byPool = groupBy(
+    Object.entries(config.availabilityBudgets),
+    ([, budget]) => budget.pool,
+  );
+  const doubled = [...byPool.values()].flatMap((budgets) =>
+    budgets.slice(1).map(([name, { pool }]) =>
+      error(
+        budgetPlace(name, "pool"),
+        `budget "${budgets[0]?.[0]}" is of the same pool "${pool}"`,
+      )
+    )
+  );
+  return [...doubled, ...checkBudgetSizes(config), ...checkUnbudgetedPools(config)];
+}
+
+function checkBudgetSizes(config: schema.config.Config): readonly Finding[] {
+  return Object.entries(config.availabilityBudgets).flatMap(([name, budget]) => {
+    const vmCount = vmsOf(config, budget.pool).length;
+    if (vmCount === 0 || budget.maxUnavailable < vmCount) return [];
+    const message = `all ${vmCount} VMs of pool "${budget.pool}" may be unavailable at once`;
+    return [warning(budgetPlace(name, "maxUnavailable"), message)];
+  });
+}
+
+function checkUnbudgetedPools(config: schema.config.Config): readonly Finding[] {
+  const inWaves = new Set(Object.values(config.maintenanceWaves).flatMap((wave) => wave.pools));
+  return Object.keys(config.pools)
+    .filter((pool) => budgetOf(config, pool) === undefined)
+    .filter((pool) => !inWaves.has(pool) && vmsOf(config, pool).length > 0)
+    .map((name) =>
+      warning(
+        { kind: "pools", name, field: "", promise: "availability-budget" },
+        "no availability budget protects it",
+      )
+    );
+}
+
+/** A wave needs a budget for each pool, the time that the budgets take, and a drain that cuts nothing. */
+export function checkWaves(config: schema.config.Config): readonly Finding[] {
+  return Object.entries(config.maintenanceWaves).flatMap(([name, wave]) => [
+    ...checkWaveBudgets(config, { name, wave }),
+    ...checkWaveTime(config, { name, wave }),
+    ...checkWaveDrain(config, { name, wave }),
+  ]);
+}
+
+/** Two running waves would compete for the budget of a pool. */
+export function checkRunningWaves(config: schema.config.Config): readonly Finding[] {
+  const running = Object.entries(config.maintenanceWaves)
+    .filter(([, wave]) => wave.state === "running")
+    .flatMap(([name, wave]) => [...new Set(wave.pools)].map((pool) => ({ name, pool })));
+  return [...groupBy(running, ({ pool }) => pool)].flatMap(([pool, waves]) =>
+    waves.slice(1).map(({ name }) =>
+      error(
+        wavePlace(name, "state"),
+        `wave "${waves[0]?.name}" runs in pool "${pool}" at the same time`,
+      )
+    )
+  );
+}
+
+interface NamedWave {
+  readonly name: string;
+  readonly wave: schema.config.MaintenanceWave;
+}
+
+function checkWaveBudgets(
+  config: schema.config.Config,
+  { name, wave }: NamedWave,
+): readonly Finding[] {
+  return wave.pools
+    .filter((pool) => Object.hasOwn(config.pools, pool) && budgetOf(config, pool) === undefined)
+    .map((pool) => error(wavePlace(name, "pools"), `pool "${pool}" has no availability budget`));
+}
+
+function checkWaveTime(
+  config: schema.config.Config,
+  { name, wave }: NamedWave,
+): readonly Finding[] {
+  const { finishWithinMs } = wave;
+  if (finishWithinMs === undefined) return [];
+  const place: Place = { ...wavePlace(name, "finishWithinMs"), promise: "on-time" };
+  return wave.pools.flatMap((pool) => {
+    const shortestMs = roundsOf(config, pool) * wave.vmMaintenanceMs;
+    if (finishWithinMs >= shortestMs) return [];
+    const message = `pool "${pool}" takes at least ${shortestMs} ms under its budget`;
+    return [error(place, message)];
+  });
+}
+
+function checkWaveDrain(
+  config: schema.config.Config,
+  { name, wave }: NamedWave,
+): readonly Finding[] {
+  const place: Place = { ...wavePlace(name, "drainTimeoutMs"), promise: "graceful-stop" };
+  return Object.entries(config.services)
+    .filter(([, service]) => wave.pools.includes(service.pool))
+    .filter(([, service]) => service.maxRunMs > wave.drainTimeoutMs)
+    .map(([service, { maxRunMs }]) =>
+      error(place, `a request of service "${service}" may run for ${maxRunMs} ms`)
+    );
+}
+
+/** How many rounds of reboots the budget of a pool needs at least. */
+function roundsOf(config: schema.config.Config, pool: string): number {
+  const vms = vmsOf(config, pool);
+  const budget = budgetOf(config, pool);
+  if (budget === undefined) return 0;
+  const { maxUnavailable, maxUnavailablePerAvailabilityZone, maxUnavailablePerRack } = budget;
+  const roundsFor = (size: number, atOnce = size) => size === 0 ? 0 : Math.ceil(size / atOnce);
+  const zones = [...groupBy(vms, (vm) => vm.availabilityZone).values()];
+  const racks = [...groupBy(vms, (vm) => `${vm.availabilityZone} ${vm.rack}`).values()];
+  return Math.max(
+    roundsFor(vms.length, maxUnavailable),
+    ...zones.map((zone) => roundsFor(zone.length, maxUnavailablePerAvailabilityZone)),
+    ...racks.map((rack) => roundsFor(rack.length, maxUnavailablePerRack)),
+  );
+}
+
+function budgetOf(
+  config: schema.config.Config,
+  pool: string,
+): schema.config.AvailabilityBudget | undefined {
+  return Object.values(config.availabilityBudgets).find((budget) => budget.pool === pool);
+}
+
+function budgetPlace(name: string, field: string): Place {
+  return { kind: "availabilityBudgets", name, field, promise: "availability-budget" };
+}
+
+function wavePlace(name: string, field: string): Place {
+  return { kind: "maintenanceWaves", name, field, promise: "availability-budget" };
+}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,6 +1,8 @@
 /**
- * Placeholder.
+ * Stand-ins of what surrounds the system, for tests and benchmarks.
  *
  * @module
  */
-export {};
+export * as platformFaults from "./platform_faults.ts";
+export * as platformServer from "./platform_server.ts";
+export * as platformStore from "./platform_store.ts";
--- a/packages/testing/src/platform_main.ts
+++ b/packages/testing/src/platform_main.ts
@@ -1,6 +1,22 @@
 /**
- * Placeholder.
+ * `stand-in-platform --address 127.0.0.1:PORT`: serves the stand-in platform and prints one JSON line
+ * once it listens. Port 0 takes any free one.
  *
  * @module
  */
-export {};
+import { parseArgs } from "node:util";
+import { type PlatformApp, startPlatform } from "./platform_server.ts";
+
+/** Applications beside the store; add one line for each. */
+const APPS: readonly PlatformApp[] = [];
+
+const { values } = parseArgs({
+  options: { address: { type: "string", default: "127.0.0.1:0" } },
+});
+
+const platform = await startPlatform(values.address, { apps: APPS });
+console.log(JSON.stringify({ ready: true, address: platform.address }));
+
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+  process.once(signal, () => void platform.close().then(() => process.exit(0)));
+}
