--- a/packages/adapters/src/config_repository.ts
+++ b/packages/adapters/src/config_repository.ts
@@ -12,6 +12,7 @@
 import * as policy from "@jackdawlink/policy";
 import * as schema from "@jackdawlink/schema";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
+import * as v from "valibot";
 import type { HeadRecord, HeadRepository } from "./head_repository.ts";
 
 type JackdawlinkError = schema.errors.JackdawlinkError;
@@ -123,6 +124,8 @@
 
   async #publish(publication: Publication): Promise<Result<ConfigRecord, JackdawlinkError>> {
     const { config } = publication;
+    const parsed = v.safeParse(schema.config.configSchema, config);
+    if (!parsed.success) return err(invalidConfig(parsed.issues));
     const findings = policy.configCheck.checkConfig(config).filter(policy.configCheck.isError);
     if (findings.length > 0) return err(checkError(findings));
     let base: HeadRecord = publication.base;
@@ -195,6 +198,12 @@
     .map((ref) => ({ kind: "delete", key: schema.storeKeys.chunkKey(ref.digest) }));
 }
 
+function invalidConfig(issues: readonly v.BaseIssue<unknown>[]): JackdawlinkError {
+  const lines = issues.map((issue) => `${v.getDotPath(issue) ?? ""}: ${issue.message}`);
+  const message = `The configuration does not fit its schema: ${lines.join("; ")}`;
+  return new schema.errors.InvalidInputError(message);
+}
+
 function checkError(findings: readonly policy.findings.Finding[]): JackdawlinkError {
   const message = `The configuration has ${findings.length} errors; nothing was published`;
   return new ConfigCheckError(message, { props: { findings } });
--- a/packages/cli/src/commands/apply_command.ts
+++ b/packages/cli/src/commands/apply_command.ts
@@ -9,17 +9,15 @@
 import { Command, Option } from "clipanion";
 import { err, ok, type Result } from "neverthrow";
 import { readConfigTables } from "../config_files.ts";
-import { EXIT_CODES } from "../exit_codes.ts";
-import { type Acceptance, waitUntilAccepted } from "../in_force.ts";
 import { parseCount } from "../number_option.ts";
-import { type CommandResult, OperatorCommand, type Output } from "../operator_command.ts";
 import { publish, type Published } from "../publishing.ts";
+import { PublishingCommand } from "../publishing_command.ts";
 import type { Session } from "../session.ts";
 
-const DEFAULT_WAIT_TIMEOUT_MS = 15_000;
+type JackdawlinkError = schema.errors.JackdawlinkError;
 
 /** Checks and publishes files over the configuration in force. */
-export class ApplyCommand extends OperatorCommand {
+export class ApplyCommand extends PublishingCommand {
   static override paths = [["apply"]];
   static override usage = Command.Usage({
     description: "Check files together with what is published, and publish them",
@@ -33,94 +31,49 @@
   prune = Option.Boolean("--prune", false, {
     description: "Remove the objects that no file names, of the kinds that the files have",
   });
-  wait = Option.Boolean("--wait", false, { description: "Return once the change is in force" });
-  timeoutMs = Option.String("--timeout-ms", String(DEFAULT_WAIT_TIMEOUT_MS), {
-    description: "How long --wait waits, in milliseconds",
-  });
-  fromRevision = Option.String("--from-revision", String(Number.MAX_SAFE_INTEGER), {
+  fromRevision = Option.String("--from-revision", {
     description: "Refuse if the configuration has changed since this revision",
   });
 
-  override async run(session: Session): Promise<CommandResult> {
-    const timeoutMs = parseCount("--timeout-ms", this.timeoutMs);
-    if (timeoutMs.isErr()) return err(timeoutMs.error);
-    const fromRevision = parseCount("--from-revision", this.fromRevision);
-    if (fromRevision.isErr()) return err(fromRevision.error);
+  override async publishChange(session: Session): Promise<Result<Published, JackdawlinkError>> {
     const tables = readConfigTables(this.files);
     if (tables.isErr()) return err(tables.error);
     const base = await session.configRepository.read();
     if (base.isErr()) return err(base.error);
-    const unchanged = await checkRevision(session, {
-      base: base.value,
-      fromRevision: fromRevision.value,
-    });
+    const unchanged = await this.#checkRevision(session, base.value);
     if (unchanged.isErr()) return err(unchanged.error);
     const config = policy.configText.mergeTables(base.value.config, {
       tables: tables.value,
       prune: this.prune,
     });
     const summary = `apply ${this.files.join(" ")}`;
-    const published = await publish(session, { base: base.value, config, summary });
-    if (published.isErr()) return err(published.error);
-    return ok(
-      await this.#output(session, {
-        published: published.value,
-        timeoutMs: timeoutMs.value,
-      }),
-    );
+    return await publish(session, { base: base.value, config, summary });
   }
 
-  async #output(
+  async #checkRevision(
     session: Session,
-    { published, timeoutMs }: { published: Published; timeoutMs: number },
-  ): Promise<Output> {
-    const { head } = published.record;
-    const acceptance = this.wait ? await waitUntilAccepted(session, { head, timeoutMs }) : null;
-    const isLate = acceptance !== null && !acceptance.isAccepted;
-    return {
-      json: {
-        revision: head.revision,
-        changes: published.changes,
-        warnings: published.warnings,
-        acceptance,
-      },
-      lines: [
-        ...published.changes.map(policy.configDiff.describeChange),
-        ...published.warnings.map(policy.findings.describeFinding),
-        statusLine(published, acceptance),
-      ],
-      exitCode: isLate ? EXIT_CODES.notYetInForce : EXIT_CODES.ok,
-    };
+    base: adapters.configRepository.ConfigRecord,
+  ): Promise<Result<void, JackdawlinkError>> {
+    if (this.fromRevision === undefined) return ok(undefined);
+    const fromRevision = parseCount("--from-revision", this.fromRevision);
+    if (fromRevision.isErr()) return err(fromRevision.error);
+    if (base.head.configRevision <= fromRevision.value) return ok(undefined);
+    return err(await changedSince(session, { base, revision: fromRevision.value }));
   }
 }
 
-function statusLine(published: Published, acceptance: Acceptance | null): string {
-  const { revision } = published.record.head;
-  const verb = published.changes.length === 0 ? "unchanged at" : "published";
-  if (acceptance === null) return `${verb} revision ${revision}`;
-  const { isAccepted, memberCount, reportingCount } = acceptance;
-  const counts = `${reportingCount} of ${memberCount} members`;
-  return isAccepted
-    ? `${verb} revision ${revision}, in force on ${counts}`
-    : `${verb} revision ${revision}, not yet in force: held by ${counts}`;
-}
-
-/** Fails with a conflict if the configuration has changed since a revision. */
-async function checkRevision(
+/** The conflict with whoever has published since a revision; the history tells what they changed. */
+async function changedSince(
   session: Session,
-  { base, fromRevision }: {
-    base: adapters.configRepository.ConfigRecord;
-    fromRevision: number;
-  },
-): Promise<Result<void, schema.errors.JackdawlinkError>> {
-  const { revision, configRevision, author } = base.head;
-  if (configRevision <= fromRevision) return ok(undefined);
-  const since = await session.headRepository.readHistory()
-    .map((records) => records.filter((record) => record.revision > fromRevision))
-    .unwrapOr([]);
-  const lines = since.flatMap((record) => record.changes);
-  const message = `The configuration has changed since revision ${fromRevision}; ` +
-    `${author} published revision ${configRevision}: ${lines.join("; ")}`;
-  const props = { revision, author };
-  return err(new adapters.configRepository.ConfigConflictError(message, { props }));
+  { base, revision }: { base: adapters.configRepository.ConfigRecord; revision: number },
+): Promise<JackdawlinkError> {
+  const { author, configRevision } = base.head;
+  const records = await session.headRepository.readHistory().unwrapOr([]);
+  const changes = records
+    .filter((record) => record.revision > revision)
+    .flatMap((record) => record.changes);
+  const message = `The configuration has changed since revision ${revision}; ` +
+    `${author} published revision ${configRevision}: ${changes.join("; ")}`;
+  const props = { revision: configRevision, author };
+  return new adapters.configRepository.ConfigConflictError(message, { props });
 }
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,6 +1,8 @@
 /**
- * Placeholder.
+ * The operators' command line.
  *
  * @module
  */
-export {};
+export * as exitCodes from "./exit_codes.ts";
+export * as operatorClient from "./operator_client.ts";
+export * as program from "./program.ts";
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -6,6 +6,14 @@
 import { type BaseContext, Builtins, Cli } from "clipanion";
 import { ApplyCommand } from "./commands/apply_command.ts";
 import { CheckCommand } from "./commands/check_command.ts";
+import { DiffCommand } from "./commands/diff_command.ts";
+import { DrainCommand, UndrainCommand } from "./commands/drain_commands.ts";
+import { ExplainCommand } from "./commands/explain_command.ts";
+import { GetCommand } from "./commands/get_command.ts";
+import { HistoryCommand } from "./commands/history_command.ts";
+import { KeyGrantCommand, KeyWithdrawCommand } from "./commands/key_commands.ts";
+import { StatusCommand } from "./commands/status_command.ts";
+import * as waves from "./commands/wave_commands.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
 const COMMANDS = [
@@ -13,6 +21,19 @@
   Builtins.VersionCommand,
   CheckCommand,
   ApplyCommand,
+  DiffCommand,
+  GetCommand,
+  HistoryCommand,
+  StatusCommand,
+  ExplainCommand,
+  KeyGrantCommand,
+  KeyWithdrawCommand,
+  DrainCommand,
+  UndrainCommand,
+  waves.WavePlanCommand,
+  waves.WaveStartCommand,
+  waves.WavePauseCommand,
+  waves.WaveResumeCommand,
 ];
 
 /** Runs one command line and gives its exit code. */
--- /dev/null
+++ b/packages/policy/src/config_edits.ts
@@ -0,0 +1,89 @@
+/**
+ * Edits of single objects, as commands make them.
+ *
+ * @module
+ */
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result } from "neverthrow";
+
+type Config = schema.config.Config;
+type EditResult = Result<Config, schema.errors.JackdawlinkError>;
+type WaveState = schema.config.MaintenanceWave["state"];
+
+/** The configuration has no object of this name. */
+export const UnknownObjectError = schema.errors.JackdawlinkError.subclass("UnknownObjectError");
+/** The configuration already has an object of this name. */
+export const ObjectExistsError = schema.errors.JackdawlinkError.subclass("ObjectExistsError");
+/** A wave can't do this step in its present state. */
+export const WaveStateError = schema.errors.JackdawlinkError.subclass("WaveStateError");
+
+/** The steps of a wave: from which state to which. */
+const WAVE_STEPS = {
+  start: { from: "planned", to: "running" },
+  pause: { from: "running", to: "paused" },
+  resume: { from: "paused", to: "running" },
+} as const satisfies Record<string, { from: WaveState; to: WaveState }>;
+
+export type WaveStep = keyof typeof WAVE_STEPS;
+
+/** Adds a key; the name of a withdrawn key can't be used again. */
+export function grantKey(
+  config: Config,
+  { name, ...key }: Omit<schema.config.Key, "withdrawn"> & { readonly name: string },
+): EditResult {
+  if (Object.hasOwn(config.keys, name)) return err(existing("keys", name));
+  const keys = { ...config.keys, [name]: { ...key, withdrawn: false } };
+  return ok({ ...config, keys });
+}
+
+/** Withdraws a key for good; its record stays so that its name is not used again by mistake. */
+export function withdrawKey(config: Config, name: string): EditResult {
+  const key = config.keys[name];
+  if (key === undefined) return err(unknown("keys", name));
+  return ok({ ...config, keys: { ...config.keys, [name]: { ...key, withdrawn: true } } });
+}
+
+/** Takes a backend server out of service or puts it back. */
+export function setDraining(
+  config: Config,
+  { name, draining }: { readonly name: string; readonly draining: boolean },
+): EditResult {
+  const server = config.backendServers[name];
+  if (server === undefined) return err(unknown("backendServers", name));
+  const backendServers = { ...config.backendServers, [name]: { ...server, draining } };
+  return ok({ ...config, backendServers });
+}
+
+/** Adds a wave that has not started. */
+export function planWave(
+  config: Config,
+  { name, wave }: { readonly name: string; readonly wave: schema.config.MaintenanceWave },
+): EditResult {
+  if (Object.hasOwn(config.maintenanceWaves, name)) return err(existing("maintenanceWaves", name));
+  const maintenanceWaves = { ...config.maintenanceWaves, [name]: wave };
+  return ok({ ...config, maintenanceWaves });
+}
+
+/** Starts, pauses or resumes a wave. */
+export function stepWave(
+  config: Config,
+  { name, step }: { readonly name: string; readonly step: WaveStep },
+): EditResult {
+  const wave = config.maintenanceWaves[name];
+  if (wave === undefined) return err(unknown("maintenanceWaves", name));
+  const { from, to } = WAVE_STEPS[step];
+  if (wave.state !== from) {
+    const message = `Wave "${name}" is ${wave.state}; ${step} needs it to be ${from}`;
+    return err(new WaveStateError(message));
+  }
+  const maintenanceWaves = { ...config.maintenanceWaves, [name]: { ...wave, state: to } };
+  return ok({ ...config, maintenanceWaves });
+}
+
+function unknown(kind: schema.config.ObjectKind, name: string): schema.errors.JackdawlinkError {
+  return new UnknownObjectError(`There is no ${kind} object "${name}"`);
+}
+
+function existing(kind: schema.config.ObjectKind, name: string): schema.errors.JackdawlinkError {
+  return new ObjectExistsError(`There is a ${kind} object "${name}" already`);
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -7,5 +7,6 @@
 export * as configCheck from "./config_check.ts";
 export * as configChunks from "./config_chunks.ts";
 export * as configDiff from "./config_diff.ts";
+export * as configEdits from "./config_edits.ts";
 export * as configText from "./config_text.ts";
 export * as findings from "./findings.ts";
