--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,6 +1,6 @@
 /**
- * Placeholder.
+ * The parts of `jackdawlink-entry`.
  *
  * @module
  */
-export {};
+export * as permitManager from "./permit_manager.ts";
--- /dev/null
+++ b/packages/entry/src/permit_manager.ts
@@ -0,0 +1,159 @@
+/**
+ * Permits of this process: drives the pure policy by the head, messages, time and demand.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import type { peer } from "@jackdawlink/schema";
+import * as turnTimer from "./turn_timer.ts";
+
+/** What a permit manager works with. */
+export interface PermitManagerOptions {
+  readonly links: ports.peers.PeerLinks;
+  readonly membership: ports.members.Membership;
+  readonly snapshots: ports.members.SnapshotSource;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly freshForMs: number;
+}
+
+/** Added to the wait for a fenced incarnation, for timers that run late. */
+export const FENCE_MARGIN_MS = 500;
+/** The least time between two turns that messages cause. */
+const MESSAGE_SPACING_MS = 5;
+/** The least time between two turns that changes of demand cause. */
+const DEMAND_SPACING_MS = 10;
+
+/** A permit with the incarnation that it was taken under. */
+interface TakenPermit extends ports.permits.Permit {
+  readonly member: policy.permits.PermitMember;
+  readonly held: policy.permits.HeldPermit;
+}
+
+/** Implements the port of permits. */
+export class PermitManager implements ports.permits.Permits {
+  readonly #options: PermitManagerOptions;
+  readonly #timer: turnTimer.TurnTimer;
+  readonly #taken = new Set<ports.permits.Permit>();
+  readonly #onGranted: (() => void)[] = [];
+  #member: policy.permits.PermitMember | null = null;
+  #incarnation: string | null = null;
+  #demandSource: () => readonly ports.permits.TeamDemand[] = () => [];
+  #isLeaving = false;
+
+  constructor(options: PermitManagerOptions) {
+    this.#options = options;
+    this.#timer = new turnTimer.TurnTimer(options.clock, () => this.#turn());
+    for (const type of policy.permits.PERMIT_MESSAGE_TYPES) this.#listen(type);
+    options.snapshots.onChange(() => this.#followHead());
+    options.membership.onIncarnationChange(() => this.#followHead());
+    this.#followHead();
+  }
+
+  take(ask: ports.permits.PermitAsk): ports.permits.Permit | null {
+    if (this.#member === null || !this.#options.membership.isFresh()) return null;
+    const member = this.#member;
+    const held = member.take(ask);
+    if (held === null) return null;
+    const { team, service, backendServer } = held;
+    const permit: TakenPermit = { team, service, backendServer, member, held };
+    this.#taken.add(permit);
+    return permit;
+  }
+
+  release(permit: ports.permits.Permit): void {
+    if (!this.#taken.delete(permit)) return;
+    const { member, held } = permit as TakenPermit;
+    member.release(held);
+    if (member === this.#member) this.#timer.soon(DEMAND_SPACING_MS);
+  }
+
+  targetOf(service: string, team: string): number | null {
+    return this.#member?.targetOf(service, team) ?? null;
+  }
+
+  setDemandSource(source: () => readonly ports.permits.TeamDemand[]): void {
+    this.#demandSource = source;
+  }
+
+  demandChanged(): void {
+    this.#timer.soon(DEMAND_SPACING_MS);
+  }
+
+  onGranted(callback: () => void): void {
+    this.#onGranted.push(callback);
+  }
+
+  /** Gives up idle permits for good, before the process leaves. */
+  giveUp(): void {
+    this.#isLeaving = true;
+    this.#member?.giveUp();
+    this.#timer.soon(MESSAGE_SPACING_MS);
+  }
+
+  /** Permits that are taken now, those of former incarnations included. */
+  get takenCount(): number {
+    return this.#taken.size;
+  }
+
+  /** Stops all timers. */
+  stop(): void {
+    this.#timer.stop();
+  }
+
+  #listen<TType extends policy.permits.PermitMessageType>(type: TType): void {
+    this.#options.links.on(type, (message, sender) => {
+      this.#member?.receive(message as policy.permits.PermitMessage, sender);
+      this.#timer.soon(MESSAGE_SPACING_MS);
+      this.#tellGranted();
+    });
+  }
+
+  #followHead(): void {
+    const { membership, snapshots, log } = this.#options;
+    const incarnation = membership.incarnation();
+    if (incarnation !== this.#incarnation) {
+      log.info("Permits start anew with the incarnation", { incarnation, from: this.#incarnation });
+      this.#incarnation = incarnation;
+      this.#member = incarnation === null
+        ? null
+        : new policy.permits.PermitMember({ memberId: membership.memberId, incarnation });
+      if (this.#isLeaving) this.#member?.giveUp();
+    }
+    const { head, config } = snapshots.current();
+    this.#member?.setView({
+      members: head.members,
+      fences: head.fences,
+      membersRevision: head.membersRevision,
+      groups: policy.permitGroups.groupsOf(config),
+    });
+    this.#timer.soon(MESSAGE_SPACING_MS);
+  }
+
+  #turn(): void {
+    const member = this.#member;
+    if (member === null) return;
+    const { links, membership, clock, freshForMs } = this.#options;
+    const turn = member.advance(clock.nowMs(), {
+      loads: this.#demandSource(),
+      timing: {
+        freshForMs,
+        marginMs: FENCE_MARGIN_MS,
+        acceptedAtMs: (incarnation) => membership.acceptedFenceAtMs(incarnation),
+      },
+    });
+    for (const { memberId, message } of turn.messages) {
+      links.send(memberId, message as peer.Message);
+    }
+    if (turn.wakeAtMs !== null) {
+      this.#timer.at(Math.max(turn.wakeAtMs, clock.nowMs() + MESSAGE_SPACING_MS));
+    }
+    this.#tellGranted();
+  }
+
+  #tellGranted(): void {
+    if (this.#member?.takeNews() !== true) return;
+    for (const callback of this.#onGranted) callback();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/permit_manager_test.ts
@@ -0,0 +1,309 @@
+import type * as ports from "@jackdawlink/ports";
+import { config as configs, head as heads, type peer } from "@jackdawlink/schema";
+import { describe, expect, it } from "vitest";
+import * as permitManager from "./permit_manager.ts";
+
+const FRESH_FOR_MS = 2_500;
+const MAX_RUN_MS = 1_000;
+const LINK_MS = 1;
+const ASK = { team: "billing", service: "renewals", backendServers: ["b1", "b2"] };
+
+/** A clock that moves only when it is told to. */
+class ManualClock implements ports.clock.Clock {
+  #nowMs = 0;
+  #timers: { atMs: number; callback: () => void }[] = [];
+
+  nowMs() {
+    return this.#nowMs;
+  }
+
+  wallMs() {
+    return this.#nowMs;
+  }
+
+  after(delayMs: number, callback: () => void) {
+    const timer = { atMs: this.#nowMs + delayMs, callback };
+    this.#timers.push(timer);
+    return () => this.#timers = this.#timers.filter((other) => other !== timer);
+  }
+
+  advance(durationMs: number) {
+    const untilMs = this.#nowMs + durationMs;
+    while (true) {
+      const due = this.#timers.filter((timer) => timer.atMs <= untilMs);
+      const next = due.reduce<typeof due[number] | null>(
+        (first, timer) => first === null || timer.atMs < first.atMs ? timer : first,
+        null,
+      );
+      if (next === null) break;
+      this.#timers = this.#timers.filter((timer) => timer !== next);
+      this.#nowMs = Math.max(this.#nowMs, next.atMs);
+      next.callback();
+    }
+    this.#nowMs = untilMs;
+  }
+}
+
+type Handler = (message: peer.Message, sender: ports.peers.Sender) => void;
+
+/** One process with its manager; a dead one neither sends nor receives. */
+class Entry implements ports.peers.PeerLinks, ports.members.Membership {
+  readonly memberId: string;
+  readonly handlers = new Map<string, Handler>();
+  readonly manager: permitManager.PermitManager;
+  readonly running: ports.permits.Permit[] = [];
+  waiting = 0;
+  sentMessages = 0;
+  isDead = false;
+  isUnfresh = false;
+  #fleet: Fleet;
+  #onIncarnation: ((incarnation: string | null) => void)[] = [];
+
+  constructor(fleet: Fleet, memberId: string) {
+    this.#fleet = fleet;
+    this.memberId = memberId;
+    this.manager = new permitManager.PermitManager({
+      links: this,
+      membership: this,
+      snapshots: fleet,
+      clock: fleet.clock,
+      log: SILENT_LOG,
+      freshForMs: FRESH_FOR_MS,
+    });
+    this.manager.setDemandSource(() => this.#demand());
+    this.manager.onGranted(() => this.start());
+  }
+
+  send(memberId: string, message: peer.Message) {
+    if (this.isDead) return;
+    this.sentMessages += 1;
+    this.#fleet.deliver(this, { memberId, message });
+  }
+
+  on(type: string, handler: unknown) {
+    this.handlers.set(type, handler as Handler);
+  }
+
+  isFresh() {
+    return !this.isDead && !this.isUnfresh;
+  }
+
+  incarnation() {
+    const members = this.#fleet.current().head.members;
+    return members.find((member) => member.memberId === this.memberId)?.incarnation ?? null;
+  }
+
+  onIncarnationChange(callback: (incarnation: string | null) => void) {
+    this.#onIncarnation.push(callback);
+  }
+
+  acceptedFenceAtMs(incarnation: string) {
+    return this.#fleet.acceptedAtMs.get(incarnation) ?? null;
+  }
+
+  #demand() {
+    const { team, service } = ASK;
+    const running = this.running.length;
+    return [{ team, service, running, waiting: this.waiting, urgentWaiting: 0 }];
+  }
+
+  /** Lets requests wait, as the request path does. */
+  want(waiting: number) {
+    this.waiting = waiting;
+    this.start();
+    this.manager.demandChanged();
+  }
+
+  /** Starts waiting requests while there are permits; tells how many it started. */
+  start() {
+    let started = 0;
+    while (this.waiting > 0) {
+      const permit = this.manager.take(ASK);
+      if (permit === null) break;
+      this.running.push(permit);
+      this.waiting -= 1;
+      started += 1;
+    }
+    if (started > 0) this.manager.demandChanged();
+    return started;
+  }
+
+  /** Ends some of the running requests. */
+  finish(count: number) {
+    for (const permit of this.running.splice(0, count)) this.manager.release(permit);
+    this.start();
+  }
+}
+
+const SILENT_LOG: ports.log.Log = { debug() {}, info() {}, warn() {}, error() {} };
+
+/** Entries that share a clock, a head and links in memory. */
+class Fleet implements ports.members.SnapshotSource {
+  readonly clock = new ManualClock();
+  readonly acceptedAtMs = new Map<string, number>();
+  readonly entries: Entry[] = [];
+  #callbacks: ((snapshot: ports.members.Snapshot) => void)[] = [];
+  #snapshot: ports.members.Snapshot;
+
+  constructor(options: { entries: number; limit: number }) {
+    const memberIds = Array.from({ length: options.entries }, (_, index) => `entry-${index}`);
+    this.#snapshot = {
+      head: {
+        ...heads.EMPTY_HEAD,
+        revision: 1,
+        membersRevision: 1,
+        members: memberIds.map((memberId, index) => ({
+          memberId,
+          incarnation: `${memberId}-1`,
+          peerAddress: "127.0.0.1:1",
+          operatorAddress: "127.0.0.1:2",
+          availabilityZone: `zone-${index % 3}`,
+          leaving: false,
+        })),
+      },
+      config: configOf(options.limit),
+    };
+    for (const memberId of memberIds) this.entries.push(new Entry(this, memberId));
+  }
+
+  current() {
+    return this.#snapshot;
+  }
+
+  onChange(callback: (snapshot: ports.members.Snapshot) => void) {
+    this.#callbacks.push(callback);
+  }
+
+  deliver(from: Entry, options: { memberId: string; message: peer.Message }) {
+    const to = this.entries.find((entry) => entry.memberId === options.memberId);
+    const incarnation = from.incarnation();
+    if (incarnation === null) return;
+    const sender = { memberId: from.memberId, incarnation };
+    this.clock.after(LINK_MS, () => {
+      if (to?.isDead === false) to.handlers.get(options.message.type)?.(options.message, sender);
+    });
+  }
+
+  /** Publishes a head and has it in force at once. */
+  publish(change: { limit?: number; fenced?: Entry }) {
+    const { head, config } = this.#snapshot;
+    const revision = head.revision + 1;
+    const fenced = head.members.find((member) => member.memberId === change.fenced?.memberId);
+    const members = head.members.filter((member) => member !== fenced);
+    const fences = [...head.fences];
+    if (fenced !== undefined) {
+      const { memberId, incarnation } = fenced;
+      fences.push({ memberId, incarnation, revision, clean: false });
+      this.acceptedAtMs.set(incarnation, this.clock.nowMs());
+    }
+    const membersRevision = fenced === undefined ? head.membersRevision : revision;
+    this.#snapshot = {
+      head: { ...head, revision, membersRevision, members, fences },
+      config: change.limit === undefined ? config : configOf(change.limit),
+    };
+    for (const callback of this.#callbacks) callback(this.#snapshot);
+  }
+}
+
+function configOf(limit: number): configs.Config {
+  return {
+    ...configs.emptyConfig(),
+    services: {
+      renewals: {
+        pool: "shops",
+        maxRunMs: MAX_RUN_MS,
+        maxRequestBytes: 1,
+        maxAnswerBytes: 1,
+        retryBudgetRatio: 0.1,
+      },
+    },
+    backendServers: Object.fromEntries(["b1", "b2"].map((name) => [name, {
+      service: "renewals",
+      address: "127.0.0.1:3",
+      vm: name,
+      availabilityZone: "zone-0",
+      rack: "rack",
+      slots: 8,
+      connections: 64,
+      draining: false,
+    }])),
+    limits: { billing: { team: "billing", maxRunningRequests: limit } },
+  };
+}
+
+/** The running requests of all entries that live. */
+function runningOf(entries: readonly Entry[]): number {
+  return entries.reduce((sum, entry) => sum + entry.running.length, 0);
+}
+
+describe("PermitManager", () => {
+  it.each([
+    { entries: 1, limit: 5, total: 5 },
+    { entries: 9, limit: 5, total: 5 },
+    { entries: 9, limit: 40, total: 16 },
+  ])("lets $entries entries run $total requests in all", ({ entries, limit, total }) => {
+    const fleet = new Fleet({ entries, limit });
+    fleet.clock.advance(100);
+    for (const entry of fleet.entries) entry.want(20);
+    fleet.clock.advance(1_000);
+    expect(runningOf(fleet.entries)).toBe(total);
+  });
+
+  it("gives permits within two round trips and takes none while not fresh", () => {
+    const fleet = new Fleet({ entries: 3, limit: 5 });
+    fleet.clock.advance(100);
+    const entry = fleet.entries[0]!;
+    entry.isUnfresh = true;
+    entry.want(1);
+    fleet.clock.advance(4 * LINK_MS + 20);
+    expect(entry.running).toHaveLength(0);
+    entry.isUnfresh = false;
+    expect(entry.start()).toBe(1);
+  });
+
+  it("has all permits again after a death, not before the wait is over", () => {
+    const fleet = new Fleet({ entries: 9, limit: 4 });
+    fleet.clock.advance(100);
+    const [dead, ...others] = fleet.entries as [Entry, ...Entry[]];
+    dead.want(4);
+    fleet.clock.advance(100);
+    expect(dead.running).toHaveLength(4);
+    dead.isDead = true;
+    fleet.publish({ fenced: dead });
+    for (const entry of others) entry.want(4);
+    const waitMs = FRESH_FOR_MS + permitManager.FENCE_MARGIN_MS + MAX_RUN_MS;
+    fleet.clock.advance(waitMs - 10);
+    const early = runningOf(others);
+    fleet.clock.advance(1_000);
+    expect({ early, late: runningOf(others) }).toEqual({ early: 0, late: 4 });
+  });
+
+  it("takes back permits when a limit is lowered", () => {
+    const fleet = new Fleet({ entries: 3, limit: 6 });
+    fleet.clock.advance(100);
+    const [busy, other] = fleet.entries as [Entry, Entry];
+    busy.want(6);
+    fleet.clock.advance(100);
+    expect(busy.running).toHaveLength(6);
+    fleet.publish({ limit: 2 });
+    other.want(6);
+    busy.finish(4);
+    fleet.clock.advance(100);
+    expect([busy.running.length, other.running.length]).toEqual([2, 0]);
+    busy.finish(2);
+    fleet.clock.advance(500);
+    expect(other.running).toHaveLength(2);
+  });
+
+  it("sends next to nothing while idle", () => {
+    const fleet = new Fleet({ entries: 9, limit: 40 });
+    fleet.clock.advance(100);
+    for (const entry of fleet.entries) entry.want(1);
+    fleet.clock.advance(100);
+    for (const entry of fleet.entries) entry.finish(1);
+    fleet.clock.advance(5_000);
+    for (const entry of fleet.entries) entry.sentMessages = 0;
+    fleet.clock.advance(10_000);
+    for (const entry of fleet.entries) expect(entry.sentMessages).toBeLessThan(20);
+  });
+});
--- /dev/null
+++ b/packages/policy/src/permits/coordinator.ts
@@ -0,0 +1,496 @@
+/**
+ * The coordinator of one group of resources, in one term: it collects what members hold, then grants.
+ *
+ * @module
+ */
+import * as allocation from "./allocation.ts";
+import type * as groupPlan from "./group_plan.ts";
+import type * as holders from "./holder.ts";
+import * as ledgers from "./ledger.ts";
+import * as witnesses from "./witness.ts";
+import type * as targets from "../sharing/targets.ts";
+
+/** A listed member. */
+export interface MemberRef {
+  readonly memberId: string;
+  readonly incarnation: string;
+}
+
+/** A fenced incarnation. */
+export interface FenceRef {
+  readonly incarnation: string;
+  readonly clean: boolean;
+}
+
+/** The members as the coordinator's head lists them. */
+export interface MemberView {
+  readonly members: readonly MemberRef[];
+  readonly fences: readonly FenceRef[];
+  /** The incarnation of the witness; null while the coordinator is alone. */
+  readonly witness: string | null;
+}
+
+/** What a member answered to a report request. */
+export interface GroupReport {
+  readonly holdings: readonly {
+    readonly resource: string;
+    readonly held: number;
+    readonly total: number;
+  }[];
+  readonly records: readonly {
+    readonly resource: string;
+    readonly incarnation: string;
+    readonly allotment: number;
+  }[];
+}
+
+/** What a member tells of its demand. */
+export interface GroupDemand {
+  readonly term: number;
+  readonly holdings: readonly Omit<holders.Holding, "total">[];
+  readonly teams: readonly targets.TeamLoad[];
+}
+
+/** A record to send to a witness. */
+export interface OutgoingRecord {
+  readonly to: string;
+  readonly record: witnesses.WitnessRecord;
+}
+
+/** What the coordinator wants sent. Keys and `to` are incarnations. */
+export interface Effects {
+  readonly reportRequestsTo: readonly string[];
+  readonly grants: readonly { readonly to: string; readonly grant: holders.Grant }[];
+  readonly records: readonly OutgoingRecord[];
+  /** Changed targets of teams at entries. */
+  readonly targets: targets.Targets;
+  /** When the coordinator has to be advanced again, without any event; null for never. */
+  readonly wakeAtMs: number | null;
+}
+
+/** Steps that a test may leave out to show that they matter. */
+export interface CoordinatorVariant extends ledgers.LedgerVariant {
+  readonly skipsWitness?: boolean;
+  readonly skipsQuarantine?: boolean;
+  readonly skipsReports?: boolean;
+  readonly ignoresUnreported?: boolean;
+}
+
+/** What a coordinator is made for. */
+export interface CoordinatorOptions {
+  readonly group: string;
+  readonly term: number;
+  readonly incarnation: string;
+  readonly planner: groupPlan.NeedPlanner;
+  readonly variant?: CoordinatorVariant;
+}
+
+/** Unanswered messages are sent again after this time. */
+export const RESEND_MS = 200;
+/** While there is not enough for all, permits are divided anew this often. */
+export const ROTATION_MS = 50;
+/** Recent need falls by half in this time. */
+const NEED_HALF_LIFE_MS = 1_000;
+
+/** Targets are sent again after this time, in case they were lost. */
+const TARGET_REFRESH_MS = 1_000;
+
+interface SentTargets {
+  readonly teams: ReadonlyMap<string, number>;
+  readonly atMs: number;
+  /** Whether the entry has told its demand since. */
+  isHeard: boolean;
+}
+
+/** One coordinator. Drive it by events, then call {@link Coordinator.advance}. */
+export class Coordinator {
+  readonly group: string;
+  readonly term: number;
+  readonly #incarnation: string;
+  readonly #planner: groupPlan.NeedPlanner;
+  readonly #variant: CoordinatorVariant;
+  readonly #totals = new Map<string, number>();
+  /** The highest total of each resource in this term. */
+  readonly #highestTotals = new Map<string, number>();
+  readonly #ledgers = new Map<string, ledgers.Ledger>();
+  readonly #ownRecords = new Map<string, witnesses.OwnRecords>();
+  readonly #loads = new Map<string, groupPlan.MemberLoad>();
+  readonly #recentNeeds = new Map<string, number>();
+  readonly #reports = new Map<string, GroupReport>();
+  readonly #requestedAtMs = new Map<string, number>();
+  readonly #quarantined = new Set<string>();
+  /** Those of the quarantined that were fenced before this coordinator granted anything. */
+  readonly #inherited = new Set<string>();
+  /** Resources whose reports have been taken over. */
+  readonly #takenOver = new Set<string>();
+  /** What members reported that were fenced before all had reported. */
+  readonly #departedReports = new Map<string, GroupReport>();
+  #members = new Map<string, MemberRef>();
+  #awaited = new Set<string>();
+  #witness: string | null = null;
+  #isStarted = false;
+  #isActive = false;
+  /** Numbers the grants of all resources, so that a resource that returns goes on counting. */
+  #grantSeq = 0;
+  #advancedAtMs = 0;
+  readonly #sentTargets = new Map<string, SentTargets>();
+
+  constructor(options: CoordinatorOptions) {
+    this.group = options.group;
+    this.term = options.term;
+    this.#incarnation = options.incarnation;
+    this.#planner = options.planner;
+    this.#variant = options.variant ?? {};
+  }
+
+  /** The member list that the coordinator follows. */
+  get members(): ReadonlyMap<string, MemberRef> {
+    return this.#members;
+  }
+
+  /** Whether every member has reported, so that permits are granted. */
+  get isActive(): boolean {
+    return this.#isActive;
+  }
+
+  /** Incarnations whose permits still count as in use; the driver ends them by {@link endQuarantine}. */
+  get quarantined(): ReadonlySet<string> {
+    return this.#quarantined;
+  }
+
+  /** The ledger of a resource, for status pages and checks. */
+  ledgerOf(resource: string): ledgers.Ledger | undefined {
+    return this.#ledgers.get(resource);
+  }
+
+  /** Sets the configured totals; resources that are no longer there are taken back. */
+  setTotals(totals: ReadonlyMap<string, number>): void {
+    this.#totals.clear();
+    for (const [resource, total] of totals) {
+      this.#totals.set(resource, total);
+      const highest = this.#highestTotals.get(resource) ?? 0;
+      this.#highestTotals.set(resource, Math.max(highest, total));
+    }
+    for (const [resource, ledger] of this.#ledgers) ledger.setTotal(totals.get(resource) ?? 0);
+    if (!this.#isActive) return;
+    for (const resource of totals.keys()) {
+      if (!this.#ledgers.has(resource)) this.#openLedger(resource);
+    }
+  }
+
+  /** Takes over a member list; the first one is that of the coordinator's term. */
+  setView(view: MemberView): void {
+    const listed = new Map(view.members.map((member) => [member.incarnation, member]));
+    this.#witness = view.witness;
+    for (const records of this.#ownRecords.values()) records.keepOnly(new Set(listed.keys()));
+    if (!this.#isStarted) this.#start(listed, view.fences);
+    const gone = [...this.#members.values()].filter((member) => !listed.has(member.incarnation));
+    this.#members = listed;
+    for (const member of gone) this.#leave(member.incarnation, view.fences);
+    if (this.#isActive) { for (const member of listed.values()) this.#openAccounts(member); }
+    this.#activateIfReported();
+  }
+
+  #start(listed: Map<string, MemberRef>, fences: readonly FenceRef[]): void {
+    this.#isStarted = true;
+    this.#members = listed;
+    this.#awaited = new Set(this.#variant.skipsReports ? [] : listed.keys());
+    for (const fence of fences) {
+      if (!fence.clean && !listed.has(fence.incarnation)) this.#quarantine(fence.incarnation);
+    }
+  }
+
+  #quarantine(incarnation: string): void {
+    if (this.#variant.skipsQuarantine) return;
+    this.#quarantined.add(incarnation);
+    if (!this.#isActive) this.#inherited.add(incarnation);
+  }
+
+  /** A member is gone: clean leavers hold nothing, others up to what the ledger says. */
+  #leave(incarnation: string, fences: readonly FenceRef[]): void {
+    const isClean = fences.some((fence) => fence.incarnation === incarnation && fence.clean);
+    const report = this.#reports.get(incarnation);
+    if (report !== undefined && !this.#isActive) this.#departedReports.set(incarnation, report);
+    this.#awaited.delete(incarnation);
+    this.#reports.delete(incarnation);
+    this.#recentNeeds.delete(incarnation);
+    this.#loads.delete(incarnation);
+    this.#sentTargets.delete(incarnation);
+    for (const ledger of this.#ledgers.values()) {
+      const bound = ledger.close(incarnation);
+      if (!isClean && !this.#variant.skipsQuarantine) {
+        ledger.quarantine.addKnown(incarnation, bound);
+      }
+    }
+    if (!isClean) this.#quarantine(incarnation);
+  }
+
+  /** The last request of a fenced incarnation is over. */
+  endQuarantine(incarnation: string): void {
+    this.#quarantined.delete(incarnation);
+    this.#inherited.delete(incarnation);
+    for (const ledger of this.#ledgers.values()) ledger.quarantine.release(incarnation);
+  }
+
+  /** Takes over a member's answer to the report request of this term; the first one counts. */
+  onReport(incarnation: string, report: GroupReport): void {
+    if (!this.#awaited.delete(incarnation)) return;
+    this.#reports.set(incarnation, report);
+    this.#activateIfReported();
+  }
+
+  #activateIfReported(): void {
+    if (this.#isActive || !this.#isStarted || this.#awaited.size > 0) return;
+    this.#isActive = true;
+    const resources = new Set(this.#totals.keys());
+    for (const report of this.#reports.values()) {
+      for (const holding of report.holdings) resources.add(holding.resource);
+    }
+    for (const resource of resources) this.#openLedger(resource);
+  }
+
+  /** Permits that nobody reports may be held by those who were fenced before. */
+  #openLedger(resource: string): void {
+    const ledger = this.#ledgerOf(resource);
+    let reported = 0;
+    let total = this.#highestTotals.get(resource) ?? 0;
+    for (const [incarnation, report] of this.#reports) {
+      const holding = report.holdings.find((item) => item.resource === resource);
+      const account = ledger.accountOf(incarnation);
+      const held = this.#takenOver.has(resource) ? 0 : (holding?.held ?? 0);
+      if (account === undefined) continue;
+      account.bound = held;
+      account.allotment = held;
+      reported += held;
+      total = Math.max(total, holding?.total ?? 0);
+    }
+    this.#takenOver.add(resource);
+    for (const incarnation of this.#inherited) {
+      ledger.quarantine.addInherited(incarnation, this.#recordOf(incarnation, resource));
+    }
+    ledger.quarantine.setUnreported(this.#variant.ignoresUnreported ? 0 : total - reported);
+  }
+
+  #recordOf(incarnation: string, resource: string): number | null {
+    const departed = this.#departedReports.get(incarnation);
+    if (departed !== undefined) {
+      return departed.holdings.find((item) => item.resource === resource)?.held ?? 0;
+    }
+    let bound: number | null = null;
+    for (const report of this.#reports.values()) {
+      for (const record of report.records) {
+        if (record.incarnation !== incarnation || record.resource !== resource) continue;
+        bound = Math.min(bound ?? Infinity, record.allotment);
+      }
+    }
+    return bound;
+  }
+
+  #ledgerOf(resource: string): ledgers.Ledger {
+    let ledger = this.#ledgers.get(resource);
+    if (ledger === undefined) {
+      ledger = new ledgers.Ledger(resource, {
+        total: this.#totals.get(resource) ?? 0,
+        nextSeq: () => this.#grantSeq += 1,
+        variant: this.#variant,
+      });
+      this.#ledgers.set(resource, ledger);
+      if (!this.#ownRecords.has(resource)) {
+        this.#ownRecords.set(resource, new witnesses.OwnRecords());
+      }
+      for (const member of this.#members.values()) {
+        ledger.open(member.memberId, { incarnation: member.incarnation, held: 0 });
+      }
+    }
+    return ledger;
+  }
+
+  #openAccounts(member: MemberRef): void {
+    for (const ledger of this.#ledgers.values()) {
+      if (ledger.accountOf(member.incarnation) !== undefined) continue;
+      ledger.open(member.memberId, { incarnation: member.incarnation, held: 0 });
+    }
+  }
+
+  /** Takes over what a member holds and needs. A higher promised term means that this one is over. */
+  onDemand(incarnation: string, demand: GroupDemand): void {
+    if (!this.#members.has(incarnation)) return;
+    let inUse = 0;
+    for (const holding of demand.holdings) {
+      inUse += holding.inUse;
+      const account = this.#ledgers.get(holding.resource)?.accountOf(incarnation);
+      if (account === undefined) continue;
+      account.inUse = holding.inUse;
+      if (demand.term === this.term) this.#ledgers.get(holding.resource)!.answer(account, holding);
+    }
+    this.#loads.set(incarnation, { incarnation, inUse, teams: demand.teams });
+    const sent = this.#sentTargets.get(incarnation);
+    if (sent !== undefined) sent.isHeard = true;
+  }
+
+  /** A witness has kept a record. */
+  onRecorded(incarnation: string, options: { resource: string; seq: number }): void {
+    const records = this.#ownRecords.get(options.resource);
+    records?.recorded(incarnation, { seq: options.seq, witness: this.#witness });
+  }
+
+  /** Plans and collects what has to be sent. */
+  advance(nowMs: number): Effects {
+    if (!this.#isActive) return this.#requestReports(nowMs);
+    const elapsedMs = nowMs - this.#advancedAtMs;
+    this.#advancedAtMs = nowMs;
+    const planned = this.#plan(nowMs, elapsedMs);
+    this.#dropEmptyLedgers();
+    const records = this.#dueRecords(nowMs);
+    const grants = this.#dueGrants(nowMs);
+    return {
+      reportRequestsTo: [],
+      grants,
+      records,
+      targets: this.#changedTargets(planned.targets, nowMs),
+      wakeAtMs: this.#wakeAtMs(nowMs, planned.isContended),
+    };
+  }
+
+  #requestReports(nowMs: number): Effects {
+    const due = [...this.#awaited].filter((incarnation) =>
+      nowMs - (this.#requestedAtMs.get(incarnation) ?? -Infinity) >= RESEND_MS
+    );
+    for (const incarnation of due) this.#requestedAtMs.set(incarnation, nowMs);
+    const wakeAtMs = nowMs + RESEND_MS;
+    return { reportRequestsTo: due, grants: [], records: [], targets: new Map(), wakeAtMs };
+  }
+
+  #plan(nowMs: number, elapsedMs: number): groupPlan.GroupNeeds {
+    const resources = [...this.#ledgers.values()].map((ledger) => ({
+      resource: ledger.resource,
+      available: ledger.allottable(),
+    }));
+    const available = resources.reduce((sum, resource) => sum + resource.available, 0);
+    const planned = this.#planner.plan(available, { loads: [...this.#loads.values()], nowMs });
+    const needs = [...this.#members.keys()].map((incarnation) =>
+      this.#memberNeed(incarnation, { need: planned.needs.get(incarnation) ?? 0, elapsedMs })
+    );
+    const counts = allocation.planCounts(available, needs);
+    const rows = allocation.spreadCounts(counts, {
+      resources,
+      cellOf: (incarnation, resource) => this.#cellOf(incarnation, resource),
+    });
+    this.#grantRows(rows);
+    return planned;
+  }
+
+  #memberNeed(
+    incarnation: string,
+    options: { need: number; elapsedMs: number },
+  ): allocation.MemberNeed {
+    const decay = 0.5 ** (options.elapsedMs / NEED_HALF_LIFE_MS);
+    const recentNeed = Math.max(options.need, (this.#recentNeeds.get(incarnation) ?? 0) * decay);
+    this.#recentNeeds.set(incarnation, recentNeed);
+    let allotment = 0;
+    for (const ledger of this.#ledgers.values()) {
+      allotment += ledger.accountOf(incarnation)?.allotment ?? 0;
+    }
+    return { incarnation, need: options.need, recentNeed, allotment };
+  }
+
+  #cellOf(incarnation: string, resource: string): allocation.Cell {
+    const account = this.#ledgers.get(resource)?.accountOf(incarnation);
+    return { allotment: account?.allotment ?? 0, inUse: account?.inUse ?? 0 };
+  }
+
+  /** Lower allotments first, so that raises find what is free. */
+  #grantRows(rows: ReadonlyMap<string, ReadonlyMap<string, number>>): void {
+    const raises: (() => void)[] = [];
+    for (const [incarnation, row] of rows) {
+      for (const [resource, allotment] of row) {
+        const ledger = this.#ledgers.get(resource)!;
+        const account = ledger.accountOf(incarnation);
+        if (account === undefined || account.allotment === allotment) continue;
+        if (allotment < account.allotment) ledger.grant(account, allotment);
+        else raises.push(() => ledger.grant(account, allotment));
+      }
+    }
+    for (const raise of raises) raise();
+  }
+
+  #dropEmptyLedgers(): void {
+    for (const [resource, ledger] of this.#ledgers) {
+      if (this.#totals.has(resource) || !ledger.isEmpty()) continue;
+      this.#ledgers.delete(resource);
+    }
+  }
+
+  #dueRecords(nowMs: number): OutgoingRecord[] {
+    const due: OutgoingRecord[] = [];
+    for (const [resource, ledger] of this.#ledgers) {
+      const bound = ledger.accountOf(this.#incarnation)?.bound ?? 0;
+      const records = this.#ownRecords.get(resource)!;
+      const options = { bound, nowMs, resendMs: RESEND_MS };
+      for (const { incarnation, allotment, seq } of records.due(this.#witness, options)) {
+        const record = { group: this.group, resource, term: this.term, allotment, seq };
+        due.push({ to: incarnation, record });
+      }
+    }
+    return due;
+  }
+
+  #dueGrants(nowMs: number): Effects["grants"] {
+    const grants: { to: string; grant: holders.Grant }[] = [];
+    for (const [resource, ledger] of this.#ledgers) {
+      for (const account of ledger.accounts()) {
+        if (account.answeredSeq === account.grantSeq) continue;
+        if (account.sentAtMs !== null && nowMs - account.sentAtMs < RESEND_MS) continue;
+        if (!this.#maySend(account, resource)) continue;
+        account.sentAtMs = nowMs;
+        const { allotment, grantSeq } = account;
+        const total = ledger.total;
+        const grant = { group: this.group, resource, term: this.term, allotment, grantSeq, total };
+        grants.push({ to: account.incarnation, grant });
+      }
+    }
+    return grants;
+  }
+
+  /** The coordinator's own allotment waits for the witness. */
+  #maySend(account: ledgers.Account, resource: string): boolean {
+    if (account.incarnation !== this.#incarnation || this.#variant.skipsWitness) return true;
+    return account.allotment <= (this.#ownRecords.get(resource)?.usable() ?? 0);
+  }
+
+  /** Targets that changed, or that were sent long ago to an entry that has told its demand since. */
+  #changedTargets(planned: targets.Targets | null, nowMs: number): targets.Targets {
+    const changed: targets.Targets = new Map();
+    for (const [incarnation, teams] of planned ?? []) {
+      const sent = this.#sentTargets.get(incarnation);
+      const isOld = sent === undefined || (sent.isHeard && nowMs - sent.atMs >= TARGET_REFRESH_MS);
+      if (!isOld && isSameCount(sent.teams, teams)) continue;
+      changed.set(incarnation, teams);
+      this.#sentTargets.set(incarnation, { teams, atMs: nowMs, isHeard: false });
+    }
+    return changed;
+  }
+
+  #wakeAtMs(nowMs: number, isContended: boolean): number | null {
+    if (isContended) return nowMs + ROTATION_MS;
+    return this.#hasUnanswered() ? nowMs + RESEND_MS : null;
+  }
+
+  #hasUnanswered(): boolean {
+    for (const ledger of this.#ledgers.values()) {
+      for (const account of ledger.accounts()) {
+        if (account.answeredSeq !== account.grantSeq) return true;
+      }
+    }
+    for (const resource of this.#ledgers.keys()) {
+      if (this.#ownRecords.get(resource)?.isPending()) return true;
+    }
+    return false;
+  }
+}
+
+function isSameCount(a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean {
+  if (a.size !== b.size) return false;
+  for (const [key, count] of a) if (b.get(key) !== count) return false;
+  return true;
+}
--- /dev/null
+++ b/packages/policy/src/permits/coordinator_set.ts
@@ -0,0 +1,200 @@
+/**
+ * The coordinators that one member runs: one for each group whose first member it is.
+ *
+ * @module
+ */
+import type { head } from "@jackdawlink/schema";
+import * as rendezvous from "../rendezvous.ts";
+import * as coordinators from "./coordinator.ts";
+import * as groupPlan from "./group_plan.ts";
+import type * as groups from "./groups.ts";
+import type * as holders from "./holder.ts";
+
+/** What a member knows of the head. */
+export interface PermitView {
+  readonly members: readonly head.Member[];
+  readonly fences: readonly head.Fence[];
+  readonly membersRevision: number;
+  readonly groups: ReadonlyMap<string, groups.Group>;
+}
+
+/** How long a fenced incarnation may go on, from the acceptance of its fence. */
+export interface FenceTiming {
+  readonly freshForMs: number;
+  readonly marginMs: number;
+  /** This process's time of a fence's acceptance; null before. */
+  readonly acceptedAtMs: (incarnation: string) => number | null;
+}
+
+/** Fences that are not accepted yet are looked at in this interval. */
+const FENCE_POLL_MS = 500;
+
+interface Running {
+  readonly coordinator: coordinators.Coordinator;
+  maxRunMs: number;
+  wakeAtMs: number | null;
+}
+
+/** Starts, keeps and drops coordinators as the head moves. */
+export class CoordinatorSet {
+  readonly #incarnation: string;
+  readonly #holder: holders.Holder;
+  readonly #variant: coordinators.CoordinatorVariant;
+  readonly #running = new Map<string, Running>();
+  /** When a quarantined incarnation was first seen without a fence in the head. */
+  readonly #missingSinceMs = new Map<string, number>();
+  #view: PermitView | null = null;
+  #rendezvous = new rendezvous.Rendezvous<head.Member>([]);
+
+  constructor(
+    incarnation: string,
+    options: { holder: holders.Holder; variant?: coordinators.CoordinatorVariant },
+  ) {
+    this.#incarnation = incarnation;
+    this.#holder = options.holder;
+    this.#variant = options.variant ?? {};
+  }
+
+  /** The coordinator that this member runs for a group. */
+  get(group: string): coordinators.Coordinator | undefined {
+    return this.#running.get(group)?.coordinator;
+  }
+
+  /** The member that coordinates a group by the present list. */
+  memberOf(group: string): head.Member | null {
+    return this.#rendezvous.rolesOf(group).coordinator;
+  }
+
+  /** Takes over a head. */
+  setView(view: PermitView): void {
+    const isNewList = view.membersRevision !== this.#view?.membersRevision;
+    this.#view = view;
+    if (isNewList) this.#rendezvous = new rendezvous.Rendezvous(view.members);
+    const names = new Set([...view.groups.keys(), ...this.#running.keys()]);
+    for (const name of names) this.#follow(name, view);
+  }
+
+  #follow(name: string, view: PermitView): void {
+    const running = this.#running.get(name);
+    if (this.memberOf(name)?.incarnation !== this.#incarnation) {
+      this.#running.delete(name);
+      return;
+    }
+    if (running === undefined || !this.#mayKeep(running, name)) {
+      this.#startNew(name, view);
+      return;
+    }
+    this.#holder.refuseBelow(name, view.membersRevision);
+    this.#update(running, name, view);
+  }
+
+  /** A coordinator keeps its term while no other can have granted since, and once it has started. */
+  #mayKeep(running: Running, name: string): boolean {
+    const { coordinator } = running;
+    if (this.#holder.promisedTermOf(name) > coordinator.term) return false;
+    return coordinator.isActive || this.#view?.membersRevision === coordinator.term;
+  }
+
+  /** Starts a coordinator in the term of the present list, unless the member promised as much. */
+  #startNew(name: string, view: PermitView): void {
+    const formerTerm = this.#running.get(name)?.coordinator.term ?? 0;
+    const term = view.membersRevision;
+    this.#running.delete(name);
+    if (term <= formerTerm || term <= this.#holder.promisedTermOf(name)) return;
+    const group = view.groups.get(name);
+    const planner = group?.service == null
+      ? new groupPlan.TeamNeedPlanner()
+      : new groupPlan.ServiceNeedPlanner((team) => this.#view?.groups.get(name)?.ruleOf(team));
+    const coordinator = new coordinators.Coordinator({
+      group: name,
+      term,
+      incarnation: this.#incarnation,
+      planner,
+      variant: this.#variant,
+    });
+    const running = { coordinator, maxRunMs: 0, wakeAtMs: 0 };
+    this.#running.set(name, running);
+    this.#update(running, name, view);
+  }
+
+  #update(running: Running, name: string, view: PermitView): void {
+    const group = view.groups.get(name);
+    running.maxRunMs = Math.max(running.maxRunMs, group?.maxRunMs ?? 0);
+    running.wakeAtMs = 0;
+    running.coordinator.setTotals(group?.totals ?? new Map());
+    running.coordinator.setView({
+      members: view.members,
+      fences: view.fences,
+      witness: this.#rendezvous.rolesOf(name).witness?.incarnation ?? null,
+    });
+  }
+
+  /** Has a group's coordinator advanced at the next turn. */
+  touch(group: string): void {
+    const running = this.#running.get(group);
+    if (running !== undefined) running.wakeAtMs = 0;
+  }
+
+  /** Starts anew where a member has promised a higher term than that of the running coordinator. */
+  renew(group: string): void {
+    if (this.#view === null || this.memberOf(group)?.incarnation !== this.#incarnation) return;
+    this.#startNew(group, this.#view);
+  }
+
+  /** When the next coordinator has to be advanced; null for never. */
+  wakeAtMs(): number | null {
+    let earliest: number | null = null;
+    for (const { wakeAtMs } of this.#running.values()) {
+      if (wakeAtMs !== null) earliest = Math.min(earliest ?? Infinity, wakeAtMs);
+    }
+    return earliest;
+  }
+
+  /** Advances the coordinators that are due and hands over what they want sent. */
+  advance(
+    nowMs: number,
+    options: {
+      timing: FenceTiming;
+      onEffects: (coordinator: coordinators.Coordinator, effects: coordinators.Effects) => void;
+    },
+  ): void {
+    for (const running of this.#running.values()) {
+      if (running.wakeAtMs === null || running.wakeAtMs > nowMs) continue;
+      const fenceWakeAtMs = this.#endQuarantines(running, { nowMs, timing: options.timing });
+      const effects = running.coordinator.advance(nowMs);
+      running.wakeAtMs = earlier(effects.wakeAtMs, fenceWakeAtMs);
+      options.onEffects(running.coordinator, effects);
+    }
+  }
+
+  /** Ends the quarantines that are over; returns when to look again. */
+  #endQuarantines(
+    running: Running,
+    options: { nowMs: number; timing: FenceTiming },
+  ): number | null {
+    const { nowMs, timing } = options;
+    let wakeAtMs: number | null = null;
+    for (const incarnation of [...running.coordinator.quarantined]) {
+      const acceptedAtMs = timing.acceptedAtMs(incarnation) ??
+        this.#missingAtMs(incarnation, nowMs);
+      const waitMs = timing.freshForMs + timing.marginMs + running.maxRunMs;
+      const endAtMs = acceptedAtMs === null ? nowMs + FENCE_POLL_MS : acceptedAtMs + waitMs;
+      if (endAtMs <= nowMs) running.coordinator.endQuarantine(incarnation);
+      else wakeAtMs = earlier(wakeAtMs, endAtMs);
+    }
+    return wakeAtMs;
+  }
+
+  /** The head drops old fences; one that was never seen is waited for from now. */
+  #missingAtMs(incarnation: string, nowMs: number): number | null {
+    if (this.#view?.fences.some((fence) => fence.incarnation === incarnation)) return null;
+    const sinceMs = this.#missingSinceMs.get(incarnation) ?? nowMs;
+    this.#missingSinceMs.set(incarnation, sinceMs);
+    return sinceMs;
+  }
+}
+
+function earlier(a: number | null, b: number | null): number | null {
+  if (a === null) return b;
+  return b === null ? a : Math.min(a, b);
+}
--- /dev/null
+++ b/packages/policy/src/permits/member.ts
@@ -0,0 +1,408 @@
+/**
+ * All of one member incarnation's part in permits: what it holds, what it records as a witness, and
+ * the coordinators that it runs. Messages, time and demand go in; messages and wake-up times come out.
+ *
+ * @module
+ */
+import type { peer } from "@jackdawlink/schema";
+import type * as coordinators from "./coordinator.ts";
+import * as coordinatorSets from "./coordinator_set.ts";
+import * as demandReporters from "./demand_reporter.ts";
+import * as groups from "./groups.ts";
+import * as holders from "./holder.ts";
+import * as outboxes from "./outbox.ts";
+import * as witnesses from "./witness.ts";
+
+/** Who sent a message. */
+export interface Sender {
+  readonly memberId: string;
+  readonly incarnation: string;
+}
+
+/** The demand of one team at one service in this entry. */
+export interface ServiceLoad {
+  readonly service: string;
+  readonly team: string;
+  readonly running: number;
+  readonly waiting: number;
+  readonly urgentWaiting: number;
+}
+
+/** A held permit of a running request. */
+export interface HeldPermit {
+  readonly team: string;
+  readonly service: string;
+  readonly backendServer: string;
+  /** The resources of which one permit each is taken. */
+  readonly resources: readonly string[];
+}
+
+/** What one turn of a member brought about. */
+export interface Turn {
+  readonly messages: readonly outboxes.Outgoing[];
+  /** When the next turn is due without any event; null for never. */
+  readonly wakeAtMs: number | null;
+}
+
+/** Steps that a test may leave out to show that they matter. */
+export interface MemberVariant extends holders.HolderVariant, coordinators.CoordinatorVariant {}
+
+type Handler<TMessage> = (message: TMessage, sender: Sender) => void;
+
+/** The messages that permits consist of. */
+export const PERMIT_MESSAGE_TYPES = [
+  "permitReportRequest",
+  "permitReport",
+  "permitGrant",
+  "permitDemand",
+  "teamTargets",
+  "witnessRequest",
+  "witnessAnswer",
+] as const satisfies readonly peer.MessageType[];
+
+/** The type of a message about permits. */
+export type PermitMessageType = typeof PERMIT_MESSAGE_TYPES[number];
+/** A message about permits. */
+export type PermitMessage = peer.MessageOf<PermitMessageType>;
+
+type Handlers = { [TType in PermitMessageType]: Handler<peer.MessageOf<TType>> };
+
+interface ServiceTargets {
+  readonly term: number;
+  readonly byTeam: ReadonlyMap<string, number>;
+}
+
+/** One incarnation; a new incarnation starts with a new object. */
+export class PermitMember {
+  readonly #self: Sender;
+  readonly #holder: holders.Holder;
+  readonly #coordinators: coordinatorSets.CoordinatorSet;
+  readonly #records = new witnesses.RecordBook();
+  readonly #reporter = new demandReporters.DemandReporter();
+  readonly #outbox = new outboxes.Outbox();
+  readonly #targets = new Map<string, ServiceTargets>();
+  readonly #handlers: Handlers;
+  #view: coordinatorSets.PermitView | null = null;
+  #memberIds = new Map<string, string>();
+  #loads: ReadonlyMap<string, readonly ServiceLoad[]> = new Map();
+  #hasNews = false;
+
+  constructor(self: Sender, variant: MemberVariant = {}) {
+    this.#self = self;
+    this.#holder = new holders.Holder(variant);
+    const options = { holder: this.#holder, variant };
+    this.#coordinators = new coordinatorSets.CoordinatorSet(self.incarnation, options);
+    this.#handlers = {
+      permitReportRequest: (message, sender) => this.#onReportRequest(message, sender),
+      permitReport: (message, sender) => this.#onReport(message, sender),
+      permitGrant: (message) => this.#onGrant(message),
+      permitDemand: (message, sender) => this.#onDemand(message, sender),
+      teamTargets: (message) => this.#onTargets(message),
+      witnessRequest: (message, sender) => this.#onWitnessRequest(message, sender),
+      witnessAnswer: (message, sender) => this.#onWitnessAnswer(message, sender),
+    };
+  }
+
+  /** The coordinator that this member runs for a group, for status pages and checks. */
+  coordinatorOf(group: string): coordinators.Coordinator | undefined {
+    return this.#coordinators.get(group);
+  }
+
+  /** What the member holds of a resource. */
+  holdingOf(resource: string): holders.Holding {
+    return this.#holder.holdingOf(resource);
+  }
+
+  /** Whether permits or targets have come since the last call. */
+  takeNews(): boolean {
+    const hasNews = this.#hasNews;
+    this.#hasNews = false;
+    return hasNews;
+  }
+
+  /** Takes over a head with its configuration. */
+  setView(view: coordinatorSets.PermitView): void {
+    this.#view = view;
+    this.#memberIds = new Map(view.members.map((member) => [member.incarnation, member.memberId]));
+    const known = new Set(this.#memberIds.keys());
+    for (const fence of view.fences) known.add(fence.incarnation);
+    this.#records.dropExcept(known);
+    this.#coordinators.setView(view);
+  }
+
+  /** Takes one permit of the team's limit and one slot, both or neither. */
+  take(
+    ask: { team: string; service: string; backendServers: readonly string[] },
+  ): HeldPermit | null {
+    const team = groups.teamGroup(ask.team);
+    const isLimited = this.#view?.groups.has(team) ?? false;
+    if (isLimited && !this.#holder.hasFree(team)) return null;
+    for (const backendServer of ask.backendServers) {
+      const slots = groups.slotsResource(ask.service, backendServer);
+      if (!this.#holder.take(slots)) continue;
+      this.#holder.use(team, team);
+      return { team: ask.team, service: ask.service, backendServer, resources: [slots, team] };
+    }
+    return null;
+  }
+
+  /** Returns a permit that {@link take} gave. */
+  release(permit: HeldPermit): void {
+    for (const resource of permit.resources) this.#holder.release(resource);
+  }
+
+  /** How many of the team's requests this entry should run; null while no target is known. */
+  targetOf(service: string, team: string): number | null {
+    const targets = this.#targets.get(service);
+    return targets === undefined ? null : (targets.byTeam.get(team) ?? 0);
+  }
+
+  /** Gives up idle permits for good, before the member leaves. */
+  giveUp(): void {
+    this.#holder.giveUp();
+  }
+
+  /** Takes in a message about permits. */
+  receive(message: PermitMessage, sender: Sender): void {
+    const handler = this.#handlers[message.type] as Handler<PermitMessage>;
+    handler(message, sender);
+  }
+
+  /** Reports demand, advances coordinators, and hands over what is to be sent to others. */
+  advance(
+    nowMs: number,
+    options: { loads: readonly ServiceLoad[]; timing: coordinatorSets.FenceTiming },
+  ): Turn {
+    const messages: outboxes.Outgoing[] = [];
+    let reportAtMs: number | null = null;
+    for (let round = 0; round < MAX_LOCAL_ROUNDS; round += 1) {
+      reportAtMs = this.#reportDemand(nowMs, options.loads);
+      this.#coordinators.advance(nowMs, {
+        timing: options.timing,
+        onEffects: (coordinator, effects) => this.#post(coordinator, effects),
+      });
+      const isSettled = this.#sortOut(messages);
+      if (isSettled) break;
+    }
+    return { messages, wakeAtMs: earliest([reportAtMs, this.#coordinators.wakeAtMs()]) };
+  }
+
+  /** Messages to this member itself are taken in at once; true if there were none. */
+  #sortOut(messages: outboxes.Outgoing[]): boolean {
+    let isSettled = true;
+    let pending = this.#outbox.drain();
+    while (pending.length > 0) {
+      for (const outgoing of pending) {
+        if (outgoing.memberId !== this.#self.memberId) messages.push(outgoing);
+        else {
+          isSettled = false;
+          this.receive(outgoing.message as PermitMessage, this.#self);
+        }
+      }
+      pending = this.#outbox.drain();
+    }
+    return isSettled;
+  }
+
+  /** Tells coordinators what they have to know; returns when the next report is due. */
+  #reportDemand(nowMs: number, loads: readonly ServiceLoad[]): number | null {
+    this.#loads = this.#loadsByGroup(loads);
+    const names = new Set([
+      ...this.#loads.keys(),
+      ...this.#reporter.groups(),
+      ...this.#holder.groups(),
+    ]);
+    let nextAtMs: number | null = null;
+    for (const name of names) {
+      if (!this.#isCoordinated(name)) continue;
+      const coordinator = this.#coordinators.memberOf(name);
+      if (coordinator === null) continue;
+      const demand = this.#demandOf(name);
+      const isShort = this.#isShort(demand);
+      const options = { coordinator: coordinator.incarnation, isShort, nowMs };
+      const { isDue, dueAtMs } = this.#reporter.consider(demand, options);
+      if (isDue) this.#outbox.demand(coordinator.memberId, demand);
+      nextAtMs = earliest([nextAtMs, dueAtMs]);
+    }
+    return nextAtMs;
+  }
+
+  /** The loads of each service's group, and of each team's group over all services. */
+  #loadsByGroup(loads: readonly ServiceLoad[]): ReadonlyMap<string, readonly ServiceLoad[]> {
+    const byGroup = new Map<string, ServiceLoad[]>();
+    for (const load of loads) {
+      push(byGroup, groups.teamGroup(load.team), load);
+      push(byGroup, groups.serviceGroup(load.service), this.#startableOf(load));
+    }
+    return byGroup;
+  }
+
+  /** Slots are needed only for what the team's limit lets this entry start. */
+  #startableOf(load: ServiceLoad): ServiceLoad {
+    const team = groups.teamGroup(load.team);
+    if (this.#view?.groups.has(team) !== true) return load;
+    const waiting = Math.min(load.waiting, this.#holder.freeOf(team));
+    return { ...load, waiting, urgentWaiting: Math.min(load.urgentWaiting, waiting) };
+  }
+
+  /** A team without a limit is only counted, in case it gets one. */
+  #isCoordinated(group: string): boolean {
+    return this.#view?.groups.has(group) === true || this.#holder.promisedTermOf(group) > 0;
+  }
+
+  #demandOf(group: string): demandReporters.GroupDemand {
+    const holdings = [];
+    for (const resource of this.#holder.resourcesOf(group)) {
+      const { held, inUse, grantSeq } = this.#holder.holdingOf(resource);
+      holdings.push({ resource, held, inUse, grantSeq });
+    }
+    const teams = (this.#loads.get(group) ?? []).map((
+      { team, running, waiting, urgentWaiting },
+    ) => ({
+      team,
+      running,
+      waiting,
+      urgentWaiting,
+    }));
+    return { group, term: this.#holder.promisedTermOf(group), holdings, teams };
+  }
+
+  /** Whether requests wait for which no permit of the group is free. */
+  #isShort(demand: demandReporters.GroupDemand): boolean {
+    let waiting = 0;
+    for (const team of demand.teams) waiting += team.waiting;
+    if (waiting === 0) return false;
+    let free = 0;
+    for (const holding of demand.holdings) free += this.#holder.freeOf(holding.resource);
+    return waiting > free;
+  }
+
+  #post(coordinator: coordinators.Coordinator, effects: coordinators.Effects): void {
+    const { group, term } = coordinator;
+    for (const to of effects.reportRequestsTo) {
+      this.#sendTo(to, (memberId) => this.#outbox.requestReport(memberId, { group, term }));
+    }
+    for (const { to, grant } of effects.grants) {
+      this.#sendTo(to, (id) => this.#outbox.grant(id, { incarnation: to, grant }));
+    }
+    for (const { to, record } of effects.records) {
+      this.#sendTo(to, (memberId) => this.#outbox.record(memberId, record));
+    }
+    const service = this.#view?.groups.get(group)?.service;
+    if (service == null) return;
+    for (const [to, teams] of effects.targets) {
+      const targets = [...teams].map(([team, running]) => ({ team, running }));
+      const message: peer.TeamTargets = { type: "teamTargets", service, term, targets };
+      this.#sendTo(to, (memberId) => this.#outbox.targets(memberId, message));
+    }
+  }
+
+  #sendTo(incarnation: string, send: (memberId: string) => void): void {
+    const memberId = this.#memberIds.get(incarnation);
+    if (memberId !== undefined) send(memberId);
+  }
+
+  #onReportRequest(message: peer.PermitReportRequest, sender: Sender): void {
+    const { term } = message;
+    for (const group of message.groups) {
+      const holdings = this.#holder.promise(group, term);
+      if (holdings === null) continue;
+      const records = this.#records.tell(group, term).map((record) => ({
+        resource: record.resource,
+        incarnation: record.incarnation,
+        allotment: record.allotment,
+      }));
+      this.#outbox.report(sender.memberId, {
+        term,
+        group: { group, holdings: holdings.map(reportedHolding), records },
+      });
+      this.#renewIfOutdated(group, term);
+    }
+  }
+
+  #onReport(message: peer.PermitReport, sender: Sender): void {
+    for (const report of message.groups) {
+      const coordinator = this.#coordinators.get(report.group);
+      if (coordinator === undefined || coordinator.term !== message.term) continue;
+      coordinator.onReport(sender.incarnation, report);
+      this.#coordinators.touch(report.group);
+    }
+  }
+
+  #onGrant(message: peer.PermitGrant): void {
+    if (message.incarnation !== this.#self.incarnation) return;
+    for (const grant of message.grants) {
+      if (this.#holder.accept(grant)) this.#hasNews = true;
+      this.#reporter.force(grant.group);
+    }
+  }
+
+  #onDemand(message: peer.PermitDemand, sender: Sender): void {
+    for (const demand of message.groups) {
+      this.#coordinators.get(demand.group)?.onDemand(sender.incarnation, demand);
+      this.#coordinators.touch(demand.group);
+      this.#renewIfOutdated(demand.group, demand.term);
+    }
+  }
+
+  /** A promise of a higher term ends the coordinator's own. */
+  #renewIfOutdated(group: string, promisedTerm: number): void {
+    const coordinator = this.#coordinators.get(group);
+    if (coordinator !== undefined && promisedTerm > coordinator.term) {
+      this.#coordinators.renew(group);
+    }
+  }
+
+  #onTargets(message: peer.TeamTargets): void {
+    const known = this.#targets.get(message.service);
+    if (known !== undefined && known.term > message.term) return;
+    const byTeam = new Map(message.targets.map((target) => [target.team, target.running]));
+    this.#targets.set(message.service, { term: message.term, byTeam });
+    this.#hasNews = true;
+  }
+
+  #onWitnessRequest(message: peer.WitnessRequest, sender: Sender): void {
+    for (const record of message.records) {
+      const { group, resource, term, seq } = record;
+      const owned = { ...record, incarnation: sender.incarnation };
+      if (!this.#records.keep(owned, this.#holder.promisedTermOf(group))) continue;
+      this.#outbox.recorded(sender.memberId, {
+        incarnation: sender.incarnation,
+        recorded: { group, resource, term, seq },
+      });
+    }
+  }
+
+  #onWitnessAnswer(message: peer.WitnessAnswer, sender: Sender): void {
+    if (message.incarnation !== this.#self.incarnation) return;
+    for (const { group, resource, term, seq } of message.recorded) {
+      const coordinator = this.#coordinators.get(group);
+      if (coordinator === undefined || coordinator.term !== term) continue;
+      coordinator.onRecorded(sender.incarnation, { resource, seq });
+      this.#coordinators.touch(group);
+    }
+  }
+}
+
+/** Local messages answer one another a few times at most; the rest waits for the next turn. */
+const MAX_LOCAL_ROUNDS = 8;
+
+function reportedHolding(holding: holders.Holding) {
+  const { resource, held, inUse, total } = holding;
+  return { resource, held, inUse, total };
+}
+
+function push(byGroup: Map<string, ServiceLoad[]>, group: string, load: ServiceLoad): void {
+  if (load.running + load.waiting === 0) return;
+  const known = byGroup.get(group);
+  if (known === undefined) byGroup.set(group, [load]);
+  else known.push(load);
+}
+
+function earliest(times: readonly (number | null)[]): number | null {
+  let first: number | null = null;
+  for (const time of times) {
+    if (time !== null && (first === null || time < first)) first = time;
+  }
+  return first;
+}
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -48,77 +48,103 @@
 });
 
 /**
- * A coordinator asks a member what it holds of some resources. By answering, the member promises to
- * take no grant of a lower term.
+ * A coordinator asks a member what it holds of some groups of resources. By answering, the member
+ * promises to take no grant of a lower term.
  */
 export const permitReportRequestSchema = v.object({
   type: v.literal("permitReportRequest"),
   term: countSchema,
-  resources: v.array(v.string()),
+  groups: v.array(v.string()),
 });
 
-/** What a member holds, idle and in use, of the resources that were asked for. */
+/** What a member holds of the groups that were asked for, and the records that it keeps as a witness. */
 export const permitReportSchema = v.object({
   type: v.literal("permitReport"),
   term: countSchema,
-  incarnation: v.string(),
-  holdings: v.array(v.object({ resource: v.string(), held: countSchema, grantSeq: countSchema })),
+  groups: v.array(v.object({
+    group: v.string(),
+    holdings: v.array(v.object({
+      resource: v.string(),
+      held: countSchema,
+      inUse: countSchema,
+      total: countSchema,
+    })),
+    records: v.array(
+      v.object({ resource: v.string(), incarnation: v.string(), allotment: countSchema }),
+    ),
+  })),
 });
 
-/** A coordinator sets what a member may hold of some resources. */
+/** A coordinator sets what one incarnation of a member may hold of some resources. */
 export const permitGrantSchema = v.object({
   type: v.literal("permitGrant"),
-  term: countSchema,
   incarnation: v.string(),
-  grants: v.array(
-    v.object({ resource: v.string(), allotment: countSchema, grantSeq: countSchema }),
-  ),
+  grants: v.array(v.object({
+    group: v.string(),
+    resource: v.string(),
+    term: countSchema,
+    allotment: countSchema,
+    grantSeq: countSchema,
+    /** The total that the coordinator divides. */
+    total: countSchema,
+  })),
 });
 
-/** A member tells a coordinator what it holds and wants; `held` answers the grant `grantSeq`. */
+/**
+ * A member tells a coordinator what it holds and needs of some groups. `term` is the highest that it
+ * promised for the group; `held` answers the grant `grantSeq`.
+ */
 export const permitDemandSchema = v.object({
   type: v.literal("permitDemand"),
-  term: countSchema,
-  incarnation: v.string(),
-  demands: v.array(v.object({
-    resource: v.string(),
-    held: countSchema,
-    inUse: countSchema,
-    wanted: countSchema,
-    grantSeq: countSchema,
-  })),
-  /** For a service's coordinator: running and waiting requests by team. */
-  teams: v.array(v.object({
-    service: nameSchema,
-    team: nameSchema,
-    running: countSchema,
-    waiting: countSchema,
-    urgentWaiting: countSchema,
+  groups: v.array(v.object({
+    group: v.string(),
+    term: countSchema,
+    holdings: v.array(v.object({
+      resource: v.string(),
+      held: countSchema,
+      inUse: countSchema,
+      grantSeq: countSchema,
+    })),
+    /** Running and waiting requests by team. */
+    teams: v.array(v.object({
+      team: nameSchema,
+      running: countSchema,
+      waiting: countSchema,
+      urgentWaiting: countSchema,
+    })),
   })),
 });
 
 /** A service's coordinator tells a member how many requests of each team it should run. */
 export const teamTargetsSchema = v.object({
   type: v.literal("teamTargets"),
-  term: countSchema,
   service: nameSchema,
+  term: countSchema,
   targets: v.array(v.object({ team: nameSchema, running: countSchema })),
 });
 
 /** A coordinator tells its witness the most that it may itself hold of some resources. */
 export const witnessRequestSchema = v.object({
   type: v.literal("witnessRequest"),
-  term: countSchema,
-  incarnation: v.string(),
-  allotments: v.array(v.object({ resource: v.string(), allotment: countSchema, seq: countSchema })),
+  records: v.array(v.object({
+    group: v.string(),
+    resource: v.string(),
+    term: countSchema,
+    allotment: countSchema,
+    seq: countSchema,
+  })),
 });
 
-/** The witness has recorded the allotments up to `seq`. */
+/** The witness has kept these records. */
 export const witnessAnswerSchema = v.object({
   type: v.literal("witnessAnswer"),
-  term: countSchema,
   incarnation: v.string(),
-  recorded: v.array(v.object({ resource: v.string(), seq: countSchema })),
+  recorded: v.array(v.object({
+    group: v.string(),
+    resource: v.string(),
+    term: countSchema,
+    seq: countSchema,
+  })),
 });
 
 /** Asks the owner of a shard to claim an idempotency key before the request is sent. */
