Add the process harness, the stand-in backend server and the fault proxy

Tests with real processes need a witness that records what really ran, a proxy that brings network faults about, and a harness that ends its children.

Before: no stand-ins.

--- /dev/null
+++ b/packages/testing/src/backend_server_client.ts
@@ -0,0 +1,60 @@
+/**
+ * Starts and controls stand-in backend servers from tests and benchmarks.
+ *
+ * @module
+ */
+import type * as faults from "./backend_server_faults.ts";
+import type * as record from "./backend_server_record.ts";
+import type * as processes from "./processes.ts";
+
+/** Options of the program. */
+export interface StartBackendServerOptions {
+  readonly name: string;
+  readonly slots?: number;
+  readonly address?: string;
+  readonly meanRunMs?: number;
+  readonly seed?: number;
+}
+
+/** A running stand-in with its control interface. */
+export class BackendServerClient {
+  readonly name: string;
+  readonly address: string;
+  readonly program: processes.ChildProgram;
+
+  constructor(name: string, program: processes.ChildProgram) {
+    this.name = name;
+    this.program = program;
+    this.address = String(program.ready?.["address"]);
+  }
+
+  /** What it ran. */
+  async record(): Promise<record.BackendServerRecord> {
+    const answer = await fetch(`http://${this.address}/control/record`);
+    return await answer.json() as record.BackendServerRecord;
+  }
+
+  /** Replaces the faults in force. */
+  async setFaults(list: readonly faults.FaultInput[]): Promise<void> {
+    await fetch(`http://${this.address}/control/faults`, {
+      method: "POST",
+      body: JSON.stringify({ faults: list }),
+    });
+  }
+
+  /** Forgets ended runs. */
+  async reset(): Promise<void> {
+    await fetch(`http://${this.address}/control/reset`, { method: "POST" });
+  }
+}
+
+/** Starts one stand-in backend server process. */
+export async function startBackendServer(
+  host: processes.Processes,
+  { name, slots = 8, address = "127.0.0.1:0", meanRunMs = 0, seed = 1 }: StartBackendServerOptions,
+): Promise<BackendServerClient> {
+  const args = ["--name", name, "--address", address, "--slots", String(slots)];
+  const timing = ["--mean-run-ms", String(meanRunMs), "--seed", String(seed)];
+  const program = await host.start("stand-in-backend-server", { args: [...args, ...timing] });
+  return new BackendServerClient(name, program);
+}
--- a/packages/testing/src/backend_server_main.ts
+++ b/packages/testing/src/backend_server_main.ts
@@ -1,6 +1,23 @@
 /**
- * Placeholder.
+ * `stand-in-backend-server`: options `--address`, `--name`, `--slots`, `--mean-run-ms`, `--seed`.
+ * Prints one JSON line with its address once it serves; SIGTERM stops it gracefully.
  *
  * @module
  */
-export {};
+import { names } from "@jackdawlink/schema";
+import { readOptions } from "./arguments.ts";
+import { BackendServer } from "./backend_server.ts";
+
+const options = readOptions(process.argv.slice(2));
+const name = options.get("name") ?? "backend-server";
+const backendServer = new BackendServer({
+  name,
+  slots: Number(options.get("slots") ?? 8),
+  meanRunMs: Number(options.get("mean-run-ms") ?? 0),
+  seed: Number(options.get("seed") ?? 1),
+});
+const address = await backendServer.listen(
+  names.splitAddress(options.get("address") ?? "127.0.0.1:0"),
+);
+process.once("SIGTERM", () => void backendServer.stop().then(() => process.exit(0)));
+console.log(JSON.stringify({ ready: true, program: "stand-in-backend-server", name, address }));
--- a/packages/testing/src/fault_proxy_main.ts
+++ b/packages/testing/src/fault_proxy_main.ts
@@ -1,6 +1,13 @@
 /**
- * Placeholder.
+ * `fault-proxy`: option `--address` for its control server. Prints one JSON line with its address.
  *
  * @module
  */
-export {};
+import { readOptions } from "./arguments.ts";
+import { FaultProxy } from "./fault_proxy.ts";
+
+const options = readOptions(process.argv.slice(2));
+const proxy = new FaultProxy();
+const address = await proxy.listen(options.get("address") ?? "127.0.0.1:0");
+process.once("SIGTERM", () => process.exit(0));
+console.log(JSON.stringify({ ready: true, program: "fault-proxy", address }));
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,6 +1,15 @@
 /**
- * Placeholder.
+ * Stand-ins for what surrounds the programs, a fault proxy, and a harness for child processes.
  *
  * @module
  */
-export {};
+export * as backendServer from "./backend_server.ts";
+export * as backendServerClient from "./backend_server_client.ts";
+export * as backendServerFaults from "./backend_server_faults.ts";
+export * as backendServerRecord from "./backend_server_record.ts";
+export * as faultProxy from "./fault_proxy.ts";
+export * as faultProxyControl from "./fault_proxy_control.ts";
+export * as freePorts from "./free_ports.ts";
+export * as processes from "./processes.ts";
+export * as runTimes from "./run_times.ts";
+export * as waitFor from "./wait_for.ts";
--- /dev/null
+++ b/packages/testing/src/wait_for.ts
@@ -0,0 +1,45 @@
+/**
+ * Waiting for a condition instead of a guessed time.
+ *
+ * @module
+ */
+import { errors } from "@jackdawlink/schema";
+
+/** A condition did not come true within its limit. */
+export const ConditionTimeoutError = errors.JackdawlinkError.subclass("ConditionTimeoutError");
+
+const DEFAULT_LIMIT_MS = 30_000;
+const DEFAULT_INTERVAL_MS = 20;
+
+/** How long to wait and how often to look. */
+export interface WaitOptions {
+  readonly limitMs?: number;
+  readonly intervalMs?: number;
+}
+
+/**
+ * Polls until the probe returns a value other than `undefined`, `null` or `false`, and returns it.
+ * Throws `ConditionTimeoutError` after the limit. An error thrown by the probe counts as not yet.
+ */
+export async function waitFor<TValue>(
+  description: string,
+  probe: () => TValue | Promise<TValue>,
+  { limitMs = DEFAULT_LIMIT_MS, intervalMs = DEFAULT_INTERVAL_MS }: WaitOptions = {},
+): Promise<NonNullable<TValue>> {
+  const endMs = performance.now() + limitMs;
+  let lastError: unknown;
+  while (performance.now() < endMs) {
+    try {
+      const value = await probe();
+      if (value !== undefined && value !== null && value !== false) return value;
+    } catch (error) {
+      lastError = error;
+    }
+    await pause(intervalMs);
+  }
+  throw new ConditionTimeoutError(`No ${description} within ${limitMs} ms`, { cause: lastError });
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
