Serve callers' requests at backend servers

A request is checked against the configuration, read whole, claimed where it has an idempotency key, and waits in its service's dispatcher until the entry holds a permit for its team and a slot. One attempt uses one connection, which is destroyed unless the answer was whole.

Bodies are read whole before they wait. Streaming them to the backend server was weighed: it saves memory, yet a slow caller would hold a permit, a claim needs the body's digest first, and a failed attempt could not be repeated.

A caller that leaves while its request runs does not cut the run: a cut run would hold its permit until the deadline, since nothing shows when it ended, and its outcome would be unknown to a second submission with the same key.

--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,6 +1,6 @@
 /**
- * Placeholder.
+ * The entry: callers' requests on one side, backend servers and peers on the other.
  *
  * @module
  */
-export {};
+export * as requests from "./requests/mod.ts";
--- /dev/null
+++ b/packages/entry/src/requests/admission.ts
@@ -0,0 +1,153 @@
+/**
+ * Checks a caller's request against the configuration, before it waits for anything.
+ *
+ * @module
+ */
+import * as crypto from "node:crypto";
+import type * as nodeHttp from "node:http";
+import type { requests as policy } from "@jackdawlink/policy";
+import { config, http } from "@jackdawlink/schema";
+import { err, ok, type Result } from "neverthrow";
+import * as uuid from "uuid";
+import * as v from "valibot";
+import * as callerAnswer from "./caller_answer.ts";
+import type * as requestIndex from "./request_index.ts";
+import type * as requestJob from "./request_job.ts";
+
+/** Methods that HTTP defines as idempotent. */
+const REPEATABLE_METHODS: ReadonlySet<string> = new Set([
+  "GET",
+  "HEAD",
+  "OPTIONS",
+  "PUT",
+  "DELETE",
+  "TRACE",
+]);
+
+const REPEATABLE_VALUES: Readonly<Record<string, boolean>> = { yes: true, no: false };
+
+/** Headers of the caller that backend servers don't get, or get from the entry. */
+const DROPPED_HEADERS = [
+  "authorization",
+  "host",
+  "content-length",
+  "expect",
+  http.DEADLINE_HEADER,
+  http.REPEATABLE_HEADER,
+  http.URGENCY_HEADER,
+  http.REQUEST_ID_HEADER,
+  http.TEAM_HEADER,
+  http.ATTEMPT_HEADER,
+  http.OUTCOME_HEADER,
+] as const;
+
+const BEARER_PATTERN = /^Bearer +(\S+) *$/i;
+const DEADLINE_PATTERN = /^[1-9]\d{0,8}$/;
+const UUID_VERSION = 7;
+
+/** A request as it came in. */
+export interface IncomingRequest {
+  readonly requestId: string;
+  readonly queueName: string;
+  /** Path and query behind the queue's name. */
+  readonly path: string;
+  readonly message: nodeHttp.IncomingMessage;
+  readonly nowMs: number;
+}
+
+/** An admitted request whose body has not been read yet. */
+export type BodilessRequest = Omit<requestJob.AdmittedRequest, "body">;
+
+/** Checks everything that the headers tell. */
+export function admit(
+  incoming: IncomingRequest,
+  index: requestIndex.RequestIndex,
+): Result<BodilessRequest, policy.outcome.RefusalType> {
+  const queue = index.queue(incoming.queueName);
+  if (queue === undefined) return err("unknownQueue");
+  const { headers } = incoming.message;
+  const caller = authenticate(headers.authorization, { queue, index });
+  if (caller.isErr()) return err(caller.error);
+  if (!index.hasLimit(caller.value.team)) return err("teamWithoutLimit");
+  if (Number(headers["content-length"] ?? 0) > queue.indexedService.maxRequestBytes) {
+    return err("requestTooLarge");
+  }
+  return readHeaders(incoming, queue).map((asked) => ({ ...asked, ...caller.value }));
+}
+
+/** A refusal in the form of a failed admission. */
+export function refusal(
+  type: policy.outcome.RefusalType,
+): Result<BodilessRequest, policy.outcome.RefusalType> {
+  return err(type);
+}
+
+/** Finds the caller's team by its key, or by the queue where that is open to all. */
+function authenticate(
+  authorization: string | undefined,
+  { queue, index }: { queue: requestIndex.IndexedQueue; index: requestIndex.RequestIndex },
+): Result<{ team: string; keyDigest: Buffer | null }, policy.outcome.RefusalType> {
+  if (authorization === undefined) {
+    if (queue.openTeam === undefined) return err("keyMissing");
+    return ok({ team: queue.openTeam, keyDigest: null });
+  }
+  const secret = BEARER_PATTERN.exec(authorization)?.[1];
+  if (secret === undefined) return err("keyRefused");
+  const keyDigest = crypto.createHash("sha256").update(secret).digest();
+  const team = index.teamOfDigest(keyDigest);
+  return team === undefined ? err("keyRefused") : ok({ team, keyDigest });
+}
+
+/** Reads the headers that say how the request is to be run. */
+function readHeaders(
+  { requestId, path, message, nowMs }: IncomingRequest,
+  queue: requestIndex.IndexedQueue,
+): Result<Omit<BodilessRequest, "team" | "keyDigest">, policy.outcome.RefusalType> {
+  const { headers } = message;
+  const method = message.method ?? "GET";
+  const urgency = textOf(headers, http.URGENCY_HEADER) ?? queue.urgency;
+  const repeatableText = textOf(headers, http.REPEATABLE_HEADER);
+  const deadlineText = textOf(headers, http.DEADLINE_HEADER);
+  const idempotencyKey = textOf(headers, http.IDEMPOTENCY_KEY_HEADER) ?? null;
+  if (!v.is(config.urgencySchema, urgency)) return err("invalidRequest");
+  if (repeatableText !== undefined && !(repeatableText in REPEATABLE_VALUES)) {
+    return err("invalidRequest");
+  }
+  if (deadlineText !== undefined && !DEADLINE_PATTERN.test(deadlineText)) {
+    return err("invalidRequest");
+  }
+  if (idempotencyKey !== null && !isUuidV7(idempotencyKey)) return err("invalidRequest");
+  const longestMs = queue.maxWaitMs + queue.indexedService.maxRunMs;
+  const patienceMs = Math.min(longestMs, Number(deadlineText ?? longestMs));
+  return ok({
+    requestId,
+    queue,
+    service: queue.service,
+    method,
+    path,
+    headers: headersForBackendServer(headers),
+    urgency,
+    repeatable: REPEATABLE_VALUES[repeatableText ?? ""] ?? REPEATABLE_METHODS.has(method),
+    idempotencyKey: idempotencyKey?.toLowerCase() ?? null,
+    enqueuedAtMs: nowMs,
+    expiresAtMs: nowMs + Math.min(queue.maxWaitMs, patienceMs),
+    deadlineAtMs: nowMs + patienceMs,
+  });
+}
+
+function headersForBackendServer(
+  headers: nodeHttp.IncomingHttpHeaders,
+): nodeHttp.OutgoingHttpHeaders {
+  const passedOn = callerAnswer.passedOnHeaders(headers);
+  for (const name of DROPPED_HEADERS) delete passedOn[name];
+  return passedOn;
+}
+
+function textOf(headers: nodeHttp.IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(",") : value;
+}
+
+function isUuidV7(text: string): boolean {
+  return uuid.validate(text) && uuid.version(text) === UUID_VERSION;
+}
--- /dev/null
+++ b/packages/entry/src/requests/backend_attempt.ts
@@ -0,0 +1,235 @@
+/**
+ * One attempt of a request at a backend server.
+ *
+ * @module
+ */
+import type * as nodeHttp from "node:http";
+import type * as ports from "@jackdawlink/ports";
+import type { requests as policy } from "@jackdawlink/policy";
+import { errors, http } from "@jackdawlink/schema";
+import type * as undici from "undici";
+import type * as backendConnections from "./backend_connections.ts";
+import type * as requestJob from "./request_job.ts";
+
+/** An attempt ended without a whole answer that may be passed on. */
+export const AttemptError = errors.JackdawlinkError.subclass("AttemptError");
+
+/** Answers up to this size are held until they are whole. */
+const HELD_ANSWER_BYTES = 65_536;
+/** How long after the told deadline an answer may still come in. */
+const ANSWER_GRACE_MS = 100;
+
+/** Why an attempt must not be sent after all; null where it may. */
+export type SendCheck = () => policy.outcome.RefusalType | null;
+
+/** How an attempt ended. */
+export interface AttemptEnd {
+  readonly result: "whole" | policy.retry.AttemptPhase;
+  /** The status of a whole answer. */
+  readonly status: number | null;
+  readonly reason: string;
+  /** Set where the check before sending refused. */
+  readonly refusal: policy.outcome.RefusalType | null;
+  /** The backend server has said that it closes the connection. */
+  readonly closing: boolean;
+  /** When the run is over for certain, in the clock's time; null where it is over. */
+  readonly runEndsAtMs: number | null;
+}
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  readonly job: requestJob.RequestJob;
+  readonly connection: backendConnections.BackendConnection;
+  readonly clock: ports.clock.Clock;
+  readonly maxAnswerBytes: number;
+  /** The time that the backend server is given, in milliseconds. */
+  readonly runMs: number;
+  readonly checkBeforeSend: SendCheck;
+}
+
+/** Sends one request and passes its answer on. */
+export class BackendAttempt {
+  readonly #options: AttemptOptions;
+  readonly #held: Buffer[] = [];
+  readonly #ended: Promise<AttemptEnd>;
+  #resolve!: (end: AttemptEnd) => void;
+  #sentAtMs: number | null = null;
+  #refusal: policy.outcome.RefusalType | null = null;
+  #reason = "";
+  #head: { status: number; headers: nodeHttp.IncomingHttpHeaders } | null = null;
+  #answerBytes = 0;
+  #streaming = false;
+  #cancelTimeout: () => void = () => undefined;
+
+  constructor(options: AttemptOptions) {
+    this.#options = options;
+    this.#ended = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+  }
+
+  /** Runs the attempt; never rejects. */
+  run(): Promise<AttemptEnd> {
+    const { job, connection, clock, runMs } = this.#options;
+    const { request } = job;
+    this.#cancelTimeout = clock.after(runMs + ANSWER_GRACE_MS, () => this.#timeOut());
+    connection.client.dispatch({
+      method: request.method as undici.Dispatcher.HttpMethod,
+      path: request.path,
+      headers: this.#requestHeaders() as nodeHttp.IncomingHttpHeaders,
+      body: request.body.length > 0 ? request.body : null,
+    }, this.#handler());
+    return this.#ended;
+  }
+
+  #requestHeaders(): nodeHttp.OutgoingHttpHeaders {
+    const { job, runMs } = this.#options;
+    return {
+      ...job.request.headers,
+      [http.REQUEST_ID_HEADER]: job.request.requestId,
+      [http.TEAM_HEADER]: job.request.team,
+      [http.ATTEMPT_HEADER]: String(job.attempts),
+      [http.DEADLINE_HEADER]: String(runMs),
+    };
+  }
+
+  #handler(): undici.Dispatcher.DispatchHandler {
+    return {
+      onRequestStart: (controller) => this.#onRequestStart(controller),
+      onResponseStart: (controller, status, headers) => {
+        if (status >= 200) this.#onResponseStart(controller, { status, headers });
+      },
+      onResponseData: (controller, chunk) => this.#onResponseData(controller, chunk),
+      onResponseEnd: () => this.#onResponseEnd(),
+      onResponseError: (_controller, error) => this.#onResponseError(error),
+    };
+  }
+
+  /** Called right before the first byte is written; a second call would be a repetition. */
+  #onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    if (this.#sentAtMs !== null) {
+      this.#abort(controller, "connection lost");
+      return;
+    }
+    this.#refusal = this.#options.checkBeforeSend();
+    if (this.#refusal !== null) {
+      this.#abort(controller, this.#refusal);
+      return;
+    }
+    this.#sentAtMs = this.#options.clock.nowMs();
+  }
+
+  #onResponseStart(
+    controller: undici.Dispatcher.DispatchController,
+    head: { status: number; headers: nodeHttp.IncomingHttpHeaders },
+  ): void {
+    const doubt = this.#doubtOf(head);
+    if (doubt !== null) {
+      this.#abort(controller, doubt);
+      return;
+    }
+    this.#head = head;
+  }
+
+  /** Why an answer can't be passed on; null where it can. */
+  #doubtOf({ status, headers }: AnswerHead): string | null {
+    const { job, maxAnswerBytes } = this.#options;
+    const echoedId = headers[http.REQUEST_ID_HEADER];
+    if (echoedId !== undefined && echoedId !== job.request.requestId) return "crossed answer";
+    if (Number(headers["content-length"] ?? 0) > maxAnswerBytes) return "oversized answer";
+    const framed = headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined;
+    const bodiless = job.request.method === "HEAD" || status === 204 || status === 304;
+    return framed || bodiless ? null : "answer without a length";
+  }
+
+  #onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#answerBytes += chunk.length;
+    if (this.#answerBytes > this.#options.maxAnswerBytes) {
+      this.#abort(controller, "oversized answer");
+      return;
+    }
+    if (!this.#streaming) {
+      this.#held.push(Buffer.from(chunk));
+      if (this.#answerBytes <= HELD_ANSWER_BYTES) return;
+      if (!this.#isRefusal()) this.#startStreaming(controller);
+      return;
+    }
+    this.#write(controller, chunk);
+  }
+
+  #startStreaming(controller: undici.Dispatcher.DispatchController): void {
+    this.#streaming = true;
+    this.#options.job.answer.start(this.#head!);
+    for (const chunk of this.#held.splice(0)) this.#write(controller, chunk);
+  }
+
+  #write(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    const { answer } = this.#options.job;
+    if (answer.write(chunk) || controller.paused) return;
+    controller.pause();
+    answer.onDrain(() => controller.resume());
+  }
+
+  #onResponseEnd(): void {
+    const { job } = this.#options;
+    const { status } = this.#head!;
+    if (this.#isRefusal()) {
+      this.#finish({ result: "refused", status, reason: "backend server refused" });
+      return;
+    }
+    if (this.#streaming) job.answer.end();
+    else job.answer.sendWhole(this.#head!, Buffer.concat(this.#held));
+    this.#finish({ result: "whole", status, reason: "answered" });
+  }
+
+  /** A backend server refuses by an error status with the outcome "not run". */
+  #isRefusal(): boolean {
+    const head = this.#head!;
+    return head.status >= 400 && head.headers[http.OUTCOME_HEADER] === "not-run";
+  }
+
+  #onResponseError(error: Error): void {
+    if (this.#streaming) this.#options.job.answer.destroy();
+    const result = this.#sentAtMs === null ? "notSent" : "sent";
+    if (result === "notSent" && isInvalid(error)) this.#refusal = "invalidRequest";
+    this.#finish({ result, status: null, reason: this.#reason || error.message });
+  }
+
+  /** The client library itself asks to close the connection of a HEAD request. */
+  #isClosing(): boolean {
+    if (this.#options.job.request.method === "HEAD") return false;
+    return String(this.#head?.headers.connection ?? "").toLowerCase().includes("close");
+  }
+
+  #timeOut(): void {
+    this.#reason = "timeout";
+    const { client } = this.#options.connection;
+    client.destroy(new AttemptError("The attempt took too long")).catch(() => undefined);
+  }
+
+  #abort(controller: undici.Dispatcher.DispatchController, reason: string): void {
+    this.#reason = reason;
+    controller.abort(new AttemptError(`The attempt was given up for ${reason}`));
+  }
+
+  #finish(end: Pick<AttemptEnd, "result" | "status" | "reason">): void {
+    this.#cancelTimeout();
+    const { runMs } = this.#options;
+    const uncertain = end.result === "sent" && this.#sentAtMs !== null;
+    this.#resolve({
+      ...end,
+      refusal: this.#refusal,
+      closing: this.#isClosing(),
+      runEndsAtMs: uncertain ? this.#sentAtMs! + runMs : null,
+    });
+  }
+}
+
+/** The status line and headers of an answer. */
+type AnswerHead = Readonly<{ status: number; headers: nodeHttp.IncomingHttpHeaders }>;
+
+/** Whether the client library found a method, path or header that it can't send. */
+function isInvalid(error: Error & { code?: string }): boolean {
+  return error.code === "UND_ERR_INVALID_ARG" || error.code === "UND_ERR_NOT_SUPPORTED";
+}
--- /dev/null
+++ b/packages/entry/src/requests/caller_answer.ts
@@ -0,0 +1,164 @@
+/**
+ * The answer to one caller: a backend server's answer passed on, or a refusal of the entry's own.
+ *
+ * @module
+ */
+import type * as nodeHttp from "node:http";
+import { http } from "@jackdawlink/schema";
+import { requests as policy } from "@jackdawlink/policy";
+
+/** Headers that belong to one connection and are not passed on. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "proxy-connection",
+]);
+
+/** The status line and headers of a backend server's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: nodeHttp.IncomingHttpHeaders;
+}
+
+/** A refusal with the outcome that may be told. */
+export interface Refusal {
+  readonly type: policy.outcome.RefusalType;
+  readonly outcome: http.Outcome;
+  /** The status of an earlier answer to the same idempotency key. */
+  readonly keptStatus?: number | null;
+}
+
+/** Writes to one caller, once. After the caller has gone, everything is dropped. */
+export class CallerAnswer {
+  readonly requestId: string;
+  readonly #response: nodeHttp.ServerResponse;
+  readonly #closeConnection: () => boolean;
+  readonly #goneCallbacks: (() => void)[] = [];
+  #callerGone = false;
+  #started = false;
+
+  constructor(
+    requestId: string,
+    response: nodeHttp.ServerResponse,
+    { closeConnection }: { closeConnection: () => boolean },
+  ) {
+    this.requestId = requestId;
+    this.#response = response;
+    this.#closeConnection = closeConnection;
+    response.once("close", () => this.#onClose());
+  }
+
+  /** True once the caller's connection has closed before the answer was whole. */
+  get callerGone(): boolean {
+    return this.#callerGone;
+  }
+
+  /** Whether any byte of an answer has been written. */
+  get started(): boolean {
+    return this.#started;
+  }
+
+  /** Calls back when the caller goes before its answer is whole, or at once where it has gone. */
+  onCallerGone(callback: () => void): void {
+    if (this.#callerGone) callback();
+    else this.#goneCallbacks.push(callback);
+  }
+
+  /** Passes on a whole answer. */
+  sendWhole(head: AnswerHead, body: Buffer): void {
+    this.start(head);
+    if (!this.#callerGone) this.#response.end(body);
+  }
+
+  /** Begins an answer whose body follows in parts. */
+  start(head: AnswerHead): void {
+    this.#started = true;
+    if (this.#callerGone) return;
+    const headers = passedOnHeaders(head.headers);
+    headers[http.OUTCOME_HEADER] = "answered";
+    headers[http.REQUEST_ID_HEADER] = this.requestId;
+    this.#closeIfDraining(headers);
+    this.#response.writeHead(head.status, headers);
+  }
+
+  /** Writes a part of the body; false asks to pause until {@link onDrain}. */
+  write(chunk: Buffer): boolean {
+    return this.#callerGone || this.#response.write(chunk);
+  }
+
+  /** Calls back once when the caller reads on, or has gone. */
+  onDrain(callback: () => void): void {
+    let called = false;
+    const callOnce = () => {
+      if (called) return;
+      called = true;
+      callback();
+    };
+    this.#response.once("drain", callOnce);
+    this.#response.once("close", callOnce);
+  }
+
+  /** Ends an answer whose body was written in parts. */
+  end(): void {
+    if (!this.#callerGone) this.#response.end();
+  }
+
+  /** Breaks the caller's connection, so that a part of an answer never looks whole. */
+  destroy(): void {
+    this.#response.destroy();
+  }
+
+  /** Answers with a refusal of the entry's own. */
+  refuse({ type, outcome, keptStatus = null }: Refusal): void {
+    if (this.#callerGone) return;
+    this.#started = true;
+    const { status, message, retryAfterMs } = policy.outcome.REFUSALS[type];
+    const error: http.ErrorBody["error"] = { type, message, requestId: this.requestId, outcome };
+    if (retryAfterMs !== null) error.retryAfterMs = retryAfterMs;
+    if (keptStatus !== null) error.keptStatus = keptStatus;
+    const body = Buffer.from(JSON.stringify({ error }));
+    const headers: nodeHttp.OutgoingHttpHeaders = {
+      "content-type": "application/json",
+      "content-length": body.length,
+      [http.OUTCOME_HEADER]: outcome,
+      [http.REQUEST_ID_HEADER]: this.requestId,
+    };
+    if (retryAfterMs !== null) {
+      headers["retry-after"] = String(Math.ceil(retryAfterMs / 1_000));
+    }
+    this.#closeIfDraining(headers);
+    this.#response.writeHead(status, headers);
+    this.#response.end(body);
+  }
+
+  #onClose(): void {
+    if (this.#response.writableFinished) return;
+    this.#callerGone = true;
+    for (const callback of this.#goneCallbacks) callback();
+  }
+
+  #closeIfDraining(headers: nodeHttp.OutgoingHttpHeaders): void {
+    if (this.#closeConnection() || !this.#response.req.complete) headers["connection"] = "close";
+  }
+}
+
+/** The headers that are passed on in either direction. */
+export function passedOnHeaders(
+  headers: nodeHttp.IncomingHttpHeaders,
+): nodeHttp.OutgoingHttpHeaders {
+  const named = new Set(
+    String(headers.connection ?? "").toLowerCase().split(",").map((name) => name.trim()),
+  );
+  const passedOn: nodeHttp.OutgoingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || CONNECTION_HEADERS.has(name) || named.has(name)) continue;
+    passedOn[name] = value;
+  }
+  return passedOn;
+}
--- /dev/null
+++ b/packages/entry/src/requests/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The path of requests from callers to backend servers.
+ *
+ * @module
+ */
+export * as callerServer from "./caller_server.ts";
+export * as requestPath from "./request_path.ts";
+export * as trail from "./trail.ts";
--- /dev/null
+++ b/packages/entry/src/requests/request_index.ts
@@ -0,0 +1,128 @@
+/**
+ * The configuration arranged for the request path: queues, keys, and backend servers by service.
+ *
+ * @module
+ */
+import * as crypto from "node:crypto";
+import type { config } from "@jackdawlink/schema";
+
+/** Keys are found by the first digits of their digests and then compared in constant time. */
+const DIGEST_PREFIX_DIGITS = 8;
+
+/** A backend server with its name. */
+export interface NamedBackendServer extends config.BackendServer {
+  readonly name: string;
+}
+
+/** A service with its name and its backend servers. */
+export interface IndexedService extends config.Service {
+  readonly name: string;
+  readonly backendServers: readonly NamedBackendServer[];
+}
+
+/** A queue with its name and service. */
+export interface IndexedQueue extends config.Queue {
+  readonly name: string;
+  readonly indexedService: IndexedService;
+}
+
+/** One key that is not withdrawn. */
+interface IndexedKey {
+  readonly digest: Buffer;
+  readonly team: string;
+}
+
+/** Built once for each configuration. */
+export class RequestIndex {
+  readonly #config: config.Config;
+  readonly #services = new Map<string, IndexedService>();
+  readonly #queues = new Map<string, IndexedQueue>();
+  readonly #keysByPrefix = new Map<string, IndexedKey[]>();
+  readonly #weights = new Map<string, number>();
+  readonly #limitedTeams = new Set<string>();
+
+  constructor(configuration: config.Config) {
+    this.#config = configuration;
+    this.#indexServices();
+    this.#indexQueues();
+    this.#indexKeys();
+    this.#indexTeams();
+  }
+
+  /** True where this index was built for the given configuration object. */
+  isOf(configuration: config.Config): boolean {
+    return this.#config === configuration;
+  }
+
+  queue(name: string): IndexedQueue | undefined {
+    return this.#queues.get(name);
+  }
+
+  service(name: string): IndexedService | undefined {
+    return this.#services.get(name);
+  }
+
+  /** The team of the key with this SHA-256 digest; undefined where it is unknown or withdrawn. */
+  teamOfDigest(digest: Buffer): string | undefined {
+    const prefix = digest.toString("hex").slice(0, DIGEST_PREFIX_DIGITS);
+    let team: string | undefined;
+    for (const key of this.#keysByPrefix.get(prefix) ?? []) {
+      if (crypto.timingSafeEqual(key.digest, digest)) team = key.team;
+    }
+    return team;
+  }
+
+  /** Whether the team may run requests at all. */
+  hasLimit(team: string): boolean {
+    return this.#limitedTeams.has(team);
+  }
+
+  /** The weight of a team at a service; 1 without a share. */
+  weightOf(service: string, team: string): number {
+    const pool = this.#services.get(service)?.pool ?? "";
+    return this.#weights.get(weightKey(pool, team)) ?? 1;
+  }
+
+  #indexServices(): void {
+    const byService = new Map<string, NamedBackendServer[]>();
+    for (const [name, backendServer] of Object.entries(this.#config.backendServers)) {
+      const list = byService.get(backendServer.service) ?? [];
+      list.push({ ...backendServer, name });
+      byService.set(backendServer.service, list);
+    }
+    for (const [name, service] of Object.entries(this.#config.services)) {
+      const backendServers = byService.get(name) ?? [];
+      this.#services.set(name, { ...service, name, backendServers });
+    }
+  }
+
+  #indexQueues(): void {
+    for (const [name, queue] of Object.entries(this.#config.queues)) {
+      const indexedService = this.#services.get(queue.service);
+      if (indexedService !== undefined) this.#queues.set(name, { ...queue, name, indexedService });
+    }
+  }
+
+  #indexKeys(): void {
+    for (const key of Object.values(this.#config.keys)) {
+      if (key.withdrawn) continue;
+      const prefix = key.secretSha256.slice(0, DIGEST_PREFIX_DIGITS);
+      const list = this.#keysByPrefix.get(prefix) ?? [];
+      list.push({ digest: Buffer.from(key.secretSha256, "hex"), team: key.team });
+      this.#keysByPrefix.set(prefix, list);
+    }
+  }
+
+  #indexTeams(): void {
+    for (const share of Object.values(this.#config.shares)) {
+      this.#weights.set(weightKey(share.pool, share.team), share.weight);
+    }
+    for (const limit of Object.values(this.#config.limits)) {
+      if (limit.maxRunningRequests !== undefined) this.#limitedTeams.add(limit.team);
+    }
+  }
+}
+
+function weightKey(pool: string, team: string): string {
+  return `${pool}/${team}`;
+}
--- /dev/null
+++ b/packages/entry/src/requests/request_job.ts
@@ -0,0 +1,74 @@
+/**
+ * One admitted request, from its admission to its end.
+ *
+ * @module
+ */
+import type * as nodeHttp from "node:http";
+import { requests as policy } from "@jackdawlink/policy";
+import type { http } from "@jackdawlink/schema";
+import type * as callerAnswer from "./caller_answer.ts";
+import type * as requestIndex from "./request_index.ts";
+
+/** What a caller asked for, checked. */
+export interface AdmittedRequest extends policy.line.WaitingRequest {
+  readonly queue: requestIndex.IndexedQueue;
+  readonly method: string;
+  /** Path and query at the backend server. */
+  readonly path: string;
+  readonly headers: nodeHttp.OutgoingHttpHeaders;
+  readonly body: Buffer;
+  readonly repeatable: boolean;
+  /** The digest of the presented key; null on an open queue without one. */
+  readonly keyDigest: Buffer | null;
+  readonly idempotencyKey: string | null;
+  /** The end of the time that the caller waits for the answer. */
+  readonly deadlineAtMs: number;
+}
+
+/** How a request ended. */
+export interface JobEnd {
+  readonly outcome: http.Outcome;
+  readonly status: number | null;
+}
+
+/** An admitted request with what has become of it. */
+export class RequestJob {
+  readonly request: AdmittedRequest;
+  readonly answer: callerAnswer.CallerAnswer;
+  readonly tried = new Set<string>();
+  readonly outcome = new policy.outcome.OutcomeTracker();
+  readonly #onEnd: (end: JobEnd) => void;
+  attempts = 0;
+  #ended = false;
+
+  constructor(
+    request: AdmittedRequest,
+    answer: callerAnswer.CallerAnswer,
+    { onEnd }: { onEnd: (end: JobEnd) => void },
+  ) {
+    this.request = request;
+    this.answer = answer;
+    this.#onEnd = onEnd;
+  }
+
+  get ended(): boolean {
+    return this.#ended;
+  }
+
+  /** Refuses the request with the outcome that its attempts allow, and ends it. */
+  refuse(type: policy.outcome.RefusalType): http.Outcome {
+    const outcome = this.outcome.ofRefusal();
+    if (this.#ended) return outcome;
+    if (this.answer.started) this.answer.destroy();
+    else this.answer.refuse({ type, outcome });
+    this.end({ outcome, status: null });
+    return outcome;
+  }
+
+  /** Ends the request; only the first end counts. */
+  end(end: JobEnd): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#onEnd(end);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/request_path.ts
@@ -0,0 +1,261 @@
+/**
+ * The path of a request from a caller to a backend server and back.
+ *
+ * @module
+ */
+import * as crypto from "node:crypto";
+import type * as nodeHttp from "node:http";
+import type * as ports from "@jackdawlink/ports";
+import { requests as policy } from "@jackdawlink/policy";
+import type { http } from "@jackdawlink/schema";
+import type * as promClient from "prom-client";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import * as uuid from "uuid";
+import * as admission from "./admission.ts";
+import { BackendConnections } from "./backend_connections.ts";
+import { BodyReader } from "./body_reader.ts";
+import { CallerAnswer } from "./caller_answer.ts";
+import * as claimAnswers from "./claim_answers.ts";
+import * as requestIndex from "./request_index.ts";
+import { RequestJob } from "./request_job.ts";
+import { RequestMetrics } from "./request_metrics.ts";
+import { ServiceRunner } from "./service_runner.ts";
+import * as trail from "./trail.ts";
+
+/** How often waiting requests are looked at for their deadlines. */
+const TICK_MS = 50;
+const DRAIN_POLL_MS = 20;
+
+/** What the request path needs from the entry. */
+export interface RequestPathOptions {
+  readonly availabilityZone: string;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly permits: ports.permits.Permits;
+  readonly claims: ports.claims.Claims;
+  readonly membership: ports.members.Membership;
+  readonly snapshots: ports.members.SnapshotSource;
+  readonly registry: promClient.Registry;
+  /** Seeds the choice between equal backend servers. */
+  readonly seed: number;
+}
+
+/** One request with the caller's side of its connection. */
+export interface CallerExchange {
+  readonly queueName: string;
+  readonly path: string;
+  readonly message: nodeHttp.IncomingMessage;
+  readonly response: nodeHttp.ServerResponse;
+}
+
+/** Admits requests, lets them wait, and runs them by one runner for each service. */
+export class RequestPath {
+  readonly #options: RequestPathOptions;
+  readonly #runners = new Map<string, ServiceRunner>();
+  readonly #connections = new BackendConnections();
+  readonly #bodies = new BodyReader();
+  readonly #trail: trail.Trail;
+  readonly #metrics: RequestMetrics;
+  readonly #random: ReturnType<typeof xoroshiro128plus>;
+  #index: requestIndex.RequestIndex;
+  #draining = false;
+  #open = 0;
+  #cancelTick: () => void = () => undefined;
+
+  constructor(options: RequestPathOptions) {
+    this.#options = options;
+    this.#trail = new trail.Trail(options);
+    this.#metrics = new RequestMetrics(options.registry);
+    this.#random = xoroshiro128plus(options.seed);
+    this.#index = new requestIndex.RequestIndex(options.snapshots.current().config);
+    options.snapshots.onChange((snapshot) => this.#onSnapshot(snapshot));
+    options.permits.setDemandSource(() => this.#demand());
+    options.permits.onGranted(() => this.#pumpAll());
+    this.#tick();
+  }
+
+  /** Whether new requests are refused. */
+  get draining(): boolean {
+    return this.#draining;
+  }
+
+  /** The requests that have not been answered, and the runs that are not over for certain. */
+  get unfinished(): number {
+    const running = [...this.#runners.values()].reduce((sum, runner) => sum + runner.running, 0);
+    return Math.max(this.#open, running);
+  }
+
+  /** The decisions about a recent request; null where none are kept. */
+  explain(requestId: string): readonly trail.Step[] | null {
+    return this.#trail.explain(requestId);
+  }
+
+  /** Serves one request of a caller; resolves once it has been admitted or refused. */
+  async serve(exchange: CallerExchange): Promise<void> {
+    const requestId = uuid.v7();
+    const answer = new CallerAnswer(requestId, exchange.response, {
+      closeConnection: () => this.#draining,
+    });
+    this.#open += 1;
+    exchange.response.once("close", () => {
+      this.#open -= 1;
+    });
+    const nowMs = this.#options.clock.nowMs();
+    const admitted = this.#admit({ ...exchange, requestId, nowMs });
+    if (admitted.isErr()) {
+      this.#refuse(answer, { type: admitted.error, queue: exchange.queueName });
+      return;
+    }
+    const { maxRequestBytes } = admitted.value.queue.indexedService;
+    const body = await this.#bodies.read(exchange.message, { maxBytes: maxRequestBytes });
+    if (body.isOk()) await this.#accept({ ...admitted.value, body: body.value }, answer);
+    else if (body.error !== null) {
+      this.#refuse(answer, { type: body.error, queue: exchange.queueName });
+    }
+  }
+
+  /**
+   * Refuses new requests, lets waiting ones start for the given time and refuses the rest, and
+   * resolves once every request is answered and every run is over.
+   */
+  async drain({ waitingGraceMs }: { waitingGraceMs: number }): Promise<void> {
+    this.#draining = true;
+    this.#options.log.info("Draining", { open: this.#open });
+    const endMs = this.#options.clock.nowMs() + waitingGraceMs;
+    while (this.#waiting() > 0 && this.#options.clock.nowMs() < endMs) await this.#pause();
+    for (const runner of this.#runners.values()) runner.refuseWaiting("draining");
+    while (this.unfinished > 0) await this.#pause();
+    this.#cancelTick();
+    this.#connections.closeAll();
+    this.#options.log.info("Drained", {});
+  }
+
+  #admit(incoming: admission.IncomingRequest) {
+    if (this.#draining) return admission.refusal("draining");
+    if (!this.#options.membership.isFresh()) return admission.refusal("notFresh");
+    const admitted = admission.admit(incoming, this.#index);
+    if (admitted.isErr()) return admitted;
+    const { queue } = admitted.value;
+    const waiting = this.#runnerOf(queue.service).waitingInQueue(queue.name);
+    return waiting >= queue.maxWaiting ? admission.refusal("queueFull") : admitted;
+  }
+
+  async #accept(request: RequestJob["request"], answer: CallerAnswer): Promise<void> {
+    const granted = request.idempotencyKey === null || await this.#claim(request, answer);
+    if (!granted) {
+      this.#bodies.release(request.body);
+      return;
+    }
+    const job = new RequestJob(request, answer, {
+      onEnd: (end) => this.#onEnd(request, end),
+    });
+    const refusal = this.#refusalAfterBody(job);
+    if (refusal === null) this.#runnerOf(request.service).enqueue(job);
+    else this.#runnerOf(request.service).refuse(job, refusal);
+  }
+
+  /** What may have changed while the body was read and the key was claimed. */
+  #refusalAfterBody({ request }: RequestJob): policy.outcome.RefusalType | null {
+    if (this.#draining) return "draining";
+    if (!this.#options.membership.isFresh()) return "notFresh";
+    const { queue } = request;
+    const waiting = this.#runnerOf(queue.service).waitingInQueue(queue.name);
+    return waiting >= queue.maxWaiting ? "queueFull" : null;
+  }
+
+  /** Claims the idempotency key; where it isn't granted, the caller is told why. */
+  async #claim(request: RequestJob["request"], answer: CallerAnswer): Promise<boolean> {
+    const claim = await this.#options.claims.claim({
+      team: request.team,
+      idempotencyKey: request.idempotencyKey!,
+      fingerprint: fingerprintOf(request),
+      timeoutMs: Math.max(1, request.expiresAtMs - this.#options.clock.nowMs()),
+    });
+    if (claim.result === "granted") return true;
+    const { type, outcome } = claimAnswers.CLAIM_REFUSALS[claim.result];
+    this.#refuse(answer, { type, queue: request.queue.name, outcome, keptStatus: claim.status });
+    return false;
+  }
+
+  #onEnd(request: RequestJob["request"], { outcome, status }: Parameters<RequestJob["end"]>[0]) {
+    this.#bodies.release(request.body);
+    this.#metrics.requests.inc({ queue: request.queue.name, outcome });
+    this.#trail.record(request.requestId, "Ended", {
+      fields: { team: request.team, queue: request.queue.name, outcome, status },
+    });
+    if (request.idempotencyKey === null) return;
+    this.#options.claims.finish(
+      { team: request.team, idempotencyKey: request.idempotencyKey },
+      { outcome: claimAnswers.CLAIM_OUTCOMES[outcome], status },
+    );
+  }
+
+  #refuse(
+    answer: CallerAnswer,
+    { type, queue, outcome = "not-run", keptStatus = null }: {
+      type: policy.outcome.RefusalType;
+      queue: string;
+      outcome?: http.Outcome;
+      keptStatus?: number | null;
+    },
+  ): void {
+    answer.refuse({ type, outcome, keptStatus });
+    this.#metrics.refusals.inc({ type });
+    this.#trail.record(answer.requestId, "Refused", { fields: { queue, reason: type, outcome } });
+  }
+
+  #runnerOf(service: string): ServiceRunner {
+    let runner = this.#runners.get(service);
+    if (runner === undefined) {
+      runner = new ServiceRunner(service, {
+        ...this.#options,
+        connections: this.#connections,
+        trail: this.#trail,
+        metrics: this.#metrics,
+        index: () => this.#index,
+        memberCount: () => this.#options.snapshots.current().head.members.length,
+        random: () => uniformFloat64(this.#random),
+      });
+      this.#runners.set(service, runner);
+    }
+    return runner;
+  }
+
+  #onSnapshot(snapshot: ports.members.Snapshot): void {
+    if (this.#index.isOf(snapshot.config)) return;
+    this.#index = new requestIndex.RequestIndex(snapshot.config);
+    for (const runner of this.#runners.values()) runner.onConfigChange();
+  }
+
+  #demand(): readonly ports.permits.TeamDemand[] {
+    return [...this.#runners.values()].flatMap((runner) => runner.demand());
+  }
+
+  #waiting(): number {
+    return [...this.#runners.values()].reduce((sum, runner) => sum + runner.waiting, 0);
+  }
+
+  #pumpAll(): void {
+    for (const runner of this.#runners.values()) runner.pump();
+  }
+
+  #tick(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const runner of this.#runners.values()) runner.tick(nowMs);
+    this.#cancelTick = this.#options.clock.after(TICK_MS, () => this.#tick());
+  }
+
+  #pause(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.clock.after(DRAIN_POLL_MS, resolve);
+    });
+  }
+}
+
+/** The same idempotency key with another method, path or body is another request. */
+function fingerprintOf(request: RequestJob["request"]): string {
+  const hash = crypto.createHash("sha256");
+  hash.update(`${request.queue.name}\n${request.method}\n${request.path}\n`);
+  return hash.update(request.body).digest("hex");
+}
--- /dev/null
+++ b/packages/entry/test/request_path_fixture.ts
@@ -0,0 +1,272 @@
+/**
+ * A request path in the test's own process, with fakes at its ports, in front of stand-in backend
+ * server processes.
+ *
+ * @module
+ */
+import * as crypto from "node:crypto";
+import type * as ports from "@jackdawlink/ports";
+import { config, head, type peer } from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import * as promClient from "prom-client";
+import * as v from "valibot";
+import * as requests from "../src/requests/mod.ts";
+
+/** The real time of this process. */
+export const clock: ports.clock.Clock = {
+  nowMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  after: (delayMs, callback) => {
+    const timer = setTimeout(callback, delayMs);
+    return () => clearTimeout(timer);
+  },
+};
+
+/** Permits up to fixed totals. */
+export class FakePermits implements ports.permits.Permits {
+  readonly used = new Map<string, number>();
+  teamTotal = 100;
+  slotTotal = 8;
+  released = 0;
+  #granted: () => void = () => undefined;
+
+  take(ask: ports.permits.PermitAsk): ports.permits.Permit | null {
+    if (this.#usedOf(`team:${ask.team}`) >= this.teamTotal) return null;
+    const backendServer = ask.backendServers.find((name) =>
+      this.#usedOf(`slots:${name}`) < this.slotTotal
+    );
+    if (backendServer === undefined) return null;
+    this.#change(`team:${ask.team}`, 1);
+    this.#change(`slots:${backendServer}`, 1);
+    return { team: ask.team, service: ask.service, backendServer };
+  }
+
+  release(permit: ports.permits.Permit): void {
+    this.released += 1;
+    this.#change(`team:${permit.team}`, -1);
+    this.#change(`slots:${permit.backendServer}`, -1);
+  }
+
+  targetOf(): number | null {
+    return null;
+  }
+
+  setDemandSource(): void {}
+
+  demandChanged(): void {}
+
+  onGranted(callback: () => void): void {
+    this.#granted = callback;
+  }
+
+  grant({ teamTotal }: { teamTotal: number }): void {
+    this.teamTotal = teamTotal;
+    this.#granted();
+  }
+
+  inUse(): number {
+    return [...this.used.values()].reduce((sum, count) => sum + count, 0) / 2;
+  }
+
+  #usedOf(resource: string): number {
+    return this.used.get(resource) ?? 0;
+  }
+
+  #change(resource: string, difference: number): void {
+    this.used.set(resource, this.#usedOf(resource) + difference);
+  }
+}
+
+/** Grants each key once. */
+export class FakeClaims implements ports.claims.Claims {
+  readonly ends = new Map<string, peer.ClaimOutcome["outcome"]>();
+  next: peer.ClaimAnswer["result"] = "granted";
+
+  claim(): Promise<Pick<peer.ClaimAnswer, "result" | "status">> {
+    return Promise.resolve({ result: this.next, status: this.next === "answered" ? 201 : null });
+  }
+
+  finish(
+    ask: Pick<ports.claims.ClaimAsk, "idempotencyKey">,
+    end: Pick<peer.ClaimOutcome, "outcome">,
+  ): void {
+    this.ends.set(ask.idempotencyKey, end.outcome);
+  }
+}
+
+/** A member that is fresh or not, as the test says. */
+export class FakeMembership implements ports.members.Membership {
+  readonly memberId = "entry-1";
+  fresh = true;
+  /** How often freshness was asked for since the test set `staleAfterChecks`. */
+  staleAfterChecks = Infinity;
+
+  isFresh(): boolean {
+    this.staleAfterChecks -= 1;
+    return this.fresh && this.staleAfterChecks >= 0;
+  }
+
+  incarnation(): string {
+    return "entry-1-a";
+  }
+
+  onIncarnationChange(): void {}
+
+  acceptedFenceAtMs(): null {
+    return null;
+  }
+}
+
+/** A configuration that the test replaces. */
+export class FakeSnapshots implements ports.members.SnapshotSource {
+  #snapshot: ports.members.Snapshot;
+  readonly #callbacks: ((snapshot: ports.members.Snapshot) => void)[] = [];
+
+  constructor(input: config.ConfigInput) {
+    this.#snapshot = { head: head.EMPTY_HEAD, config: v.parse(config.configSchema, input) };
+  }
+
+  current(): ports.members.Snapshot {
+    return this.#snapshot;
+  }
+
+  onChange(callback: (snapshot: ports.members.Snapshot) => void): void {
+    this.#callbacks.push(callback);
+  }
+
+  publish(input: config.ConfigInput): void {
+    this.#snapshot = { head: head.EMPTY_HEAD, config: v.parse(config.configSchema, input) };
+    for (const callback of this.#callbacks) callback(this.#snapshot);
+  }
+}
+
+/** The secret of the one key. */
+export const SECRET = "secret-of-billing";
+
+/** The configuration in front of some backend servers. */
+export function configFor(
+  backendServers: readonly testing.backendServerClient.BackendServerClient[],
+  { service = {}, queue = {}, withdrawn = false, draining = [] }: {
+    service?: Partial<config.Service>;
+    queue?: Partial<config.Queue>;
+    withdrawn?: boolean;
+    draining?: readonly string[];
+  } = {},
+): config.ConfigInput {
+  const secretSha256 = crypto.createHash("sha256").update(SECRET).digest("hex");
+  return {
+    workspaces: { shop: {} },
+    teams: { billing: { workspace: "shop" }, guests: { workspace: "shop" } },
+    keys: { k1: { team: "billing", secretSha256, withdrawn } },
+    pools: { main: {} },
+    services: { renewals: { pool: "main", maxRunMs: 2_000, ...service } },
+    backendServers: Object.fromEntries(
+      backendServers.map(({ name, address }) => [name, {
+        service: "renewals",
+        address,
+        vm: `vm-${name}`,
+        availabilityZone: "zone-a",
+        draining: draining.includes(name),
+      }]),
+    ),
+    limits: {
+      billing: { team: "billing", maxRunningRequests: 100 },
+      guests: { team: "guests", maxRunningRequests: 100 },
+    },
+    queues: {
+      renew: { service: "renewals", ...queue },
+      open: { service: "renewals", openTeam: "guests", ...queue },
+    },
+  };
+}
+
+/** One log line. */
+export interface LogLine {
+  readonly message: string;
+  readonly fields: ports.log.LogFields;
+}
+
+/** The request path with its fakes, listening. */
+export class Fixture {
+  readonly permits = new FakePermits();
+  readonly claims = new FakeClaims();
+  readonly membership = new FakeMembership();
+  readonly snapshots: FakeSnapshots;
+  readonly registry = new promClient.Registry();
+  readonly lines: LogLine[] = [];
+  readonly path: requests.requestPath.RequestPath;
+  readonly #server: requests.callerServer.CallerServer;
+  address = "";
+
+  constructor(input: config.ConfigInput) {
+    this.snapshots = new FakeSnapshots(input);
+    const keep = (message: string, fields: ports.log.LogFields = {}) => {
+      this.lines.push({ message, fields });
+    };
+    this.path = new requests.requestPath.RequestPath({
+      availabilityZone: "zone-a",
+      clock,
+      log: { debug: keep, info: keep, warn: keep, error: keep },
+      permits: this.permits,
+      claims: this.claims,
+      membership: this.membership,
+      snapshots: this.snapshots,
+      registry: this.registry,
+      seed: 1,
+    });
+    this.#server = new requests.callerServer.CallerServer(
+      { callerAddress: "127.0.0.1:0" },
+      this.path,
+    );
+  }
+
+  async start(): Promise<void> {
+    this.address = (await this.#server.start())._unsafeUnwrap();
+  }
+
+  async stop(): Promise<void> {
+    await this.path.drain({ waitingGraceMs: 0 });
+    await this.#server.stop();
+  }
+
+  /** Sends a request with the key and reads the answer. */
+  async send(
+    path: string,
+    { method = "GET", headers = {}, body, key = SECRET }: {
+      method?: string;
+      headers?: Record<string, string>;
+      body?: string;
+      key?: string | null;
+    } = {},
+  ): Promise<CallerView> {
+    const authorization: Record<string, string> = key === null
+      ? {}
+      : { authorization: `Bearer ${key}` };
+    try {
+      const answer = await fetch(`http://${this.address}/v1/queues/${path}`, {
+        method,
+        headers: { ...authorization, ...headers },
+        body,
+      });
+      const text = await answer.text();
+      return {
+        status: answer.status,
+        outcome: answer.headers.get("jackdawlink-outcome"),
+        requestId: answer.headers.get("jackdawlink-request-id"),
+        text,
+        broken: false,
+      };
+    } catch {
+      return { status: 0, outcome: null, requestId: null, text: "", broken: true };
+    }
+  }
+}
+
+/** What a caller saw; `broken` is a connection that ended before the answer was whole. */
+export interface CallerView {
+  readonly status: number;
+  readonly outcome: string | null;
+  readonly requestId: string | null;
+  readonly text: string;
+  readonly broken: boolean;
+}
--- a/packages/schema/src/http.ts
+++ b/packages/schema/src/http.ts
@@ -36,6 +36,8 @@
     requestId: v.string(),
     outcome: outcomeSchema,
     retryAfterMs: v.optional(v.number()),
+    /** The status of the answer that the same idempotency key got before. */
+    keptStatus: v.optional(v.number()),
   }),
 });
 
