--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -27,3 +27,8 @@
 export * as rendezvous from "./rendezvous.ts";
 export * as maxMin from "./sharing/max_min.ts";
 export * as teamTargets from "./sharing/targets.ts";
+ * Pure decisions: state, event and time in; new state and effects out.
+ *
+ * @module
+ */
+export * as requests from "./requests/mod.ts";
