Decide freshness, acceptance and membership in pure code

Purpose: one set of pure modules decides when a process may act, which revision is accepted, who joins and who is fenced; a seeded model of nine members drives it through partitions, outages, freezes and restarts.

Weighed: lists that change by many members at once (majorities of the old and the new list need not overlap) were ruled out; a list changes by one slot, after a majority holds the last change. A new incarnation may replace the old one of its own slot at once. Where no majority is left, the fences are held back from acceptance for maxStoreOutageMs, which also bounds how long a majority counts without any read.

--- /dev/null
+++ b/packages/policy/src/membership/member_model_test.ts
@@ -0,0 +1,421 @@
+import { head as headRecord, type peer } from "@jackdawlink/schema";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { describe, expect, it } from "vitest";
+import * as headChanges from "./head_changes.ts";
+import * as memberState from "./member_state.ts";
+
+const MEMBER_COUNT = 9;
+const STEP_MS = 50;
+const RUN_MS = 120_000;
+const LEASE_MS = 6_000;
+const POLL_MS = 1_000;
+const HEARTBEAT_MS = 500;
+/** Two steps: one in which a message travels, one in which an action is noticed. */
+const MARGIN_MS = 2 * STEP_MS;
+const MAX_STORE_OUTAGE_MS = 40_000;
+
+const RULES = memberState.rulesOf({
+  heartbeatMs: HEARTBEAT_MS,
+  freshForMs: 2_500,
+  suspectAfterMs: 3_000,
+  memberLeaseSeconds: LEASE_MS / 1_000,
+  maxStoreOutageMs: MAX_STORE_OUTAGE_MS,
+});
+
+/** How a form of the rule answers; the dropped forms must be found unsafe or unfresh. */
+interface Form {
+  readonly acceptedOnWrite: boolean;
+  isFresh(state: memberState.MemberState, nowMs: number): boolean;
+}
+
+const CHOSEN: Form = {
+  acceptedOnWrite: false,
+  isFresh: (state, nowMs) => state.freshnessSource(nowMs) !== null,
+};
+
+const FORMS: Record<"chosen" | "acceptedOnWrite" | "anyPeer" | "storeAlone", Form> = {
+  chosen: CHOSEN,
+  acceptedOnWrite: { ...CHOSEN, acceptedOnWrite: true },
+  anyPeer: {
+    ...CHOSEN,
+    isFresh: (state, nowMs) => CHOSEN.isFresh(state, nowMs) || hearsAnyPeer(state, nowMs),
+  },
+  storeAlone: {
+    ...CHOSEN,
+    isFresh: (state, nowMs) => state.isListed() && state.freshnessSource(nowMs) === "store",
+  },
+};
+
+function hearsAnyPeer(state: memberState.MemberState, nowMs: number): boolean {
+  return state.isListed() && state.head().members.some((member) => {
+    const atMs = state.freshness().lastContactAtMs(member.memberId, member.incarnation);
+    return atMs !== null && nowMs - atMs <= RULES.freshForMs;
+  });
+}
+
+/** A small seeded source of whole numbers and choices. */
+class Dice {
+  readonly #generator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  below(limit: number): number {
+    return (this.#generator.next() >>> 0) % limit;
+  }
+
+  chance(oneIn: number): boolean {
+    return this.below(oneIn) === 0;
+  }
+}
+
+interface Envelope {
+  readonly from: number;
+  readonly to: number;
+  readonly message: peer.Heartbeat | headRecord.Head;
+  readonly arrivesAtMs: number;
+}
+
+interface Process {
+  state: memberState.MemberState;
+  /** The start of this process's clock; clocks of processes don't agree. */
+  bootedAtMs: number;
+  frozenUntilMs: number;
+  nextPollAtMs: number;
+  nextHeartbeatAtMs: number;
+  deadUntilMs: number;
+}
+
+interface Outcome {
+  worstLagMs: number;
+  actingSteps: number;
+  unfreshSteps: number;
+  fences: number;
+  joins: number;
+}
+
+/** Nine processes, one store and the network between them, in steps of {@link STEP_MS}. */
+class Model {
+  readonly outcome: Outcome = {
+    worstLagMs: 0,
+    actingSteps: 0,
+    unfreshSteps: 0,
+    fences: 0,
+    joins: 0,
+  };
+  readonly #dice: Dice;
+  readonly #form: Form;
+  readonly #processes: Process[];
+  readonly #leases = new Map<string, number>();
+  readonly #acceptedAtMs: { revision: number; atMs: number }[] = [];
+  readonly #storeOutUntilMs: number[] = Array(MEMBER_COUNT).fill(0);
+  #storeHead = headRecord.EMPTY_HEAD;
+  #inTransit: Envelope[] = [];
+  #sideOf: number[] = Array(MEMBER_COUNT).fill(0);
+  #incarnationCount = 0;
+  #nowMs = 0;
+
+  constructor(seed: number, form: Form) {
+    this.#dice = new Dice(seed);
+    this.#form = form;
+    this.#processes = Array.from({ length: MEMBER_COUNT }, (_, index) => this.#boot(index));
+  }
+
+  /** Runs without faults until all are listed. */
+  settle(): void {
+    while (this.#processes.some((process) => !process.state.isListed())) {
+      this.step();
+      if (this.#nowMs > 60_000) {
+        throw new Error("the members did not all join within 60 s");
+      }
+    }
+    this.outcome.worstLagMs = 0;
+  }
+
+  run(durationMs: number, hazards: (model: Model) => void): Outcome {
+    const endMs = this.#nowMs + durationMs;
+    while (this.#nowMs < endMs) {
+      hazards(this);
+      this.step();
+    }
+    return this.outcome;
+  }
+
+  randomHazards(): void {
+    const index = this.#dice.below(MEMBER_COUNT);
+    const handlers = [
+      () => this.partition(),
+      () => this.heal(),
+      () => this.storeOut([index], this.#dice.below(20_000)),
+      () => this.storeOut(ALL, this.#dice.below(30_000)),
+      () => this.freeze(index, this.#dice.below(15_000)),
+      () => this.restart(index, this.#dice.below(3_000)),
+      () => this.publish(),
+      () => this.publish(),
+    ];
+    if (this.#dice.chance(15)) {
+      handlers[this.#dice.below(handlers.length)]?.();
+    }
+  }
+
+  partition(): void {
+    this.#sideOf = this.#sideOf.map(() => this.#dice.below(2));
+  }
+
+  heal(): void {
+    this.#sideOf.fill(0);
+  }
+
+  storeOut(indexes: readonly number[], durationMs: number): void {
+    indexes.forEach((index) => this.#storeOutUntilMs[index] = this.#nowMs + durationMs);
+  }
+
+  freeze(index: number, durationMs: number): void {
+    this.#process(index).frozenUntilMs = this.#nowMs + durationMs;
+  }
+
+  restart(index: number, downMs: number): void {
+    this.#processes[index] = { ...this.#boot(index), deadUntilMs: this.#nowMs + downMs };
+  }
+
+  publish(): void {
+    const revision = this.#storeHead.revision + 1;
+    this.#storeHead = { ...this.#storeHead, revision, configRevision: revision };
+    if (this.#form.acceptedOnWrite) {
+      this.#acceptedAtMs.push({ revision, atMs: this.#nowMs });
+    }
+  }
+
+  listedCount(): number {
+    return this.#storeHead.members.length;
+  }
+
+  step(): void {
+    this.#nowMs += STEP_MS;
+    this.#deliver();
+    this.#processes.forEach((process, index) => {
+      if (this.#isRunning(process)) {
+        this.#turn(process, index);
+      }
+    });
+    this.#processes.forEach((process) => this.#witness(process));
+  }
+
+  #boot(index: number): Process {
+    const state = new memberState.MemberState({
+      identity: {
+        memberId: `entry-${index}`,
+        peerAddress: `127.0.0.1:${7000 + index}`,
+        operatorAddress: `127.0.0.1:${8000 + index}`,
+        availabilityZone: "zone-a",
+      },
+      incarnation: this.#newIncarnation(),
+      rules: RULES,
+    });
+    return {
+      state,
+      bootedAtMs: this.#nowMs - this.#dice.below(1_000_000),
+      frozenUntilMs: 0,
+      nextPollAtMs: 0,
+      nextHeartbeatAtMs: 0,
+      deadUntilMs: 0,
+    };
+  }
+
+  #newIncarnation(): string {
+    return `incarnation-${++this.#incarnationCount}`;
+  }
+
+  #process(index: number): Process {
+    const process = this.#processes[index];
+    if (process === undefined) {
+      throw new Error(`no process ${index}`);
+    }
+    return process;
+  }
+
+  #isRunning(process: Process): boolean {
+    return process.frozenUntilMs <= this.#nowMs && process.deadUntilMs <= this.#nowMs;
+  }
+
+  #ownTime(process: Process): number {
+    return this.#nowMs - process.bootedAtMs;
+  }
+
+  #turn(process: Process, index: number): void {
+    if (this.#nowMs >= process.nextPollAtMs) {
+      process.nextPollAtMs = this.#nowMs + POLL_MS + this.#dice.below(200);
+      this.#poll(process, index);
+    }
+    if (this.#nowMs >= process.nextHeartbeatAtMs) {
+      process.nextHeartbeatAtMs = this.#nowMs + HEARTBEAT_MS;
+      this.#sendHeartbeats(process, index);
+    }
+  }
+
+  #poll(process: Process, index: number): void {
+    if ((this.#storeOutUntilMs[index] ?? 0) > this.#nowMs) {
+      return;
+    }
+    const { state } = process;
+    this.#hold(process, this.#storeHead);
+    this.#leases.set(state.incarnation(), this.#nowMs + LEASE_MS);
+    const alive = [...this.#leases].filter(([, untilMs]) => untilMs > this.#nowMs);
+    state.recordRead({
+      startedAtMs: this.#ownTime(process),
+      revision: this.#storeHead.revision,
+      aliveIncarnations: new Set(alive.map(([incarnation]) => incarnation)),
+    });
+    this.#decide(process);
+  }
+
+  #decide(process: Process): void {
+    const decision = process.state.decide({
+      nowMs: this.#ownTime(process),
+      draining: false,
+      mayLeave: false,
+      fenceWaitMs: 10_000,
+    });
+    if (decision === null || process.state.head().revision !== this.#storeHead.revision) {
+      return;
+    }
+    this.outcome.joins += decision.kind === "join" ? 1 : 0;
+    this.outcome.fences += decision.kind === "fence" ? 1 : 0;
+    this.#storeHead = headChanges.applyDecision(this.#storeHead, {
+      decision,
+      self: process.state.selfMember(),
+    });
+    this.#hold(process, this.#storeHead);
+  }
+
+  #hold(process: Process, head: headRecord.Head): void {
+    const { lostPlace } = process.state.holdHead(head, this.#ownTime(process));
+    if (lostPlace) {
+      process.state.renew(this.#newIncarnation());
+    }
+  }
+
+  #sendHeartbeats(process: Process, index: number): void {
+    for (const to of ALL.filter((other) => other !== index)) {
+      const message = process.state.heartbeatFor(`entry-${to}`, {
+        nowMs: this.#ownTime(process),
+        draining: false,
+      });
+      this.#send(index, to, message);
+    }
+  }
+
+  #send(from: number, to: number, message: Envelope["message"]): void {
+    const isCut = this.#sideOf[from] !== this.#sideOf[to];
+    if (!isCut && !this.#dice.chance(30)) {
+      const arrivesAtMs = this.#nowMs + STEP_MS + (this.#dice.chance(20) ? 1_000 : 0);
+      this.#inTransit.push({ from, to, message, arrivesAtMs });
+    }
+  }
+
+  /** Messages to a frozen process wait for it; those to a restarted one are lost. */
+  #deliver(): void {
+    const waiting: Envelope[] = [];
+    for (const envelope of this.#inTransit) {
+      const target = this.#process(envelope.to);
+      if (envelope.arrivesAtMs > this.#nowMs || target.frozenUntilMs > this.#nowMs) {
+        waiting.push(envelope);
+      } else if (this.#isRunning(target)) {
+        this.#receive(target, envelope);
+      }
+    }
+    this.#inTransit = waiting;
+  }
+
+  #receive(target: Process, { from, to, message }: Envelope): void {
+    if (!("type" in message)) {
+      this.#hold(target, message);
+      return;
+    }
+    const { hasHigherRevision } = target.state.receiveHeartbeat(message, {
+      memberId: `entry-${from}`,
+      nowMs: this.#ownTime(target),
+    });
+    if (hasHigherRevision) {
+      this.#send(from, to, this.#process(from).state.head());
+    }
+  }
+
+  /** Compares what each process may do with what is accepted. */
+  #witness(process: Process): void {
+    if (!this.#isRunning(process)) {
+      return;
+    }
+    const { state } = process;
+    const isFresh = this.#form.isFresh(state, this.#ownTime(process));
+    this.outcome.actingSteps += 1;
+    this.outcome.unfreshSteps += isFresh ? 0 : 1;
+    this.#noteAccepted(state);
+    if (isFresh) {
+      const newer = this.#acceptedAtMs.find(({ revision }) => revision > state.head().revision);
+      const lagMs = newer === undefined ? 0 : this.#nowMs - newer.atMs;
+      this.outcome.worstLagMs = Math.max(this.outcome.worstLagMs, lagMs);
+    }
+  }
+
+  #noteAccepted(state: memberState.MemberState): void {
+    const revision = state.acceptedRevision();
+    const last = this.#acceptedAtMs.at(-1)?.revision ?? 0;
+    if (revision > last) {
+      this.#acceptedAtMs.push({ revision, atMs: this.#nowMs });
+    }
+  }
+}
+
+const ALL: readonly number[] = Array.from({ length: MEMBER_COUNT }, (_, index) => index);
+const SEEDS: readonly number[] = Array.from({ length: 40 }, (_, index) => index + 1);
+
+function runRandom(seed: number, form: Form): Outcome {
+  const model = new Model(seed, form);
+  model.settle();
+  return model.run(RUN_MS, (running) => running.randomHazards());
+}
+
+function worstLagMs(form: Form): number {
+  return Math.max(...SEEDS.map((seed) => runRandom(seed, form).worstLagMs));
+}
+
+describe("members under partitions, outages, freezes and restarts", () => {
+  it.each(SEEDS)("nobody acts on a superseded revision, seed %i", (seed) => {
+    const outcome = runRandom(seed, FORMS.chosen);
+    expect(outcome.worstLagMs).toBeLessThanOrEqual(RULES.freshForMs + MARGIN_MS);
+  });
+
+  it.each(["acceptedOnWrite", "anyPeer"] as const)("finds the dropped form %s unsafe", (form) => {
+    expect(worstLagMs(FORMS[form])).toBeGreaterThan(RULES.freshForMs + MARGIN_MS);
+  });
+
+  it.each(
+    [
+      { form: "chosen", maxUnfreshShare: 0.01, minUnfreshShare: 0 },
+      { form: "storeAlone", maxUnfreshShare: 1, minUnfreshShare: 0.5 },
+    ] as const,
+  )("is unfresh within bounds while the store is out: $form", (expected) => {
+    const shares = SEEDS.slice(0, 10).map((seed) => {
+      const model = new Model(seed, FORMS[expected.form]);
+      model.settle();
+      model.run(5_000, () => undefined);
+      model.storeOut(ALL, 30_000);
+      Object.assign(model.outcome, { actingSteps: 0, unfreshSteps: 0 });
+      const { unfreshSteps, actingSteps } = model.run(30_000, () => undefined);
+      return unfreshSteps / actingSteps;
+    });
+    const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+    expect(mean).toBeLessThanOrEqual(expected.maxUnfreshShare);
+    expect(mean).toBeGreaterThanOrEqual(expected.minUnfreshShare);
+  });
+
+  it.each(SEEDS.slice(0, 5))("lists all again after all restart at once, seed %i", (seed) => {
+    const model = new Model(seed, FORMS.chosen);
+    model.settle();
+    ALL.forEach((index) => model.restart(index, 1_000));
+    model.settle();
+    expect(model.listedCount()).toBe(MEMBER_COUNT);
+  });
+});
--- /dev/null
+++ b/packages/policy/src/membership/peer_table.ts
@@ -0,0 +1,105 @@
+/**
+ * What the heartbeats of the peers said, by member id.
+ *
+ * @module
+ */
+import type { head, peer } from "@jackdawlink/schema";
+
+/** The latest heartbeat of one peer. */
+interface PeerEntry {
+  readonly incarnation: string;
+  readonly revision: number;
+  readonly sentAtMs: number;
+  /** The own time before which the peer was last heard; null before the first echo. */
+  readonly heardAtMs: number | null;
+  readonly unheardMemberIds: readonly string[];
+}
+
+/** Keeps the latest heartbeat of each peer. */
+export class PeerTable {
+  readonly #suspectAfterMs: number;
+  readonly #entries = new Map<string, PeerEntry>();
+  /** Since when each listed incarnation has been expected to be heard. */
+  readonly #expectedSinceMs = new Map<string, number>();
+
+  constructor(options: { readonly suspectAfterMs: number }) {
+    this.#suspectAfterMs = options.suspectAfterMs;
+  }
+
+  record(memberId: string, heartbeat: peer.Heartbeat, echoedAtMs: number | null): void {
+    const known = this.#entries.get(memberId);
+    const earlierAtMs = known?.incarnation === heartbeat.incarnation ? known.heardAtMs : null;
+    this.#entries.set(memberId, {
+      incarnation: heartbeat.incarnation,
+      revision: heartbeat.revision,
+      sentAtMs: heartbeat.sentAtMs,
+      heardAtMs: laterOf(earlierAtMs, echoedAtMs),
+      unheardMemberIds: heartbeat.unheardMemberIds,
+    });
+  }
+
+  /** The echo for the next heartbeat to a peer. */
+  echoFor(memberId: string): Pick<peer.Heartbeat, "echoSentAtMs" | "echoIncarnation"> {
+    const entry = this.#entries.get(memberId);
+    return {
+      echoSentAtMs: entry?.sentAtMs ?? null,
+      echoIncarnation: entry?.incarnation ?? "",
+    };
+  }
+
+  revisionOf(member: head.Member): number {
+    return this.#entryOf(member)?.revision ?? 0;
+  }
+
+  heardAgeMs(member: head.Member, nowMs: number): number | null {
+    const heardAtMs = this.#entryOf(member)?.heardAtMs ?? null;
+    return heardAtMs === null ? null : nowMs - heardAtMs;
+  }
+
+  /** Starts to expect heartbeats of the listed members, and of nobody else. */
+  expect(members: readonly head.Member[], nowMs: number): void {
+    const sinceMs = new Map(this.#expectedSinceMs);
+    this.#expectedSinceMs.clear();
+    for (const { incarnation } of members) {
+      this.#expectedSinceMs.set(incarnation, sinceMs.get(incarnation) ?? nowMs);
+    }
+  }
+
+  /** Whether a member was heard within the suspicion time. */
+  isHeard(member: head.Member, nowMs: number): boolean {
+    const ageMs = this.heardAgeMs(member, nowMs);
+    return ageMs !== null && ageMs < this.#suspectAfterMs;
+  }
+
+  /** Whether a member should have been heard within the suspicion time, and was not. */
+  isMissed(member: head.Member, nowMs: number): boolean {
+    const sinceMs = this.#expectedSinceMs.get(member.incarnation) ?? nowMs;
+    return !this.isHeard(member, nowMs) && nowMs - sinceMs >= this.#suspectAfterMs;
+  }
+
+  /** By member, whom it reported as unheard; members that this process doesn't hear are missing. */
+  unheardReports(
+    members: readonly head.Member[],
+    nowMs: number,
+  ): ReadonlyMap<string, readonly string[]> {
+    const reports = new Map<string, readonly string[]>();
+    for (const member of members) {
+      if (this.isHeard(member, nowMs)) {
+        reports.set(member.memberId, this.#entryOf(member)?.unheardMemberIds ?? []);
+      }
+    }
+    return reports;
+  }
+
+  #entryOf(member: head.Member): PeerEntry | null {
+    const entry = this.#entries.get(member.memberId);
+    return entry?.incarnation === member.incarnation ? entry : null;
+  }
+}
+
+function laterOf(left: number | null, right: number | null): number | null {
+  if (left === null || right === null) {
+    return left ?? right;
+  }
+  return Math.max(left, right);
+}
--- a/packages/schema/src/head.ts
+++ b/packages/schema/src/head.ts
@@ -25,6 +25,11 @@
   revision: countSchema,
   /** True where the member left by itself with nothing running, so that no wait is needed. */
   clean: v.boolean(),
+  /**
+   * True where it was published without a majority of the members before it. Such a fence is accepted
+   * only once `maxStoreOutageMs` has passed, since the fenced ones may still hear one another.
+   */
+  withoutMajority: v.optional(v.boolean(), false),
 });
 
 /** Where one part of the configuration's JSON text is stored. */
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -6,13 +6,15 @@
  */
 import * as v from "valibot";
 import { headSchema } from "./head.ts";
-import { countSchema, nameSchema } from "./names.ts";
+import { addressSchema, countSchema, nameSchema } from "./names.ts";
 
 /** The first message on a link: who dialled. */
 export const helloSchema = v.object({
   type: v.literal("hello"),
   memberId: nameSchema,
   incarnation: v.string(),
+  /** Where the dialling process accepts links, so that the dialled one can link back. */
+  peerAddress: addressSchema,
   protocolVersion: v.literal(1),
 });
 
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -40,6 +40,8 @@
   suspectAfterMs: v.optional(durationMsSchema, 3_000),
   memberLeaseSeconds: v.optional(positiveIntegerSchema, 6),
   headPollMs: v.optional(durationMsSchema, 1_000),
+  /** How long members go on by hearing one another after the last of them read the store. */
+  maxStoreOutageMs: v.optional(durationMsSchema, 600_000),
 });
 
 /** Settings of `jackdawlink-entry`. */
@@ -51,6 +53,8 @@
   peerAddress: addressSchema,
   /** The address told to peers, where it differs from the one listened on. */
   advertisedPeerAddress: v.optional(addressSchema),
+  /** Peers to ask for the head and the configuration while the store is out. */
+  seedPeerAddresses: v.optional(v.array(addressSchema), []),
   shutdownGraceMs: v.optional(durationMsSchema, 2_000),
   claimWindowMs: v.optional(durationMsSchema, 600_000),
   claimShards: v.optional(positiveIntegerSchema, 16),
