--- /dev/null
+++ b/packages/adapters/src/peer_link.ts
@@ -0,0 +1,147 @@
+/**
+ * One outgoing link: dials a peer, sends hello first, and dials again after a loss.
+ *
+ * @module
+ */
+import type { TLSSocket } from "node:tls";
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+import { WebSocket } from "ws";
+import { BackOff } from "./back_off.ts";
+import * as codec from "./peer_codec.ts";
+import * as peerTls from "./peer_tls.ts";
+
+/** What a {@link PeerLink} is made of. */
+export interface PeerLinkOptions {
+  readonly address: string;
+  /** The member that must answer there; null where it is not known yet. */
+  readonly expectedMemberId: string | null;
+  readonly hello: () => schema.peer.Hello;
+  readonly tls: peerTls.PeerTlsMaterial | null;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly random: () => number;
+}
+
+/** Beyond this many unsent bytes the link drops messages instead of growing. */
+export const MAX_BUFFERED_BYTES = 1_048_576;
+const DIAL_TIMEOUT_MS = 2_000;
+const PING_INTERVAL_MS = 1_000;
+const PONG_TIMEOUT_MS = 3_000;
+const RETRY_BASE_MS = 100;
+const RETRY_CAP_MS = 2_000;
+
+/** Sends messages one way; it never receives any. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+  readonly #backOff: BackOff;
+  #socket: WebSocket | null = null;
+  #certifiedMemberId: string | null = null;
+  #lastPongAtMs = 0;
+  #cancelTimer: () => void = () => {};
+  #isClosed = false;
+
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+    this.#backOff = new BackOff({
+      random: options.random,
+      baseMs: RETRY_BASE_MS,
+      capMs: RETRY_CAP_MS,
+    });
+    this.#dial();
+  }
+
+  /** Whether messages to a member can be sent now. */
+  isOpenTo(memberId: string): boolean {
+    const isOpen = this.#socket?.readyState === WebSocket.OPEN;
+    return isOpen && (this.#options.tls === null || this.#certifiedMemberId === memberId);
+  }
+
+  /** Sends, or drops the message and returns false where the link is down or its peer is slow. */
+  send(message: schema.peer.Message): boolean {
+    const socket = this.#socket;
+    if (socket === null || socket.readyState !== WebSocket.OPEN) {
+      return false;
+    }
+    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+      return false;
+    }
+    socket.send(codec.encode(message), { binary: true });
+    return true;
+  }
+
+  /** Tells the peer again who this is, after the incarnation has changed. */
+  sendHello(): void {
+    this.send(this.#options.hello());
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#cancelTimer();
+    this.#socket?.close();
+    this.#options.clock.after(DIAL_TIMEOUT_MS, () => this.#socket?.terminate());
+  }
+
+  #dial(): void {
+    const { address, tls, expectedMemberId } = this.#options;
+    const protocol = tls === null ? "ws" : "wss";
+    const socket = new WebSocket(`${protocol}://${address}/`, {
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      perMessageDeflate: false,
+      ...(tls === null ? {} : { ...tls, checkServerIdentity: peerTls.nameCheck(expectedMemberId) }),
+    } as ConstructorParameters<typeof WebSocket>[2]);
+    this.#socket = socket;
+    socket.on("open", () => this.#opened(socket));
+    socket.on("pong", () => this.#lastPongAtMs = this.#options.clock.nowMs());
+    socket.on("error", (error) => this.#failed(error));
+    socket.on("close", () => this.#lost(socket));
+  }
+
+  #opened(socket: WebSocket): void {
+    const { address, clock, log, tls } = this.#options;
+    if (this.#isClosed) {
+      socket.close();
+      return;
+    }
+    this.#certifiedMemberId = tls === null ? null : peerTls.certifiedMemberId(tlsSocketOf(socket));
+    this.#backOff.succeeded();
+    this.#lastPongAtMs = clock.nowMs();
+    log.info("Link opened", { address });
+    this.sendHello();
+    this.#schedulePing(socket);
+  }
+
+  #schedulePing(socket: WebSocket): void {
+    this.#cancelTimer = this.#options.clock.after(PING_INTERVAL_MS, () => {
+      const silentMs = this.#options.clock.nowMs() - this.#lastPongAtMs;
+      if (silentMs > PONG_TIMEOUT_MS) {
+        this.#options.log.warn("Link timed out", { address: this.#options.address, silentMs });
+        socket.terminate();
+        return;
+      }
+      socket.ping();
+      this.#schedulePing(socket);
+    });
+  }
+
+  #failed(error: Error): void {
+    const { address, log } = this.#options;
+    log.debug("Link failed", { address, reason: error.message });
+  }
+
+  #lost(socket: WebSocket): void {
+    if (this.#socket !== socket) {
+      return;
+    }
+    this.#socket = null;
+    this.#cancelTimer();
+    if (!this.#isClosed) {
+      this.#cancelTimer = this.#options.clock.after(this.#backOff.failed(), () => this.#dial());
+    }
+  }
+}
+
+/** `ws` keeps the socket in a field that its types do not list. */
+function tlsSocketOf(socket: WebSocket): TLSSocket {
+  return (socket as unknown as { _socket: TLSSocket })._socket;
+}
--- /dev/null
+++ b/packages/adapters/src/peer_links.ts
@@ -0,0 +1,190 @@
+/**
+ * The full mesh of links between entries. Each process dials every listed member and sends on the link
+ * that it dialled; a peer that is not listed is dialled back while its own link is open.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+import type { ResultAsync } from "neverthrow";
+import { PeerLink } from "./peer_link.ts";
+import { PeerListener, type Refusal } from "./peer_listener.ts";
+import type { PeerTlsMaterial } from "./peer_tls.ts";
+
+/** Where a peer accepts links. */
+export interface PeerPlace {
+  readonly memberId: string;
+  readonly address: string;
+}
+
+/** What a {@link PeerLinkMesh} is made of. */
+export interface PeerLinkMeshOptions {
+  readonly memberId: string;
+  readonly tls: PeerTlsMaterial | null;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly random?: () => number;
+  /** Whether a message may be taken from a sender; decided anew for each message. */
+  readonly mayTake: (sender: ports.peers.Sender, type: schema.peer.MessageType) => boolean;
+  /** Counts what was not taken or not sent. */
+  readonly onEvent?: (event: Refusal | "dropped") => void;
+}
+
+type Handler = (message: schema.peer.Message, sender: ports.peers.Sender) => void;
+
+/** Peers that are not listed are dialled back only up to this number. */
+const MAX_GUESTS = 64;
+
+/** Links to all peers. */
+export class PeerLinkMesh implements ports.peers.PeerLinks {
+  readonly #options: PeerLinkMeshOptions;
+  readonly #listener: PeerListener;
+  readonly #handlers = new Map<schema.peer.MessageType, Handler>();
+  readonly #links = new Map<string, PeerLink>();
+  readonly #guestAddresses = new Map<string, string>();
+  #memberAddresses = new Map<string, string>();
+  #seedAddresses: readonly string[] = [];
+  #ownAddress = "";
+  #incarnation = "";
+
+  constructor(options: PeerLinkMeshOptions) {
+    this.#options = options;
+    this.#listener = new PeerListener({
+      tls: options.tls,
+      clock: options.clock,
+      log: options.log,
+      onHello: (hello) => this.#greeted(hello),
+      onMessage: (message, sender) => this.#receive(message, sender),
+      onGone: (memberId) => this.#gone(memberId),
+      onRefused: (reason) => options.onEvent?.(reason),
+    });
+  }
+
+  /** Listens, and returns the address taken. */
+  listen(address: string): ResultAsync<string, schema.errors.JackdawlinkError> {
+    return this.#listener.listen(address);
+  }
+
+  /** Sets who this process is; told to all peers again when the incarnation changes. */
+  introduce(self: { readonly incarnation: string; readonly peerAddress: string }): void {
+    this.#incarnation = self.incarnation;
+    this.#ownAddress = self.peerAddress;
+    this.#links.forEach((link) => link.sendHello());
+  }
+
+  /** Sets whom to dial: the other listed members, and addresses of peers not known by name. */
+  setPeers(members: readonly PeerPlace[], seedAddresses: readonly string[]): void {
+    const others = members.filter(({ memberId }) => memberId !== this.#options.memberId);
+    this.#memberAddresses = new Map(others.map(({ memberId, address }) => [memberId, address]));
+    this.#seedAddresses = seedAddresses;
+    this.#updateLinks();
+  }
+
+  send(memberId: string, message: schema.peer.Message): void {
+    const address = this.#addressOf(memberId);
+    const link = address === undefined ? undefined : this.#links.get(address);
+    if (link?.isOpenTo(memberId) !== true || !link.send(message)) {
+      this.#options.onEvent?.("dropped");
+    }
+  }
+
+  on<TType extends schema.peer.MessageType>(
+    type: TType,
+    handler: (message: schema.peer.MessageOf<TType>, sender: ports.peers.Sender) => void,
+  ): void {
+    this.#handlers.set(type, handler as Handler);
+  }
+
+  /** The peers, listed or not, that can be sent to now. */
+  linkedMemberIds(): readonly string[] {
+    const memberIds = new Set([...this.#memberAddresses.keys(), ...this.#guestAddresses.keys()]);
+    return [...memberIds].filter((memberId) => {
+      const link = this.#links.get(this.#addressOf(memberId) ?? "");
+      return link?.isOpenTo(memberId) === true;
+    });
+  }
+
+  close(): void {
+    this.#listener.close();
+    this.#links.forEach((link) => link.close());
+    this.#links.clear();
+  }
+
+  /** A peer's own word on its address is newer than the list. */
+  #addressOf(memberId: string): string | undefined {
+    return this.#guestAddresses.get(memberId) ?? this.#memberAddresses.get(memberId);
+  }
+
+  #greeted(hello: schema.peer.Hello): void {
+    const { memberId, peerAddress } = hello;
+    if (memberId === this.#options.memberId) {
+      return;
+    }
+    const isKnown = this.#guestAddresses.has(memberId);
+    if (!isKnown && this.#guestAddresses.size >= MAX_GUESTS + this.#memberAddresses.size) {
+      return;
+    }
+    this.#guestAddresses.set(memberId, peerAddress);
+    this.#updateLinks();
+  }
+
+  #gone(memberId: string): void {
+    this.#guestAddresses.delete(memberId);
+    this.#updateLinks();
+  }
+
+  #receive(message: schema.peer.Message, sender: ports.peers.Sender): void {
+    const isSelf = sender.memberId === this.#options.memberId;
+    if (isSelf || !this.#options.mayTake(sender, message.type)) {
+      this.#options.onEvent?.("notAllowed");
+      this.#options.log.debug("Message refused", { type: message.type, ...sender });
+      return;
+    }
+    this.#handlers.get(message.type)?.(message, sender);
+  }
+
+  #updateLinks(): void {
+    const wanted = this.#wantedLinks();
+    for (const [address, link] of this.#links) {
+      if (!wanted.has(address)) {
+        link.close();
+        this.#links.delete(address);
+      }
+    }
+    for (const [address, expectedMemberId] of wanted) {
+      if (!this.#links.has(address)) {
+        this.#links.set(address, this.#dial(address, expectedMemberId));
+      }
+    }
+  }
+
+  /** By address, the member that must answer there; null where any peer may. */
+  #wantedLinks(): Map<string, string | null> {
+    const wanted = new Map<string, string | null>();
+    this.#seedAddresses.forEach((address) => wanted.set(address, null));
+    for (const addresses of [this.#memberAddresses, this.#guestAddresses]) {
+      addresses.forEach((address, memberId) => wanted.set(address, memberId));
+    }
+    wanted.delete(this.#ownAddress);
+    return wanted;
+  }
+
+  #dial(address: string, expectedMemberId: string | null): PeerLink {
+    const { tls, clock, log, random = Math.random } = this.#options;
+    return new PeerLink({
+      address,
+      expectedMemberId,
+      hello: () => ({
+        type: "hello",
+        memberId: this.#options.memberId,
+        incarnation: this.#incarnation,
+        peerAddress: this.#ownAddress,
+        protocolVersion: 1,
+      }),
+      tls,
+      clock,
+      log,
+      random,
+    });
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/peer_listener.ts
@@ -0,0 +1,207 @@
+/**
+ * Accepts links from peers: hello first, then messages, each checked before it is handed on.
+ *
+ * @module
+ */
+import * as http from "node:http";
+import * as https from "node:https";
+import type { AddressInfo } from "node:net";
+import type { TLSSocket } from "node:tls";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { type RawData, type WebSocket, WebSocketServer } from "ws";
+import * as codec from "./peer_codec.ts";
+import * as peerTls from "./peer_tls.ts";
+
+/** The listener cannot take its address. */
+export const ListenError = schema.errors.JackdawlinkError.subclass("ListenError");
+
+/** Why something from a peer was not taken. */
+export type Refusal = "badMessage" | "badHello" | "tooManyLinks" | "notAllowed";
+
+/** What a {@link PeerListener} is made of. */
+export interface PeerListenerOptions {
+  readonly tls: peerTls.PeerTlsMaterial | null;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly onHello: (hello: schema.peer.Hello) => void;
+  readonly onMessage: (message: schema.peer.Message, sender: ports.peers.Sender) => void;
+  /** Called once the last link of a member is gone. */
+  readonly onGone: (memberId: string) => void;
+  readonly onRefused: (reason: Refusal) => void;
+}
+
+/** Larger messages close the link. */
+export const MAX_MESSAGE_BYTES = 8_388_608;
+const MAX_LINKS = 512;
+const HELLO_TIMEOUT_MS = 5_000;
+/** Heartbeats keep a link busy; a silent one is of a peer that is gone. */
+const IDLE_TIMEOUT_MS = 30_000;
+const POLICY_VIOLATION = 1_008;
+
+/** Listens for links of peers. */
+export class PeerListener {
+  readonly #options: PeerListenerOptions;
+  readonly #server: http.Server | https.Server;
+  readonly #webSockets: WebSocketServer;
+  readonly #linkByMemberId = new Map<string, WebSocket>();
+
+  constructor(options: PeerListenerOptions) {
+    this.#options = options;
+    this.#server = options.tls === null ? http.createServer() : https.createServer({
+      ...options.tls,
+      requestCert: true,
+      rejectUnauthorized: true,
+    });
+    this.#webSockets = new WebSocketServer({
+      server: this.#server,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
+    this.#webSockets.on("connection", (socket, request) => this.#accept(socket, request));
+    this.#webSockets.on("error", () => undefined);
+    this.#server.on("tlsClientError", (error) => {
+      options.log.warn("Link refused", { reason: error.message });
+      options.onRefused("badHello");
+    });
+  }
+
+  /** Listens, and returns the address taken. */
+  listen(address: string): ResultAsync<string, schema.errors.JackdawlinkError> {
+    const { host, port } = schema.names.splitAddress(address);
+    return new ResultAsync(
+      new Promise<Result<string, schema.errors.JackdawlinkError>>((resolve) => {
+        const fail = (cause: Error) =>
+          resolve(err(new ListenError(`Cannot listen on ${address}`, { cause })));
+        this.#server.once("error", fail);
+        this.#server.listen(port, host, () => {
+          this.#server.off("error", fail);
+          const taken = this.#server.address() as AddressInfo;
+          resolve(ok(`${host}:${taken.port}`));
+        });
+      }),
+    );
+  }
+
+  close(): void {
+    this.#webSockets.clients.forEach((socket) => socket.terminate());
+    this.#webSockets.close();
+    this.#server.close();
+  }
+
+  #accept(socket: WebSocket, request: http.IncomingMessage): void {
+    socket.on("error", () => undefined);
+    if (this.#webSockets.clients.size > MAX_LINKS) {
+      this.#refuse(socket, "tooManyLinks");
+      return;
+    }
+    const link = new IncomingLink(socket, {
+      ...this.#options,
+      certifiedMemberId: this.#options.tls === null
+        ? null
+        : peerTls.certifiedMemberId(request.socket as TLSSocket),
+      requiresCertificate: this.#options.tls !== null,
+      refuse: (reason, detail) => this.#refuse(socket, reason, detail),
+      onHello: (hello) => this.#greeted(socket, hello),
+    });
+    socket.on("close", () => this.#closed(socket, link.memberId()));
+  }
+
+  #greeted(socket: WebSocket, hello: schema.peer.Hello): void {
+    const earlier = this.#linkByMemberId.get(hello.memberId);
+    this.#linkByMemberId.set(hello.memberId, socket);
+    if (earlier !== undefined && earlier !== socket) {
+      earlier.terminate();
+    }
+    this.#options.onHello(hello);
+  }
+
+  #closed(socket: WebSocket, memberId: string | null): void {
+    if (memberId !== null && this.#linkByMemberId.get(memberId) === socket) {
+      this.#linkByMemberId.delete(memberId);
+      this.#options.onGone(memberId);
+    }
+  }
+
+  #refuse(socket: WebSocket, reason: Refusal, detail?: string): void {
+    this.#options.log.warn("Link refused", { reason, detail });
+    this.#options.onRefused(reason);
+    socket.close(POLICY_VIOLATION);
+    this.#options.clock.after(HELLO_TIMEOUT_MS, () => socket.terminate());
+  }
+}
+
+interface IncomingLinkOptions extends PeerListenerOptions {
+  readonly certifiedMemberId: string | null;
+  readonly requiresCertificate: boolean;
+  readonly refuse: (reason: Refusal, detail?: string) => void;
+}
+
+/** One link that a peer dialled. */
+class IncomingLink {
+  readonly #options: IncomingLinkOptions;
+  readonly #socket: WebSocket;
+  #sender: ports.peers.Sender | null = null;
+  #isRefused = false;
+  #cancelIdle: () => void = () => {};
+
+  constructor(socket: WebSocket, options: IncomingLinkOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    this.#expectMessage(HELLO_TIMEOUT_MS);
+    socket.on("message", (data) => this.#receive(data));
+    socket.on("close", () => this.#cancelIdle());
+  }
+
+  memberId(): string | null {
+    return this.#sender?.memberId ?? null;
+  }
+
+  #expectMessage(withinMs: number): void {
+    this.#cancelIdle();
+    this.#cancelIdle = this.#options.clock.after(withinMs, () => this.#socket.terminate());
+  }
+
+  #receive(data: RawData): void {
+    if (this.#isRefused) {
+      return;
+    }
+    this.#expectMessage(IDLE_TIMEOUT_MS);
+    codec.decode(data as Uint8Array).match(
+      (message) => this.#take(message),
+      (error) => this.#refuse("badMessage", error.message),
+    );
+  }
+
+  #take(message: schema.peer.Message): void {
+    if (message.type === "hello") {
+      this.#takeHello(message);
+      return;
+    }
+    if (this.#sender === null) {
+      this.#refuse("badHello", `a ${message.type} came before the hello`);
+      return;
+    }
+    this.#options.onMessage(message, this.#sender);
+  }
+
+  #takeHello(hello: schema.peer.Hello): void {
+    const { certifiedMemberId, requiresCertificate } = this.#options;
+    if (requiresCertificate && certifiedMemberId !== hello.memberId) {
+      this.#refuse("badHello", `the certificate of ${certifiedMemberId} says ${hello.memberId}`);
+      return;
+    }
+    if (this.#sender !== null && this.#sender.memberId !== hello.memberId) {
+      this.#refuse("badHello", "a second hello names another member");
+      return;
+    }
+    this.#sender = { memberId: hello.memberId, incarnation: hello.incarnation };
+    this.#options.onHello(hello);
+  }
+
+  #refuse(reason: Refusal, detail: string): void {
+    this.#isRefused = true;
+    this.#options.refuse(reason, detail);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/membership/lease_keeper.ts
@@ -0,0 +1,95 @@
+/**
+ * Keeps the lease of this process running, with a key that names its incarnation.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+
+/** What a {@link LeaseKeeper} is made of. */
+export interface LeaseKeeperOptions {
+  readonly memberId: string;
+  readonly store: ports.store.Store;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly leaseSeconds: number;
+}
+
+/** A lease is kept alive this many times in its duration. */
+const KEEP_ALIVES_PER_LEASE = 3;
+const MS_PER_SECOND = 1_000;
+
+/** One lease, granted anew when it has lapsed or the incarnation has changed. */
+export class LeaseKeeper {
+  readonly #options: LeaseKeeperOptions;
+  #incarnation: string | null = null;
+  #leaseId: string | null = null;
+  #cancelTimer: () => void = () => {};
+
+  constructor(options: LeaseKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the key of the incarnation was written under a lease that still ran when last asked. */
+  isHeld(incarnation: string): boolean {
+    return this.#leaseId !== null && this.#incarnation === incarnation;
+  }
+
+  /** Starts to keep a lease for an incarnation, instead of an earlier one. */
+  keepFor(incarnation: string): void {
+    this.#incarnation = incarnation;
+    this.#leaseId = null;
+    this.#cancelTimer();
+    void this.#round();
+  }
+
+  /** Ends the lease; its key vanishes with it. */
+  async stop(): Promise<void> {
+    const leaseId = this.#leaseId;
+    this.#cancelTimer();
+    this.#incarnation = null;
+    this.#leaseId = null;
+    if (leaseId !== null) {
+      await this.#options.store.revokeLease(leaseId);
+    }
+  }
+
+  async #round(): Promise<void> {
+    const incarnation = this.#incarnation;
+    if (incarnation === null) {
+      return;
+    }
+    await (this.#leaseId === null ? this.#grant(incarnation) : this.#keepAlive(this.#leaseId));
+    if (this.#incarnation === incarnation) {
+      const intervalMs = this.#options.leaseSeconds * MS_PER_SECOND / KEEP_ALIVES_PER_LEASE;
+      this.#cancelTimer();
+      this.#cancelTimer = this.#options.clock.after(intervalMs, () => void this.#round());
+    }
+  }
+
+  async #grant(incarnation: string): Promise<void> {
+    const { store, leaseSeconds, memberId, log } = this.#options;
+    const key = schema.storeKeys.aliveKey(memberId, incarnation);
+    const granted = await store.grantLease(leaseSeconds);
+    if (granted.isErr()) {
+      log.warn("Lease not granted", { incarnation, reason: granted.error.message });
+      return;
+    }
+    const leaseId = granted.value;
+    const write = { kind: "put", key, value: incarnation, leaseId } as const;
+    const written = await store.transact([], [write]);
+    if (written.isOk() && this.#incarnation === incarnation) {
+      this.#leaseId = leaseId;
+      log.info("Lease granted", { incarnation, leaseSeconds });
+    }
+  }
+
+  async #keepAlive(leaseId: string): Promise<void> {
+    const kept = await this.#options.store.keepLeaseAlive(leaseId);
+    if (kept.isOk() && !kept.value && this.#leaseId === leaseId) {
+      this.#options.log.warn("Lease lapsed", { incarnation: this.#incarnation });
+      this.#leaseId = null;
+      await this.#grant(this.#incarnation ?? "");
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/membership/membership_manager.ts
@@ -0,0 +1,287 @@
+/**
+ * This process's part in the member list: heartbeats, joining, fencing others, and leaving.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type * as adapters from "@jackdawlink/adapters";
+import type * as ports from "@jackdawlink/ports";
+import * as policy from "@jackdawlink/policy";
+import * as schema from "@jackdawlink/schema";
+import type { LeaseKeeper } from "./lease_keeper.ts";
+import { MessageGate } from "./message_gate.ts";
+import type { SnapshotManager } from "./snapshot_manager.ts";
+
+/** What a {@link MembershipManager} is made of. */
+export interface MembershipManagerOptions {
+  readonly identity: policy.memberState.MemberIdentity;
+  readonly seedPeerAddresses: readonly string[];
+  readonly timing: schema.settings.TimingSettings;
+  readonly state: policy.memberState.MemberState;
+  readonly snapshots: SnapshotManager;
+  readonly headRepository: adapters.headRepository.HeadRepository;
+  readonly leaseKeeper: LeaseKeeper;
+  readonly links: adapters.peerLinks.PeerLinkMesh;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+}
+
+/** What the operators' status shows of the members. */
+export interface MembershipStatus {
+  readonly memberId: string;
+  readonly incarnation: string | null;
+  readonly fresh: boolean;
+  readonly freshBy: policy.freshness.FreshnessSource | null;
+  readonly revision: number;
+  readonly acceptedRevision: number;
+  readonly members: readonly {
+    readonly memberId: string;
+    readonly revision: number;
+    readonly heardAgeMs: number | null;
+  }[];
+}
+
+/** How long one change of the member list is tried. */
+const CHANGE_TIMEOUT_MS = 3_000;
+/** How often the decisions are made where nothing else wakes them. */
+const LEAVE_CHECK_MS = 50;
+
+/** Keeps the process in the member list. */
+export class MembershipManager implements ports.members.Membership {
+  readonly memberId: string;
+  readonly #options: MembershipManagerOptions;
+  readonly #gate: MessageGate;
+  readonly #callbacks: ((incarnation: string | null) => void)[] = [];
+  #announced: string | null = null;
+  #isChanging = false;
+  #draining = false;
+  #mayLeave = false;
+  #cancelHeartbeat: () => void = () => {};
+
+  constructor(options: MembershipManagerOptions) {
+    this.#options = options;
+    this.memberId = options.identity.memberId;
+    this.#gate = new MessageGate(() => options.state.head());
+    options.links.on("heartbeat", (heartbeat, sender) => this.#receive(heartbeat, sender));
+    options.snapshots.onChange((snapshot) => this.#hold(snapshot.head));
+  }
+
+  start(): void {
+    const { state, leaseKeeper } = this.#options;
+    this.#introduce();
+    this.#dialPeers(state.head());
+    leaseKeeper.keepFor(state.incarnation());
+    this.#beat();
+  }
+
+  close(): void {
+    this.#cancelHeartbeat();
+  }
+
+  isFresh(): boolean {
+    return this.#freshBy() !== null;
+  }
+
+  incarnation(): string | null {
+    const { state } = this.#options;
+    return state.isListed() ? state.incarnation() : null;
+  }
+
+  onIncarnationChange(callback: (incarnation: string | null) => void): void {
+    this.#callbacks.push(callback);
+  }
+
+  acceptedFenceAtMs(incarnation: string): number | null {
+    return this.#options.state.fenceAcceptedAtMs(incarnation);
+  }
+
+  /** Whether a message may be taken from a sender. */
+  mayTake(sender: ports.peers.Sender, type: schema.peer.MessageType): boolean {
+    return this.#gate.mayTake(sender, type);
+  }
+
+  /** Takes in a finished read of the store. */
+  recordRead(read: policy.memberState.StoreRead): void {
+    this.#options.state.recordRead(read);
+    this.#consider();
+  }
+
+  /** Whether the lease keys are needed: to fence others, or to join without them. */
+  needsAliveKeys(): boolean {
+    const { state, clock } = this.#options;
+    return !state.isListed() || state.unheardMemberIds(clock.nowMs()).length > 0;
+  }
+
+  /** Tells the peers that this process is going; it stays listed. */
+  startDrain(): void {
+    this.#draining = true;
+    this.#sendHeartbeats();
+  }
+
+  /** Takes this process off the list; false where that was not done within the time. */
+  async leave(timeoutMs: number): Promise<boolean> {
+    const { clock, state } = this.#options;
+    const deadlineMs = clock.nowMs() + timeoutMs;
+    this.#mayLeave = true;
+    while (state.isListed() && clock.nowMs() < deadlineMs) {
+      this.#consider();
+      await new Promise<void>((resolve) => clock.after(LEAVE_CHECK_MS, resolve));
+    }
+    return !state.isListed();
+  }
+
+  status(): MembershipStatus {
+    const { state, clock } = this.#options;
+    const freshBy = this.#freshBy();
+    return {
+      memberId: this.memberId,
+      incarnation: this.incarnation(),
+      fresh: freshBy !== null,
+      freshBy,
+      revision: state.head().revision,
+      acceptedRevision: state.acceptedRevision(),
+      members: state.reports(clock.nowMs()),
+    };
+  }
+
+  #freshBy(): policy.freshness.FreshnessSource | null {
+    const { state, clock } = this.#options;
+    return state.freshnessSource(clock.nowMs());
+  }
+
+  #introduce(): void {
+    const { links, state, identity } = this.#options;
+    links.introduce({ incarnation: state.incarnation(), peerAddress: identity.peerAddress });
+  }
+
+  #dialPeers(head: schema.head.Head): void {
+    const places = head.members.map(({ memberId, peerAddress }) => ({
+      memberId,
+      address: peerAddress,
+    }));
+    this.#options.links.setPeers(places, this.#options.seedPeerAddresses);
+  }
+
+  #beat(): void {
+    const { clock, timing } = this.#options;
+    this.#cancelHeartbeat = clock.after(timing.heartbeatMs, () => this.#beat());
+    this.#sendHeartbeats();
+    this.#consider();
+  }
+
+  #sendHeartbeats(): void {
+    const { links, state, clock } = this.#options;
+    const now = { nowMs: clock.nowMs(), draining: this.#draining };
+    for (const memberId of links.linkedMemberIds()) {
+      links.send(memberId, state.heartbeatFor(memberId, now));
+    }
+  }
+
+  #receive(heartbeat: schema.peer.Heartbeat, sender: ports.peers.Sender): void {
+    if (heartbeat.incarnation !== sender.incarnation) {
+      return;
+    }
+    const { state, snapshots, clock } = this.#options;
+    const from = { memberId: sender.memberId, nowMs: clock.nowMs() };
+    const { hasHigherRevision, hasMoved } = state.receiveHeartbeat(heartbeat, from);
+    if (hasHigherRevision) {
+      snapshots.askPeer(sender.memberId);
+    }
+    if (hasMoved) {
+      this.#consider();
+    }
+  }
+
+  #hold(head: schema.head.Head): void {
+    const { state, clock, leaseKeeper, log } = this.#options;
+    const { lostPlace } = state.holdHead(head, clock.nowMs());
+    if (lostPlace && !this.#mayLeave) {
+      const lost = state.incarnation();
+      state.renew(randomUUID());
+      log.warn("Fenced", { incarnation: lost, revision: head.revision });
+      leaseKeeper.keepFor(state.incarnation());
+      this.#introduce();
+    }
+    this.#announce();
+    this.#dialPeers(head);
+    this.#sendHeartbeats();
+  }
+
+  #announce(): void {
+    const incarnation = this.incarnation();
+    if (incarnation === this.#announced) {
+      return;
+    }
+    this.#announced = incarnation;
+    this.#options.log.info(incarnation === null ? "Not listed" : "Listed", {
+      incarnation,
+      revision: this.#options.state.head().revision,
+    });
+    this.#callbacks.forEach((callback) => callback(incarnation));
+  }
+
+  /** Publishes the next change of the member list, if there is one to make. */
+  #consider(): void {
+    if (this.#isChanging) {
+      return;
+    }
+    const { state, clock, snapshots, leaseKeeper, timing } = this.#options;
+    const decision = state.decide({
+      nowMs: clock.nowMs(),
+      draining: this.#draining,
+      mayLeave: this.#mayLeave,
+      fenceWaitMs: policy.memberState.fenceWaitMs(timing, snapshots.current().config),
+    });
+    const record = snapshots.record();
+    if (decision === null || record?.head.revision !== state.head().revision) {
+      return;
+    }
+    if (decision.kind === "join" && !leaseKeeper.isHeld(state.incarnation())) {
+      return;
+    }
+    void this.#publish(record, decision);
+  }
+
+  async #publish(
+    record: adapters.headRepository.HeadRecord,
+    decision: policy.membership.MembershipDecision,
+  ): Promise<void> {
+    const { headRepository, snapshots, state, log } = this.#options;
+    this.#isChanging = true;
+    const summary = summaryOf(decision, this.memberId);
+    log.info("Member change decided", { summary, baseRevision: record.head.revision });
+    const changed = await headRepository.change(record, {
+      edit: policy.headChanges.editOf(record.head, { decision, self: state.selfMember() }),
+      author: this.memberId,
+      summary,
+      timeoutMs: CHANGE_TIMEOUT_MS,
+    });
+    this.#isChanging = false;
+    changed.match(
+      (published) => snapshots.published(published),
+      (error) => log.info("Member change not made", { summary, reason: error.message }),
+    );
+    snapshots.hint();
+  }
+}
+
+type Summaries = Record<
+  policy.membership.MembershipDecision["kind"],
+  (memberId: string) => string
+>;
+
+const SUMMARIES: Summaries = {
+  join: (memberId) => `${memberId} joins`,
+  leave: (memberId) => `${memberId} leaves`,
+  fence: (memberId) => `${memberId} fences`,
+  dropFences: (memberId) => `${memberId} drops expired fences`,
+};
+
+function summaryOf(decision: policy.membership.MembershipDecision, memberId: string): string {
+  const summary = SUMMARIES[decision.kind](memberId);
+  if (decision.kind !== "fence") {
+    return summary;
+  }
+  const fenced = decision.members.map((member) => member.memberId);
+  return `${summary} ${fenced.join(", ")} (${decision.reason})`;
+}
--- a/packages/policy/src/membership/head_changes.ts
+++ b/packages/policy/src/membership/head_changes.ts
@@ -1,85 +1,81 @@
 /**
- * Changes of the member list. Each returns a new head with the next revision; the caller sets the
- * change id and publishes it by compare-and-swap.
+ * Changes of the member list, as edits of the head. Whoever publishes an edit by compare-and-swap gives
+ * the new head the next revision.
  *
  * @module
  */
 import type { head } from "@jackdawlink/schema";
 import type { MembershipDecision } from "./membership.ts";
 
+/** What a change replaces in the head; without `members` the member list stays. */
+export interface MemberEdit {
+  readonly members?: head.Member[];
+  readonly fences: head.Fence[];
+}
+
 /** Which incarnations are fenced, and how. */
-export interface FenceOptions {
-  readonly incarnations: ReadonlySet<string>;
+interface FenceOptions {
+  readonly members: readonly head.Member[];
   readonly clean: boolean;
   readonly withoutMajority: boolean;
 }
 
+/** What a decision needs to become an edit. */
+export interface DecidedChange {
+  readonly decision: MembershipDecision;
+  readonly self: head.Member;
+}
+
+type Decisions = { [TKind in MembershipDecision["kind"]]: { readonly kind: TKind } };
+type Handlers = {
+  [TKind in keyof Decisions]: (
+    current: head.Head,
+    decision: Extract<MembershipDecision, Decisions[TKind]>,
+    self: head.Member,
+  ) => MemberEdit;
+};
+
+const HANDLERS: Handlers = {
+  join: (current, _decision, self) => addMember(current, self),
+  leave: (current, _decision, self) =>
+    fence(current, { members: [self], clean: true, withoutMajority: false }),
+  fence: (current, { members, withoutMajority }) =>
+    fence(current, { members, clean: false, withoutMajority }),
+  dropFences: (current, { incarnations }) => ({
+    fences: current.fences.filter(({ incarnation }) => !incarnations.has(incarnation)),
+  }),
+};
+
+/** The edit of the head that a decision asks for. */
+export function editOf(current: head.Head, { decision, self }: DecidedChange): MemberEdit {
+  const handler = HANDLERS[decision.kind] as (
+    current: head.Head,
+    decision: MembershipDecision,
+    self: head.Member,
+  ) => MemberEdit;
+  return handler(current, decision, self);
+}
+
 /** Adds a member; an earlier incarnation of the same member is fenced by it. */
-export function addMember(current: head.Head, member: head.Member): head.Head {
-  const earlier = current.members.filter((listed) => listed.memberId === member.memberId);
-  const fenced = fenceMembers(current, {
-    incarnations: new Set(earlier.map((listed) => listed.incarnation)),
-    clean: false,
-    withoutMajority: false,
-  });
-  const members = [...fenced.members, member];
+function addMember(current: head.Head, member: head.Member): MemberEdit {
+  const earlier = current.members.filter(({ memberId }) => memberId === member.memberId);
+  const rest = fence(current, { members: earlier, clean: false, withoutMajority: false });
+  const members = [...rest.members, member];
   members.sort((left, right) => left.memberId < right.memberId ? -1 : 1);
-  return { ...fenced, members };
+  return { ...rest, members };
 }
 
-/** Takes incarnations off the list and adds their fences. */
-export function fenceMembers(current: head.Head, options: FenceOptions): head.Head {
-  const revision = current.revision + 1;
-  const isFenced = (member: head.Member) => options.incarnations.has(member.incarnation);
-  const fences = current.members.filter(isFenced).map((member) => ({
-    memberId: member.memberId,
-    incarnation: member.incarnation,
-    revision,
+function fence(current: head.Head, options: FenceOptions): Required<MemberEdit> {
+  const incarnations = new Set(options.members.map(({ incarnation }) => incarnation));
+  const fences = options.members.map(({ memberId, incarnation }) => ({
+    memberId,
+    incarnation,
+    revision: current.revision + 1,
     clean: options.clean,
     withoutMajority: options.withoutMajority,
   }));
   return {
-    ...current,
-    revision,
-    membersRevision: revision,
-    members: current.members.filter((member) => !isFenced(member)),
+    members: current.members.filter(({ incarnation }) => !incarnations.has(incarnation)),
     fences: [...current.fences, ...fences],
   };
 }
-
-/** Drops fences that nothing waits for any more; the member list stays. */
-export function dropFences(current: head.Head, incarnations: ReadonlySet<string>): head.Head {
-  return {
-    ...current,
-    revision: current.revision + 1,
-    fences: current.fences.filter((fence) => !incarnations.has(fence.incarnation)),
-  };
-}
-
-/** What a decision needs to become a change. */
-export interface DecidedChange {
-  readonly decision: MembershipDecision;
-  readonly self: head.Member;
-}
-
-/** The head that a decision asks for. */
-export function applyDecision(current: head.Head, { decision, self }: DecidedChange): head.Head {
-  switch (decision.kind) {
-    case "join":
-      return addMember(current, self);
-    case "leave":
-      return fenceMembers(current, {
-        incarnations: new Set([self.incarnation]),
-        clean: true,
-        withoutMajority: false,
-      });
-    case "dropFences":
-      return dropFences(current, decision.incarnations);
-    case "fence":
-      return fenceMembers(current, {
-        incarnations: new Set(decision.members.map((member) => member.incarnation)),
-        clean: false,
-        withoutMajority: decision.withoutMajority,
-      });
-  }
-}
--- a/packages/policy/src/membership/member_model_test.ts
+++ b/packages/policy/src/membership/member_model_test.ts
@@ -282,10 +282,13 @@
     }
     this.outcome.joins += decision.kind === "join" ? 1 : 0;
     this.outcome.fences += decision.kind === "fence" ? 1 : 0;
-    this.#storeHead = headChanges.applyDecision(this.#storeHead, {
-      decision,
-      self: process.state.selfMember(),
-    });
+    const self = process.state.selfMember();
+    const edit = headChanges.editOf(this.#storeHead, { decision, self });
+    const revision = this.#storeHead.revision + 1;
+    const membersRevision = edit.members === undefined
+      ? this.#storeHead.membersRevision
+      : revision;
+    this.#storeHead = { ...this.#storeHead, ...edit, revision, membersRevision };
     this.#hold(process, this.#storeHead);
   }
 
