--- a/packages/adapters/src/peer_codec.ts
+++ b/packages/adapters/src/peer_codec.ts
@@ -28,7 +28,9 @@
     if (parsed.success) {
       return ok(parsed.output);
     }
-    const issues = parsed.issues.map((issue) => `${v.getDotPath(issue) ?? "message"}: ${issue.message}`);
+    const issues = parsed.issues.map((issue) =>
+      `${v.getDotPath(issue) ?? "message"}: ${issue.message}`
+    );
     return err(new BadMessageError(`A peer message does not fit its schema: ${issues.join("; ")}`));
   });
 }
--- a/packages/adapters/src/peer_link.ts
+++ b/packages/adapters/src/peer_link.ts
@@ -85,11 +85,16 @@
   #dial(): void {
     const { address, tls, expectedMemberId } = this.#options;
     const protocol = tls === null ? "ws" : "wss";
-    const socket = new WebSocket(`${protocol}://${address}/`, {
-      handshakeTimeout: DIAL_TIMEOUT_MS,
-      perMessageDeflate: false,
-      ...(tls === null ? {} : { ...tls, checkServerIdentity: peerTls.nameCheck(expectedMemberId) }),
-    } as ConstructorParameters<typeof WebSocket>[2]);
+    const socket = new WebSocket(
+      `${protocol}://${address}/`,
+      {
+        handshakeTimeout: DIAL_TIMEOUT_MS,
+        perMessageDeflate: false,
+        ...(tls === null
+          ? {}
+          : { ...tls, checkServerIdentity: peerTls.nameCheck(expectedMemberId) }),
+      } as ConstructorParameters<typeof WebSocket>[2],
+    );
     this.#socket = socket;
     socket.on("open", () => this.#opened(socket));
     socket.on("pong", () => this.#lastPongAtMs = this.#options.clock.nowMs());
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,214 @@
+/**
+ * One entry: puts its parts together, starts them and stops them in order.
+ *
+ * @module
+ */
+import * as adapters from "@jackdawlink/adapters";
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+import { ok, type Result, ResultAsync } from "neverthrow";
+import type * as prometheus from "prom-client";
+import type { CallerSide } from "./caller_side.ts";
+import { EntryMetrics } from "./entry_metrics.ts";
+import { makeMember, type Member } from "./membership/member.ts";
+import type { MembershipStatus } from "./membership/membership_manager.ts";
+import { OperatorServer } from "./operator_server.ts";
+
+/** What the caller side is made of. */
+export interface CallerSideContext {
+  readonly settings: schema.settings.EntrySettings;
+  readonly clock: ports.clock.Clock;
+  readonly store: ports.store.Store;
+  readonly links: ports.peers.PeerLinks;
+  readonly snapshots: ports.members.SnapshotSource;
+  readonly membership: ports.members.Membership;
+  readonly registry: prometheus.Registry;
+  readonly log: (part: string) => ports.log.Log;
+}
+
+/** What an {@link Entry} is made of. */
+export interface EntryOptions {
+  readonly settings: schema.settings.EntrySettings;
+  readonly makeCallerSide: (context: CallerSideContext) => CallerSide;
+}
+
+/** The addresses taken. */
+export interface EntryAddresses {
+  readonly callerAddress: string;
+  readonly operatorAddress: string;
+  readonly peerAddress: string;
+}
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+
+/** How long a leaving process tries to take itself off the list. */
+const LEAVE_TIMEOUT_MS = 5_000;
+/** How long a stopping process waits for the store to end its lease. */
+const LEASE_END_TIMEOUT_MS = 1_000;
+
+/** Listeners that are open before the process joins, since it tells their addresses. */
+interface Listeners {
+  readonly links: adapters.peerLinks.PeerLinkMesh;
+  readonly operatorServer: OperatorServer;
+  readonly metrics: EntryMetrics;
+  readonly operatorAddress: string;
+  readonly peerAddress: string;
+}
+
+/** The parts of a started entry. */
+interface Parts {
+  readonly listeners: Listeners;
+  readonly member: Member;
+  readonly callerSide: CallerSide;
+}
+
+/** One entry process. */
+export class Entry {
+  readonly #options: EntryOptions;
+  readonly #settings: schema.settings.EntrySettings;
+  readonly #logs: adapters.log.LogFactory;
+  readonly #log: ports.log.Log;
+  readonly #clock = new adapters.clock.SystemClock();
+  readonly #store: adapters.platformStore.PlatformStore;
+  #parts: Parts | null = null;
+  #draining = false;
+
+  constructor(options: EntryOptions) {
+    this.#options = options;
+    this.#settings = options.settings;
+    this.#logs = new adapters.log.LogFactory(options.settings.log);
+    this.#log = this.#logs.part("entry");
+    this.#store = new adapters.platformStore.PlatformStore({
+      settings: options.settings.store,
+      clock: this.#clock,
+      log: this.#logs.part("store"),
+      clientId: options.settings.memberId,
+    });
+  }
+
+  /** Listens on all addresses and starts to follow the store and the peers. */
+  start(): ResultAsync<EntryAddresses, JackdawlinkError> {
+    return this.#openListeners().andThen((listeners) => {
+      const member = this.#makeMember(listeners);
+      const callerSide = this.#makeCallerSide(listeners, member);
+      this.#parts = { listeners, member, callerSide };
+      member.membership.start();
+      member.snapshots.start();
+      return callerSide.listen(this.#settings.callerAddress).map((callerAddress) => ({
+        callerAddress,
+        operatorAddress: listeners.operatorAddress,
+        peerAddress: listeners.peerAddress,
+      }));
+    });
+  }
+
+  /** Stops in order: readiness, requests, place in the member list, listeners. */
+  async stop(): Promise<void> {
+    if (this.#draining || this.#parts === null) {
+      return;
+    }
+    const { member, callerSide } = this.#parts;
+    const { shutdownGraceMs } = this.#settings;
+    this.#draining = true;
+    this.#log.info("Draining", { shutdownGraceMs });
+    member.membership.startDrain();
+    await this.#sleep(shutdownGraceMs);
+    await callerSide.drain();
+    const isClean = await member.membership.leave(LEAVE_TIMEOUT_MS);
+    this.#log.info("Left", { isClean });
+    await Promise.race([member.leaseKeeper.stop(), this.#sleep(LEASE_END_TIMEOUT_MS)]);
+    await this.#close(this.#parts);
+  }
+
+  #openListeners(): ResultAsync<Listeners, JackdawlinkError> {
+    const metrics = new EntryMetrics(() => this.#status());
+    const operatorServer = new OperatorServer({
+      status: () => this.#status(),
+      isDraining: () => this.#draining,
+      explain: (requestId) => this.#parts?.callerSide.explain(requestId) ?? null,
+      registry: metrics.registry,
+    });
+    return this.#readPeerTls().asyncAndThen((tls) => {
+      const links = this.#makeLinks(tls, metrics);
+      return ResultAsync.combine([
+        links.listen(this.#settings.peerAddress),
+        operatorServer.listen(this.#settings.operatorAddress),
+      ]).map(([peerAddress = "", operatorAddress = ""]) => ({
+        links,
+        operatorServer,
+        metrics,
+        operatorAddress,
+        peerAddress,
+      }));
+    });
+  }
+
+  #readPeerTls(): Result<adapters.peerTls.PeerTlsMaterial | null, JackdawlinkError> {
+    const { peerTls } = this.#settings;
+    return peerTls === undefined ? ok(null) : adapters.peerTls.readPeerTls(peerTls);
+  }
+
+  #makeLinks(
+    tls: adapters.peerTls.PeerTlsMaterial | null,
+    metrics: EntryMetrics,
+  ): adapters.peerLinks.PeerLinkMesh {
+    return new adapters.peerLinks.PeerLinkMesh({
+      memberId: this.#settings.memberId,
+      tls,
+      clock: this.#clock,
+      log: this.#logs.part("peers"),
+      mayTake: (sender, type) => this.#parts?.member.membership.mayTake(sender, type) ?? false,
+      onEvent: (event) => metrics.countPeerEvent(event),
+    });
+  }
+
+  #makeMember(listeners: Listeners): Member {
+    return makeMember({
+      settings: this.#settings,
+      peerAddress: this.#settings.advertisedPeerAddress ?? listeners.peerAddress,
+      operatorAddress: listeners.operatorAddress,
+      store: this.#store,
+      links: listeners.links,
+      clock: this.#clock,
+      log: (part) => this.#logs.part(part),
+    });
+  }
+
+  #makeCallerSide(listeners: Listeners, member: Member): CallerSide {
+    return this.#options.makeCallerSide({
+      settings: this.#settings,
+      clock: this.#clock,
+      store: this.#store,
+      links: listeners.links,
+      snapshots: member.snapshots,
+      membership: member.membership,
+      registry: listeners.metrics.registry,
+      log: (part) => this.#logs.part(part),
+    });
+  }
+
+  #status(): MembershipStatus {
+    return this.#parts?.member.membership.status() ?? {
+      memberId: this.#settings.memberId,
+      incarnation: null,
+      fresh: false,
+      freshBy: null,
+      revision: 0,
+      acceptedRevision: 0,
+      members: [],
+    };
+  }
+
+  async #close({ listeners, member, callerSide }: Parts): Promise<void> {
+    callerSide.close();
+    member.snapshots.close();
+    member.membership.close();
+    listeners.links.close();
+    listeners.operatorServer.close();
+    await this.#store.close();
+  }
+
+  #sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => this.#clock.after(delayMs, resolve));
+  }
+}
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,48 @@
 /**
- * Placeholder.
+ * `jackdawlink-entry --settings FILE`: runs one entry and prints one JSON line once it listens.
+ * SIGTERM and SIGINT stop it in order; it exits with 0, or with 1 after a failure.
  *
  * @module
  */
-export {};
+import { parseArgs } from "node:util";
+import * as adapters from "@jackdawlink/adapters";
+import * as schema from "@jackdawlink/schema";
+import { Entry } from "./entry.ts";
+import { RefusingCallerSide } from "./refusing_caller_side.ts";
+
+const EXIT_FAILURE = 1;
+
+function fail(message: string): never {
+  process.stderr.write(`jackdawlink-entry: ${message}\n`);
+  process.exit(EXIT_FAILURE);
+}
+
+function settingsFile(): string {
+  try {
+    const { values } = parseArgs({ options: { settings: { type: "string" } } });
+    return values.settings ?? fail("--settings FILE is required");
+  } catch (cause) {
+    return fail((cause as Error).message);
+  }
+}
+
+async function stop(entry: Entry): Promise<void> {
+  await entry.stop();
+  process.exit(0);
+}
+
+process.on("uncaughtException", (error) => fail(`Unhandled error: ${error.stack}`));
+process.on("unhandledRejection", (reason) => fail(`Unhandled rejection: ${String(reason)}`));
+
+const settings = adapters.settings
+  .readSettings(settingsFile(), schema.settings.entrySettingsSchema)
+  .match((read) => read, (error) => fail(error.message));
+const entry = new Entry({ settings, makeCallerSide: () => new RefusingCallerSide() });
+const started = await entry.start();
+started.match(
+  (addresses) => process.stdout.write(`${JSON.stringify({ ready: true, ...addresses })}\n`),
+  (error) => fail(error.message),
+);
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+  process.once(signal, () => void stop(entry));
+}
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,6 +1,9 @@
 /**
- * Placeholder.
+ * The entry: callers' requests on one side, backend servers and peers on the other.
  *
  * @module
  */
-export {};
+export * as callerSide from "./caller_side.ts";
+export * as entry from "./entry.ts";
+export * as httpListener from "./http_listener.ts";
+export * as operatorServer from "./operator_server.ts";
--- /dev/null
+++ b/packages/entry/test/membership_test.ts
@@ -0,0 +1,143 @@
+import type * as testing from "@jackdawlink/testing";
+import type * as v from "valibot";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { MembershipStatus } from "../src/membership/membership_manager.ts";
+import { type EntryProgram, type Program, Programs, TIMING, until } from "./processes.ts";
+
+const MEMBER_IDS = Array.from({ length: 9 }, (_, index) => `entry-${index}`);
+/** A condition is read at this pace while it must not change. */
+const WATCH_MS = 50;
+
+describe("nine entries", () => {
+  let programs: Programs;
+  let platform: Program<{ address: string }>;
+  let entries: Map<string, EntryProgram>;
+
+  beforeEach(async () => {
+    programs = new Programs();
+    platform = await programs.startPlatform();
+    entries = new Map();
+    await startAll();
+    await listed(MEMBER_IDS);
+  });
+
+  afterEach(() => programs.end());
+
+  it("all join and are fresh by the store", async () => {
+    for (const memberId of MEMBER_IDS) {
+      expect((await statusOf(memberId)).fresh).toBe(true);
+    }
+  });
+
+  it("fence a killed one, and the restarted one joins again", async () => {
+    const before = await statusOf("entry-3");
+    entryOf("entry-3").child.kill("SIGKILL");
+    await listed(MEMBER_IDS.filter((memberId) => memberId !== "entry-3"));
+    await start("entry-3");
+    await listed(MEMBER_IDS);
+    expect((await statusOf("entry-3")).incarnation).not.toBe(before.incarnation);
+  });
+
+  it("fence one frozen for longer than its lease; it is not fresh, then joins anew", async () => {
+    const before = await statusOf("entry-4");
+    entryOf("entry-4").child.kill("SIGSTOP");
+    await listed(MEMBER_IDS.filter((memberId) => memberId !== "entry-4"));
+    entryOf("entry-4").child.kill("SIGCONT");
+    await until(() => statusOf("entry-4"), (status) => {
+      const isOld = status.incarnation === before.incarnation;
+      expect(isOld && status.fresh).toBe(false);
+      return status.fresh && !isOld;
+    });
+    await listed(MEMBER_IDS);
+  });
+
+  it("stay fresh by majority while the store is out, and go on after it", async () => {
+    await setFaults({ rules: [{ outage: "refused" }] });
+    await until(() => statusOf("entry-0"), (status) => status.freshBy === "majority");
+    const endMs = Date.now() + 4 * TIMING.freshForMs;
+    let reads = 0;
+    let unfreshReads = 0;
+    while (Date.now() < endMs) {
+      for (const memberId of MEMBER_IDS) {
+        reads += 1;
+        unfreshReads += (await statusOf(memberId)).fresh ? 0 : 1;
+      }
+      await new Promise((resolve) => setTimeout(resolve, WATCH_MS));
+    }
+    expect(unfreshReads / reads).toBeLessThan(0.01);
+    await setFaults({});
+    await until(() => statusOf("entry-0"), (status) => status.freshBy === "store");
+    await listed(MEMBER_IDS);
+  });
+
+  it("come back after all are killed and started at once", async () => {
+    entries.forEach((entry) => entry.child.kill("SIGKILL"));
+    await startAll();
+    await listed(MEMBER_IDS);
+  });
+
+  it("leave in order on SIGTERM, readiness first", async () => {
+    const entry = entryOf("entry-5");
+    entry.child.kill("SIGTERM");
+    const response = await until(() => get("entry-5", "/readyz"), ({ status }) => status === 503);
+    expect(await response.json()).toMatchObject({ draining: true, fresh: true });
+    expect(await entry.exitCode()).toBe(0);
+    const rest = MEMBER_IDS.filter((memberId) => memberId !== "entry-5");
+    await listed(rest);
+    expect(entryOf("entry-0").logLines.join("\n")).not.toContain("fences entry-5");
+  });
+
+  async function startAll(): Promise<void> {
+    await Promise.all(MEMBER_IDS.map(start));
+  }
+
+  async function start(memberId: string): Promise<void> {
+    const entry = await programs.startEntry(memberId, {
+      availabilityZone: "zone-a",
+      callerAddress: "127.0.0.1:0",
+      operatorAddress: "127.0.0.1:0",
+      peerAddress: "127.0.0.1:0",
+      shutdownGraceMs: 500,
+      store: { url: `http://${platform.ready.address}` },
+      timing: TIMING,
+    });
+    entries.set(memberId, entry);
+  }
+
+  function entryOf(memberId: string): EntryProgram {
+    const entry = entries.get(memberId);
+    if (entry === undefined) {
+      throw new Error(`${memberId} is not started`);
+    }
+    return entry;
+  }
+
+  function get(memberId: string, path: string): Promise<Response> {
+    return fetch(`http://${entryOf(memberId).ready.operatorAddress}${path}`);
+  }
+
+  async function statusOf(memberId: string): Promise<MembershipStatus> {
+    const response = await get(memberId, "/v1/status");
+    return await response.json() as MembershipStatus;
+  }
+
+  /** Waits until each of the members, and nobody else, is listed and fresh at all of them. */
+  async function listed(memberIds: readonly string[]): Promise<void> {
+    for (const memberId of memberIds) {
+      await until(() => statusOf(memberId), (status) => {
+        const names = status.members.map((member) => member.memberId);
+        return status.fresh && names.join() === memberIds.join();
+      });
+    }
+  }
+
+  async function setFaults(
+    faults: Partial<v.InferInput<typeof testing.platformFaults.faultsSchema>>,
+  ): Promise<void> {
+    await fetch(`http://${platform.ready.address}/control/faults`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(faults),
+    });
+  }
+});
--- a/packages/policy/src/membership/member_model_test.ts
+++ b/packages/policy/src/membership/member_model_test.ts
@@ -285,9 +285,7 @@
     const self = process.state.selfMember();
     const edit = headChanges.editOf(this.#storeHead, { decision, self });
     const revision = this.#storeHead.revision + 1;
-    const membersRevision = edit.members === undefined
-      ? this.#storeHead.membersRevision
-      : revision;
+    const membersRevision = edit.members === undefined ? this.#storeHead.membersRevision : revision;
     this.#storeHead = { ...this.#storeHead, ...edit, revision, membersRevision };
     this.#hold(process, this.#storeHead);
   }
