--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -32,3 +32,8 @@
  * @module
  */
 export * as requests from "./requests/mod.ts";
+export * as acceptance from "./membership/acceptance.ts";
+export * as freshness from "./membership/freshness.ts";
+export * as headChanges from "./membership/head_changes.ts";
+export * as memberState from "./membership/member_state.ts";
+export * as membership from "./membership/membership.ts";
