--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Placeholder.
+ * Load generation, experiments and plots.
  *
  * @module
  */
--- a/packages/entry/src/permit_manager_test.ts
+++ b/packages/entry/src/permit_manager_test.ts
@@ -193,7 +193,7 @@
     const fences = [...head.fences];
     if (fenced !== undefined) {
       const { memberId, incarnation } = fenced;
-      fences.push({ memberId, incarnation, revision, clean: false });
+      fences.push({ memberId, incarnation, revision, clean: false, withoutMajority: false });
       this.acceptedAtMs.set(incarnation, this.clock.nowMs());
     }
     const membersRevision = fenced === undefined ? head.membersRevision : revision;
--- /dev/null
+++ b/packages/entry/src/request_side.ts
@@ -0,0 +1,81 @@
+/**
+ * The part of an entry that serves callers: permits, claims, the path of requests and its HTTP server.
+ *
+ * @module
+ */
+import { randomInt } from "node:crypto";
+import type * as schema from "@jackdawlink/schema";
+import type { ResultAsync } from "neverthrow";
+import type { CallerSide } from "./caller_side.ts";
+import { ClaimManager } from "./claims/claim_manager.ts";
+import type { CallerSideContext } from "./entry.ts";
+import { PermitManager } from "./permit_manager.ts";
+import * as requests from "./requests/mod.ts";
+
+/** How long waiting requests may still start once the process drains. */
+const WAITING_GRACE_MS = 1_000;
+/** How long returned permits have to reach their coordinators before the process leaves. */
+const GIVE_UP_MS = 200;
+/** The most by which the wall clocks of entries may differ. */
+const CLOCK_SKEW_MS = 60_000;
+/** Seeds of the choice between equal backend servers lie below this. */
+const SEED_RANGE = 2 ** 31;
+
+/** Serves callers' requests. */
+export class RequestSide implements CallerSide {
+  readonly #clock: CallerSideContext["clock"];
+  readonly #permits: PermitManager;
+  readonly #claims: ClaimManager;
+  readonly #path: requests.requestPath.RequestPath;
+  readonly #settings: schema.settings.EntrySettings;
+  #server: requests.callerServer.CallerServer | null = null;
+
+  constructor(context: CallerSideContext) {
+    const { settings } = context;
+    this.#clock = context.clock;
+    this.#settings = settings;
+    this.#permits = new PermitManager({
+      ...context,
+      log: context.log("permits"),
+      freshForMs: settings.timing.freshForMs,
+    });
+    this.#claims = new ClaimManager({
+      ...context,
+      memberId: settings.memberId,
+      shardCount: settings.claimShards,
+      window: { windowMs: settings.claimWindowMs, clockSkewMs: CLOCK_SKEW_MS },
+      peers: context.links,
+      log: context.log("claims"),
+    });
+    this.#path = new requests.requestPath.RequestPath({
+      ...context,
+      availabilityZone: settings.availabilityZone,
+      log: context.log("requests"),
+      permits: this.#permits,
+      claims: this.#claims,
+      seed: randomInt(SEED_RANGE),
+    });
+  }
+
+  listen(callerAddress: string): ResultAsync<string, schema.errors.JackdawlinkError> {
+    const { callerTls } = this.#settings;
+    this.#server = new requests.callerServer.CallerServer({ callerAddress, callerTls }, this.#path);
+    return this.#server.start();
+  }
+
+  async drain(): Promise<void> {
+    await this.#path.drain({ waitingGraceMs: WAITING_GRACE_MS });
+    this.#permits.giveUp();
+    await new Promise<void>((resolve) => this.#clock.after(GIVE_UP_MS, resolve));
+  }
+
+  close(): void {
+    void this.#server?.stop();
+    this.#claims.stop();
+    this.#permits.stop();
+  }
+
+  explain(requestId: string): unknown {
+    return this.#path.explain(requestId);
+  }
+}
--- a/packages/entry/src/requests/claim_answers.ts
+++ b/packages/entry/src/requests/claim_answers.ts
@@ -24,7 +24,7 @@
   answered: { type: "claimAnswered", outcome: "answered" },
   mayHaveRun: { type: "claimMayHaveRun", outcome: "unknown" },
   mismatch: { type: "claimMismatch", outcome: "not-run" },
-  tooOld: { type: "claimTooOld", outcome: "unknown" },
+  outsideWindow: { type: "claimTooOld", outcome: "unknown" },
   unavailable: { type: "claimUnavailable", outcome: "not-run" },
 };
 
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,37 +3,24 @@
  *
  * @module
  */
+export * as acceptance from "./membership/acceptance.ts";
+export * as canonicalJson from "./canonical_json.ts";
 export * as claimIds from "./claims/ids.ts";
 export * as claimShard from "./claims/shard.ts";
-export * as rendezvous from "./rendezvous.ts";
- * The decisions: pure code without I/O, clock or random source.
- *
- * @module
- */
-export * as canonicalJson from "./canonical_json.ts";
 export * as configCheck from "./config_check.ts";
 export * as configChunks from "./config_chunks.ts";
 export * as configDiff from "./config_diff.ts";
 export * as configEdits from "./config_edits.ts";
 export * as configText from "./config_text.ts";
 export * as findings from "./findings.ts";
- * Pure decisions: state, event and time go in, new state and effects come out.
- *
- * @module
- */
-export * as permitGroups from "./permits/groups.ts";
-export * as permits from "./permits/member.ts";
-export * as permitCoordinators from "./permits/coordinator_set.ts";
-export * as rendezvous from "./rendezvous.ts";
-export * as maxMin from "./sharing/max_min.ts";
-export * as teamTargets from "./sharing/targets.ts";
- * Pure decisions: state, event and time in; new state and effects out.
- *
- * @module
- */
-export * as requests from "./requests/mod.ts";
-export * as acceptance from "./membership/acceptance.ts";
 export * as freshness from "./membership/freshness.ts";
 export * as headChanges from "./membership/head_changes.ts";
+export * as maxMin from "./sharing/max_min.ts";
 export * as memberState from "./membership/member_state.ts";
 export * as membership from "./membership/membership.ts";
+export * as permitCoordinators from "./permits/coordinator_set.ts";
+export * as permitGroups from "./permits/groups.ts";
+export * as permits from "./permits/member.ts";
+export * as rendezvous from "./rendezvous.ts";
+export * as requests from "./requests/mod.ts";
+export * as teamTargets from "./sharing/targets.ts";
--- a/packages/schema/src/mod.ts
+++ b/packages/schema/src/mod.ts
@@ -5,9 +5,9 @@
  */
 export * as claims from "./claims.ts";
 export * as config from "./config.ts";
+export * as errors from "./errors.ts";
 export * as head from "./head.ts";
 export * as http from "./http.ts";
-export * as errors from "./errors.ts";
 export * as names from "./names.ts";
 export * as peer from "./peer.ts";
 export * as settings from "./settings.ts";
--- a/packages/steward/src/mod.ts
+++ b/packages/steward/src/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Placeholder.
+ * The steward: VMs in pools, maintenance waves, and jobs on workers.
  *
  * @module
  */
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,18 +1,6 @@
 /**
- * Stand-ins for the systems around jackdawlink, for tests and experiments; never shipped.
- *
- * @module
- */
-export * as manualClock from "./manual_clock.ts";
-export * as memoryStore from "./memory_store.ts";
- * Stand-ins of what surrounds the system, for tests and benchmarks.
- *
- * @module
- */
-export * as platformFaults from "./platform_faults.ts";
-export * as platformServer from "./platform_server.ts";
-export * as platformStore from "./platform_store.ts";
- * Stand-ins for what surrounds the programs, a fault proxy, and a harness for child processes.
+ * Stand-ins for the systems around jackdawlink, a fault proxy, and a harness for child processes.
+ * For tests and experiments; never shipped.
  *
  * @module
  */
@@ -23,6 +11,11 @@
 export * as faultProxy from "./fault_proxy.ts";
 export * as faultProxyControl from "./fault_proxy_control.ts";
 export * as freePorts from "./free_ports.ts";
+export * as manualClock from "./manual_clock.ts";
+export * as memoryStore from "./memory_store.ts";
+export * as platformFaults from "./platform_faults.ts";
+export * as platformServer from "./platform_server.ts";
+export * as platformStore from "./platform_store.ts";
 export * as processes from "./processes.ts";
 export * as runTimes from "./run_times.ts";
 export * as waitFor from "./wait_for.ts";
