--- a/packages/adapters/src/peer_link.ts
+++ b/packages/adapters/src/peer_link.ts
@@ -14,6 +14,8 @@
 /** What a {@link PeerLink} is made of. */
 export interface PeerLinkOptions {
   readonly address: string;
+  /** The IP number to dial from; without it the system chooses. */
+  readonly localHost?: string;
   /** The member that must answer there; null where it is not known yet. */
   readonly expectedMemberId: string | null;
   readonly hello: () => schema.peer.Hello;
@@ -83,12 +85,13 @@
   }
 
   #dial(): void {
-    const { address, tls, expectedMemberId } = this.#options;
+    const { address, localHost, tls, expectedMemberId } = this.#options;
     const protocol = tls === null ? "ws" : "wss";
     const socket = new WebSocket(
       `${protocol}://${address}/`,
       {
         handshakeTimeout: DIAL_TIMEOUT_MS,
+        localAddress: localHost,
         perMessageDeflate: false,
         ...(tls === null
           ? {}
--- a/packages/adapters/src/peer_links.ts
+++ b/packages/adapters/src/peer_links.ts
@@ -24,6 +24,8 @@
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
   readonly random?: () => number;
+  /** The IP number that links are dialled from; without it the system chooses. */
+  readonly localHost?: string;
   /** Whether a message may be taken from a sender; decided anew for each message. */
   readonly mayTake: (sender: ports.peers.Sender, type: schema.peer.MessageType) => boolean;
   /** Counts what was not taken or not sent. */
@@ -170,9 +172,10 @@
   }
 
   #dial(address: string, expectedMemberId: string | null): PeerLink {
-    const { tls, clock, log, random = Math.random } = this.#options;
+    const { tls, clock, log, localHost, random = Math.random } = this.#options;
     return new PeerLink({
       address,
+      localHost,
       expectedMemberId,
       hello: () => ({
         type: "hello",
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,7 +5,7 @@
  */
 import * as adapters from "@jackdawlink/adapters";
 import type * as ports from "@jackdawlink/ports";
-import type * as schema from "@jackdawlink/schema";
+import * as schema from "@jackdawlink/schema";
 import { ok, type Result, ResultAsync } from "neverthrow";
 import type * as prometheus from "prom-client";
 import type { CallerSide } from "./caller_side.ts";
@@ -154,6 +154,7 @@
   ): adapters.peerLinks.PeerLinkMesh {
     return new adapters.peerLinks.PeerLinkMesh({
       memberId: this.#settings.memberId,
+      localHost: schema.names.splitAddress(this.#settings.peerAddress).host,
       tls,
       clock: this.#clock,
       log: this.#logs.part("peers"),
--- a/packages/testing/src/fault_proxy_control.ts
+++ b/packages/testing/src/fault_proxy_control.ts
@@ -16,7 +16,8 @@
 });
 
 /**
- * `POST /faults`: sets the faults of some routes. Without `routes`, all routes are meant.
+ * `POST /faults`: sets the faults of some routes. Without `routes`, all routes are meant; without
+ * `clients` (IP numbers of the dialling side), all connections of them.
  *
  * `cut` drops bytes of a direction and keeps the connections; `freeze` holds bytes back until healed;
  * `delay` adds a delay; `reset` resets open connections once; `refuse` also resets new ones; `heal`
@@ -25,6 +26,7 @@
  */
 export const faultBodySchema = v.strictObject({
   routes: v.optional(v.array(v.string())),
+  clients: v.optional(v.array(v.string())),
   kind: v.picklist(["cut", "freeze", "delay", "reset", "refuse", "heal"]),
   directions: v.optional(v.array(directionSchema), ["toTarget", "toClient"]),
   delayMs: v.optional(v.pipe(v.number(), v.minValue(0)), 0),
--- a/packages/testing/src/fault_proxy_route.ts
+++ b/packages/testing/src/fault_proxy_route.ts
@@ -101,23 +101,70 @@
   }
 }
 
+/** The faults of the connections from one client host. */
+class ClientFaults {
+  readonly states: Record<control.Direction, DirectionState> = {
+    toTarget: { mode: "pass", delayMs: 0 },
+    toClient: { mode: "pass", delayMs: 0 },
+  };
+  readonly connections = new Set<ProxiedConnection>();
+  isRefusing = false;
+
+  apply(fault: control.FaultBody): void {
+    FAULT_HANDLERS[fault.kind](this, fault);
+  }
+
+  setMode(mode: DirectionState["mode"], directions: readonly control.Direction[]): void {
+    for (const direction of directions) this.states[direction].mode = mode;
+  }
+
+  setDelay(delayMs: number, directions: readonly control.Direction[]): void {
+    for (const direction of directions) this.states[direction].delayMs = delayMs;
+  }
+
+  resetAll(): void {
+    for (const connection of this.connections) connection.reset();
+  }
+
+  refuse(): void {
+    this.isRefusing = true;
+    this.resetAll();
+  }
+
+  heal(): void {
+    this.isRefusing = false;
+    this.setMode("pass", ["toTarget", "toClient"]);
+    this.setDelay(0, ["toTarget", "toClient"]);
+    for (const connection of this.connections) connection.heal();
+  }
+}
+
+const FAULT_HANDLERS: Record<
+  control.FaultBody["kind"],
+  (faults: ClientFaults, fault: control.FaultBody) => void
+> = {
+  cut: (faults, { directions }) => faults.setMode("cut", directions),
+  freeze: (faults, { directions }) => faults.setMode("freeze", directions),
+  delay: (faults, { delayMs, directions }) => faults.setDelay(delayMs, directions),
+  reset: (faults) => faults.resetAll(),
+  refuse: (faults) => faults.refuse(),
+  heal: (faults) => faults.heal(),
+};
+
 /** Listens in front of one target and applies the faults that are set. */
 export class Route {
   readonly #target: string;
   readonly #server: net.Server;
-  readonly #connections = new Set<ProxiedConnection>();
-  readonly #states: Record<control.Direction, DirectionState> = {
-    toTarget: { mode: "pass", delayMs: 0 },
-    toClient: { mode: "pass", delayMs: 0 },
-  };
-  #refusing = false;
+  readonly #faultsByClient = new Map<string, ClientFaults>();
+  /** The faults for all clients, repeated for each client seen later. */
+  #commonFaults: control.FaultBody[] = [];
 
   constructor(target: string) {
     this.#target = target;
     this.#server = net.createServer({ allowHalfOpen: true }, (client) => this.#connect(client));
   }
 
-  /** Listens on a free port, or on the given one, and returns the address. */
+  /** Listens on a free port and returns the address. */
   listen(): Promise<string> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
@@ -129,20 +176,28 @@
 
   /** Applies a fault. */
   apply(fault: control.FaultBody): void {
-    const handlers: Record<control.FaultBody["kind"], () => void> = {
-      cut: () => this.#setMode("cut", fault.directions),
-      freeze: () => this.#setMode("freeze", fault.directions),
-      delay: () => this.#setDelay(fault.delayMs, fault.directions),
-      reset: () => this.#resetAll(),
-      refuse: () => this.#refuse(),
-      heal: () => this.#heal(),
-    };
-    handlers[fault.kind]();
+    if (fault.clients === undefined) {
+      this.#commonFaults = fault.kind === "heal" ? [] : [...this.#commonFaults, fault];
+      for (const faults of this.#faultsByClient.values()) faults.apply(fault);
+      return;
+    }
+    for (const client of fault.clients) this.#faultsOf(client).apply(fault);
+  }
+
+  #faultsOf(clientHost: string): ClientFaults {
+    let faults = this.#faultsByClient.get(clientHost);
+    if (faults === undefined) {
+      faults = new ClientFaults();
+      this.#faultsByClient.set(clientHost, faults);
+      for (const fault of this.#commonFaults) faults.apply(fault);
+    }
+    return faults;
   }
 
   #connect(client: net.Socket): void {
     client.on("error", () => client.destroy());
-    if (this.#refusing) {
+    const faults = this.#faultsOf(client.remoteAddress ?? "");
+    if (faults.isRefusing) {
       client.resetAndDestroy();
       return;
     }
@@ -150,39 +205,15 @@
     const target = net.connect({ host, port, allowHalfOpen: true });
     client.setNoDelay(true);
     target.setNoDelay(true);
-    const connection = new ProxiedConnection({ client, target, states: this.#states });
-    this.#connections.add(connection);
+    const connection = new ProxiedConnection({ client, target, states: faults.states });
+    faults.connections.add(connection);
     target.on("error", () => connection.reset());
     const forget = () => {
       if (!client.destroyed || !target.destroyed) return;
-      this.#connections.delete(connection);
+      faults.connections.delete(connection);
     };
     client.once("close", () => target.destroyed || target.end());
     client.once("close", forget);
     target.once("close", forget);
   }
-
-  #setMode(mode: DirectionState["mode"], directions: readonly control.Direction[]): void {
-    for (const direction of directions) this.#states[direction].mode = mode;
-  }
-
-  #setDelay(delayMs: number, directions: readonly control.Direction[]): void {
-    for (const direction of directions) this.#states[direction].delayMs = delayMs;
-  }
-
-  #resetAll(): void {
-    for (const connection of this.#connections) connection.reset();
-  }
-
-  #refuse(): void {
-    this.#refusing = true;
-    this.#resetAll();
-  }
-
-  #heal(): void {
-    this.#refusing = false;
-    this.#setMode("pass", ["toTarget", "toClient"]);
-    this.#setDelay(0, ["toTarget", "toClient"]);
-    for (const connection of this.#connections) connection.heal();
-  }
 }
--- /dev/null
+++ b/packages/testing/src/test_system.ts
@@ -0,0 +1,278 @@
+/**
+ * The whole system as separate processes on loopback: stand-in platform, fault proxy, entries, backend
+ * servers, and the command line. Each entry has an IP number of its own, so that the fault proxy can
+ * tell who dials whom.
+ *
+ * @module
+ */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as schema from "@jackdawlink/schema";
+import * as toml from "smol-toml";
+import * as backendServerClient from "./backend_server_client.ts";
+import * as faultProxy from "./fault_proxy.ts";
+import { freePorts } from "./free_ports.ts";
+import * as platformFaults from "./platform_faults.ts";
+import * as processes from "./processes.ts";
+import { waitFor } from "./wait_for.ts";
+import type * as v from "valibot";
+
+/** What a command of the operators' command line printed, and how it ended. */
+export interface CommandOutcome {
+  readonly code: number | null;
+  readonly output: string;
+}
+
+/** One entry with what is needed to start it again and to reach it. */
+export interface EntryHandle {
+  readonly memberId: string;
+  readonly host: string;
+  readonly availabilityZone: string;
+  readonly callerUrl: string;
+  readonly operatorUrl: string;
+  readonly settingsFile: string;
+  program: processes.ChildProgram;
+}
+
+/** What an entry tells at `/v1/status`. */
+export interface EntryStatus {
+  readonly memberId: string;
+  readonly incarnation: string | null;
+  readonly fresh: boolean;
+  readonly revision: number;
+  readonly members: readonly { memberId: string; revision: number; heardAgeMs: number }[];
+}
+
+/** How the system is laid out. */
+export interface TestSystemOptions {
+  readonly availabilityZones: readonly string[];
+  readonly entryCount: number;
+  /** Merged into the settings of each entry. */
+  readonly timing?: v.InferInput<typeof schema.settings.timingSchema>;
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  /** Without it, entries reach the store and one another directly. */
+  readonly useFaultProxy?: boolean;
+  readonly seed?: number;
+}
+
+/** Hosts of entries are 127.0.0.10 and above. */
+const FIRST_ENTRY_HOST_NUMBER = 10;
+/** The listening ports of one entry: callers, operators, peers. */
+const PORTS_PER_ENTRY = 3;
+
+/** Starts, controls and ends the processes of one system. */
+export class TestSystem {
+  readonly processes = new processes.Processes();
+  readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "jackdawlink-"));
+  readonly entries: EntryHandle[] = [];
+  readonly backendServers = new Map<string, backendServerClient.BackendServerClient>();
+  readonly #options: TestSystemOptions;
+  #platformAddress = "";
+  #proxy: faultProxy.FaultProxyClient | null = null;
+  #proxyProgram: processes.ChildProgram | null = null;
+
+  constructor(options: TestSystemOptions) {
+    this.#options = options;
+  }
+
+  /** The address of the stand-in platform. */
+  get platformUrl(): string {
+    return `http://${this.#platformAddress}`;
+  }
+
+  /** The fault proxy; only with `useFaultProxy`. */
+  get proxy(): faultProxy.FaultProxyClient {
+    if (this.#proxy === null) {
+      throw new schema.errors.JackdawlinkError("The system runs without a fault proxy");
+    }
+    return this.#proxy;
+  }
+
+  /** Starts the platform, the proxy and all entries, and waits until the entries are members. */
+  async start(): Promise<void> {
+    const platform = await this.processes.start("stand-in-platform");
+    this.#platformAddress = String(platform.ready?.["address"]);
+    if (this.#options.useFaultProxy) await this.#startProxy();
+    await this.#layOutEntries();
+    this.#writeCliSettings();
+    await Promise.all(this.entries.map((entry) => this.startEntry(entry)));
+    await this.waitUntilFresh();
+  }
+
+  /** Starts an entry, also one that has ended. */
+  async startEntry(entry: EntryHandle): Promise<void> {
+    entry.program = await this.processes.start("jackdawlink-entry", {
+      args: ["--settings", entry.settingsFile],
+    });
+  }
+
+  /** Starts one stand-in for each backend server and writes its address into the configuration. */
+  async startBackendServers(
+    config: schema.config.ConfigInput,
+    { meanRunMs = 0 }: { meanRunMs?: number } = {},
+  ): Promise<schema.config.ConfigInput> {
+    const servers = Object.entries(config.backendServers ?? {});
+    const started = await Promise.all(servers.map(async ([name, server]) => {
+      const { slots = 8 } = server;
+      const seed = this.#options.seed ?? 1;
+      const client = await backendServerClient.startBackendServer(this.processes, {
+        name,
+        slots,
+        meanRunMs,
+        seed,
+      });
+      this.backendServers.set(name, client);
+      return [name, { ...server, address: client.address }] as const;
+    }));
+    return { ...config, backendServers: Object.fromEntries(started) };
+  }
+
+  /** Publishes a configuration through the command line and waits until it is in force. */
+  async apply(config: schema.config.ConfigInput): Promise<CommandOutcome> {
+    const file = path.join(this.directory, "config.toml");
+    fs.writeFileSync(file, toml.stringify(config));
+    return await this.command(["apply", file, "--wait"]);
+  }
+
+  /** Runs one command of the command line. */
+  async command(args: readonly string[]): Promise<CommandOutcome> {
+    const program = await this.processes.start("jackdawlink", {
+      args: [...args, "--settings", this.#cliSettingsFile()],
+      awaitReady: false,
+    });
+    const { code } = await program.exited;
+    return { code, output: program.lines.join("\n") };
+  }
+
+  /** What an entry tells of itself. */
+  async statusOf(entry: EntryHandle): Promise<EntryStatus> {
+    const answer = await fetch(`${entry.operatorUrl}/v1/status`);
+    return await answer.json() as EntryStatus;
+  }
+
+  /** Waits until the given entries, or all, are members and may act. */
+  async waitUntilFresh(entries: readonly EntryHandle[] = this.entries): Promise<void> {
+    await waitFor("entries that may act", async () => {
+      const statuses = await Promise.all(entries.map((entry) => this.statusOf(entry)));
+      return statuses.every(({ fresh, incarnation }) => fresh && incarnation !== null);
+    });
+  }
+
+  /** Replaces the faults of the platform's store; no argument ends them. */
+  async setStoreFaults(
+    faults: v.InferInput<typeof platformFaults.faultsSchema> = {},
+  ): Promise<void> {
+    const answer = await fetch(`${this.platformUrl}/control/faults`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(faults),
+    });
+    if (!answer.ok) {
+      throw new schema.errors.JackdawlinkError(`Faults not taken: ${await answer.text()}`);
+    }
+  }
+
+  /** Cuts what `from` sends to `to`, in one direction; needs the fault proxy. */
+  async cutLinks(from: readonly EntryHandle[], to: readonly EntryHandle[]): Promise<void> {
+    await this.proxy.setFault({
+      kind: "cut",
+      routes: to.map(({ memberId }) => peerRoute(memberId)),
+      clients: from.map(({ host }) => host),
+    });
+  }
+
+  /** Cuts entries from the store. */
+  async cutStore(entries: readonly EntryHandle[]): Promise<void> {
+    await this.proxy.setFault({
+      kind: "cut",
+      routes: entries.map(({ memberId }) => storeRoute(memberId)),
+    });
+  }
+
+  /** Ends all cuts. */
+  async healNetwork(): Promise<void> {
+    const clients = this.entries.map(({ host }) => host);
+    await this.proxy.setFault({ kind: "heal" });
+    await this.proxy.setFault({ kind: "heal", clients });
+  }
+
+  /** Kills what still runs and removes the settings files. */
+  async stop(): Promise<void> {
+    await this.processes.stopAll();
+    fs.rmSync(this.directory, { recursive: true, force: true });
+  }
+
+  async #startProxy(): Promise<void> {
+    this.#proxyProgram = await this.processes.start("fault-proxy", {
+      args: ["--address", "127.0.0.1:0"],
+    });
+    const address = String(this.#proxyProgram.ready?.["address"]);
+    this.#proxy = new faultProxy.FaultProxyClient(address);
+  }
+
+  async #layOutEntries(): Promise<void> {
+    const { entryCount } = this.#options;
+    const ports = await freePorts(entryCount * PORTS_PER_ENTRY);
+    for (let index = 0; index < entryCount; index += 1) {
+      const [callers, operators, peers] = ports.slice(index * PORTS_PER_ENTRY) as number[];
+      await this.#layOutEntry(index, { callers: callers!, operators: operators!, peers: peers! });
+    }
+  }
+
+  async #layOutEntry(
+    index: number,
+    ports: { callers: number; operators: number; peers: number },
+  ): Promise<void> {
+    const { availabilityZones, entrySettings = {}, timing = {} } = this.#options;
+    const memberId = `entry-${index + 1}`;
+    const host = `127.0.0.${FIRST_ENTRY_HOST_NUMBER + index}`;
+    const availabilityZone = availabilityZones[index % availabilityZones.length]!;
+    const peerAddress = `${host}:${ports.peers}`;
+    const storeAddress = await this.#routeTo(storeRoute(memberId), this.#platformAddress);
+    const settings = {
+      memberId,
+      availabilityZone,
+      callerAddress: `${host}:${ports.callers}`,
+      operatorAddress: `${host}:${ports.operators}`,
+      peerAddress,
+      advertisedPeerAddress: await this.#routeTo(peerRoute(memberId), peerAddress),
+      store: { url: `http://${storeAddress}` },
+      timing,
+      ...entrySettings,
+    };
+    const settingsFile = path.join(this.directory, `${memberId}.toml`);
+    fs.writeFileSync(settingsFile, toml.stringify(settings));
+    this.entries.push({
+      memberId,
+      host,
+      availabilityZone,
+      callerUrl: `http://${settings.callerAddress}`,
+      operatorUrl: `http://${settings.operatorAddress}`,
+      settingsFile,
+      program: null as unknown as processes.ChildProgram,
+    });
+  }
+
+  async #routeTo(name: string, target: string): Promise<string> {
+    return this.#proxy === null ? target : await this.#proxy.addRoute({ name, target });
+  }
+
+  #cliSettingsFile(): string {
+    return path.join(this.directory, "cli.toml");
+  }
+
+  #writeCliSettings(): void {
+    const entries = this.entries.map(({ operatorUrl }) => new URL(operatorUrl).host);
+    const settings = { store: { url: this.platformUrl }, entries };
+    fs.writeFileSync(this.#cliSettingsFile(), toml.stringify(settings));
+  }
+}
+
+function peerRoute(memberId: string): string {
+  return `peer-${memberId}`;
+}
+
+function storeRoute(memberId: string): string {
+  return `store-${memberId}`;
+}
