--- a/packages/entry/src/request_side.ts
+++ b/packages/entry/src/request_side.ts
@@ -76,6 +76,16 @@
   }
 
   explain(requestId: string): unknown {
-    return this.#path.explain(requestId);
+    const steps = this.#path.explain(requestId);
+    if (steps === null) {
+      return null;
+    }
+    const lines = steps.map(({ atWallMs, message, fields }) => ({
+      atMs: atWallMs,
+      part: "requests",
+      message,
+      fields,
+    }));
+    return { lines };
   }
 }
--- /dev/null
+++ b/packages/entry/test/whole_path_test.ts
@@ -0,0 +1,72 @@
+import * as testing from "@jackdawlink/testing";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+
+const SEED = 4;
+const AVAILABILITY_ZONES = ["zone-a", "zone-b", "zone-c"];
+const TEAMS = {
+  billing: { weight: 3 },
+  reminders: { weight: 1 },
+  // A limit below the number of entries.
+  catalogue: { weight: 1, maxRunningRequests: 4 },
+};
+const LIMITS = { billing: 64, reminders: 64, catalogue: 4 };
+const REQUESTS = 600;
+
+function keysOf(teams: readonly string[]) {
+  return teams.map((team) => ({ team, key: testing.exampleConfig.exampleSecret(team) }));
+}
+
+describe("nine entries without faults", () => {
+  const system = new testing.testSystem.TestSystem({
+    availabilityZones: AVAILABILITY_ZONES,
+    entryCount: 9,
+    seed: SEED,
+  });
+
+  beforeAll(async () => {
+    await system.start();
+    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+      availabilityZones: AVAILABILITY_ZONES,
+      services: ["renewals"],
+      backendServersPerService: 2,
+      teams: TEAMS,
+    }));
+    const { code, output } = await system.apply(config);
+    expect(code, output).toBe(0);
+  });
+
+  afterAll(() => system.stop());
+
+  it("answers whole, within slots and limits", async () => {
+    const traffic = new testing.traffic.Traffic({
+      entryUrls: system.entries.map(({ callerUrl }) => callerUrl),
+      queues: ["renewals"],
+      teams: keysOf(Object.keys(TEAMS)),
+      loopsPerEntryAndTeam: 2,
+      runMs: 10,
+      seed: SEED,
+    });
+    traffic.start();
+    await testing.waitFor.waitFor("enough answers", () => traffic.count("answered") >= REQUESTS);
+    const told = await traffic.stop();
+    const witness = await system.witness();
+    expect(witness.violations(told, { maxRunningByTeam: LIMITS })).toEqual([]);
+    expect(told.filter(({ answer }) => answer.outcome !== "answered")).toEqual([]);
+  });
+
+  it("refuses a withdrawn key at every entry", async () => {
+    const { code, output } = await system.command(["key", "withdraw", "reminders", "--wait"]);
+    expect(code, output).toBe(0);
+    const caller = new testing.caller.Caller();
+    const key = testing.exampleConfig.exampleSecret("reminders");
+    const answers = await Promise.all(
+      system.entries.map(({ callerUrl }) =>
+        caller.send({ entryUrl: callerUrl, queue: "renewals", path: "/work", key })
+      ),
+    );
+    await caller.close();
+    expect(answers.map(({ status, outcome }) => ({ status, outcome }))).toEqual(
+      system.entries.map(() => ({ status: 401, outcome: "not-run" })),
+    );
+  });
+});
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -21,4 +21,6 @@
 export * as processes from "./processes.ts";
 export * as runTimes from "./run_times.ts";
 export * as testSystem from "./test_system.ts";
+export * as traffic from "./traffic.ts";
 export * as waitFor from "./wait_for.ts";
+export * as witness from "./witness.ts";
--- a/packages/testing/src/test_system.ts
+++ b/packages/testing/src/test_system.ts
@@ -17,6 +17,7 @@
 import * as processes from "./processes.ts";
 import { waitFor } from "./wait_for.ts";
 import type * as v from "valibot";
+import { Witness } from "./witness.ts";
 
 /** What a command of the operators' command line printed, and how it ended. */
 export interface CommandOutcome {
@@ -197,6 +198,12 @@
     await this.proxy.setFault({ kind: "heal", clients });
   }
 
+  /** What all backend servers have run so far. */
+  async witness(): Promise<Witness> {
+    const clients = [...this.backendServers.values()];
+    return new Witness(await Promise.all(clients.map((client) => client.record())));
+  }
+
   /** Kills what still runs and removes the settings files. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
--- /dev/null
+++ b/packages/testing/src/witness.ts
@@ -0,0 +1,142 @@
+/**
+ * Compares what backend servers really ran with what callers were told.
+ *
+ * @module
+ */
+import type * as backendServerRecord from "./backend_server_record.ts";
+import type * as caller from "./caller.ts";
+
+/** One request as its caller saw it. */
+export interface ToldRequest {
+  /** Unique text in the request's path, by which its runs are found. */
+  readonly marker: string;
+  readonly team: string;
+  readonly isRepeatable: boolean;
+  readonly sentAtMs: number;
+  readonly answeredAtMs: number;
+  readonly answer: caller.CallerAnswer;
+}
+
+/** What a service's limits allow. */
+export interface Bounds {
+  /** The upper limit of each team, over all backend servers. */
+  readonly maxRunningByTeam: Readonly<Record<string, number>>;
+}
+
+/** One broken promise, in words. */
+export type Violation = string;
+
+type Run = backendServerRecord.Run;
+type Record_ = backendServerRecord.BackendServerRecord;
+
+/** Everything that the backend servers ran and the callers were told. */
+export class Witness {
+  readonly #records: readonly Record_[];
+  readonly #runs: readonly Run[];
+
+  constructor(records: readonly Record_[]) {
+    this.#records = records;
+    this.#runs = records.flatMap((record) => record.runs);
+  }
+
+  /** The number of runs. */
+  get runCount(): number {
+    return this.#runs.length;
+  }
+
+  /** The runs of one marker. */
+  runsOf(marker: string): readonly Run[] {
+    return this.#runs.filter((run) => markerOf(run.path) === marker);
+  }
+
+  /** The most runs of a team at one time, over all backend servers. */
+  maxRunningOf(team: string): number {
+    return maxOverlap(this.#runs.filter((run) => run.team === team));
+  }
+
+  /** All broken promises; empty where all held. */
+  violations(told: readonly ToldRequest[], bounds: Bounds): Violation[] {
+    return [
+      ...this.#violationsOfServers(),
+      ...this.#violationsOfLimits(bounds),
+      ...this.#violationsOfAnswers(told),
+    ];
+  }
+
+  #violationsOfServers(): Violation[] {
+    return this.#records.flatMap(({ name, slots, maxRunning, overlappingOnConnection }) => [
+      ...(maxRunning > slots ? [`${name} ran ${maxRunning} requests in ${slots} slots`] : []),
+      ...(overlappingOnConnection > 0 ? [`${name} had two requests on one connection`] : []),
+    ]);
+  }
+
+  #violationsOfLimits({ maxRunningByTeam }: Bounds): Violation[] {
+    return Object.entries(maxRunningByTeam).flatMap(([team, limit]) => {
+      const running = this.maxRunningOf(team);
+      return running > limit
+        ? [`team ${team} had ${running} running, over its limit ${limit}`]
+        : [];
+    });
+  }
+
+  #violationsOfAnswers(told: readonly ToldRequest[]): Violation[] {
+    const runsByMarker = groupByMarker(this.#runs);
+    return told.flatMap((request) => {
+      const runs = runsByMarker.get(request.marker) ?? [];
+      return violationsOfRequest(request, runs);
+    });
+  }
+}
+
+function violationsOfRequest(request: ToldRequest, runs: readonly Run[]): Violation[] {
+  const { marker, answer, isRepeatable, team } = request;
+  const violations: Violation[] = [];
+  if (answer.outcome === "not-run" && runs.length > 0) {
+    violations.push(`${marker} was told "not run" and ran ${runs.length} times`);
+  }
+  if (answer.outcome === "answered" && !runs.some((run) => run.end === "whole")) {
+    violations.push(`${marker} was answered without a whole run`);
+  }
+  if (answer.outcome === "answered" && !answer.body.includes(marker)) {
+    violations.push(`${marker} got another request's answer`);
+  }
+  if (!isRepeatable && runs.length > 1) {
+    violations.push(`${marker} may not be repeated and ran ${runs.length} times`);
+  }
+  if (runs.some((run) => run.team !== team)) {
+    violations.push(`${marker} ran for another team`);
+  }
+  return violations;
+}
+
+function groupByMarker(runs: readonly Run[]): Map<string, Run[]> {
+  const groups = new Map<string, Run[]>();
+  for (const run of runs) {
+    const marker = markerOf(run.path);
+    if (marker !== null) {
+      groups.set(marker, [...(groups.get(marker) ?? []), run]);
+    }
+  }
+  return groups;
+}
+
+/** The marker in a path's query. */
+function markerOf(path: string): string | null {
+  return new URL(path, "http://backend-server").searchParams.get("marker");
+}
+
+/** The most runs at one time; a run that ends in the millisecond in which another starts comes first. */
+function maxOverlap(runs: readonly Run[]): number {
+  const changes = runs.flatMap((run) => [
+    { atMs: run.startedAtMs, change: 1 },
+    { atMs: run.endedAtMs ?? Number.POSITIVE_INFINITY, change: -1 },
+  ]);
+  changes.sort((left, right) => left.atMs - right.atMs || left.change - right.change);
+  let running = 0;
+  let most = 0;
+  for (const { change } of changes) {
+    running += change;
+    most = Math.max(most, running);
+  }
+  return most;
+}
