Test the store client, publishing, checks and the command line

Purpose: lost, late and overtaken answers, racing operators and outages are where a publish can go wrong.

Added with the tests: a conditional read of the head, so that an idle poll costs a few bytes; batches and a rest of deletions for sets that don't fit into one transaction; a refusal for good is told from an outage; a command reads for three time-outs before it gives up.

--- /dev/null
+++ b/packages/adapters/src/clock_test.ts
@@ -0,0 +1,23 @@
+import { describe, expect, it } from "vitest";
+import { SystemClock } from "./clock.ts";
+
+describe("SystemClock", () => {
+  it.each([
+    { title: "both clocks in step", monotonicMs: 100, wallMs: 100, passedMs: 100 },
+    { title: "a suspended VM", monotonicMs: 5, wallMs: 9_000, passedMs: 9_000 },
+    { title: "a wall clock set back", monotonicMs: 70, wallMs: -5_000, passedMs: 70 },
+    { title: "a wall clock that stands still", monotonicMs: 70, wallMs: 0, passedMs: 70 },
+  ])("passes the larger elapsed time with $title", ({ monotonicMs, wallMs, passedMs }) => {
+    const time = { monotonicMs: 1_000, wallMs: 1_700_000_000_000 };
+    const clock = new SystemClock({
+      monotonicMs: () => time.monotonicMs,
+      wallMs: () => time.wallMs,
+    });
+    time.monotonicMs += monotonicMs;
+    time.wallMs += wallMs;
+    expect(clock.nowMs()).toBe(passedMs);
+    time.monotonicMs += 10;
+    time.wallMs += 10;
+    expect(clock.nowMs()).toBe(passedMs + 10);
+  });
+});
--- a/packages/adapters/src/config_repository.ts
+++ b/packages/adapters/src/config_repository.ts
@@ -11,7 +11,7 @@
 import type * as ports from "@jackdawlink/ports";
 import * as policy from "@jackdawlink/policy";
 import * as schema from "@jackdawlink/schema";
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { err, ok, okAsync, type Result, ResultAsync } from "neverthrow";
 import * as v from "valibot";
 import type { HeadRecord, HeadRepository } from "./head_repository.ts";
 
@@ -39,10 +39,10 @@
   readonly timeoutMs?: number;
 }
 
-/** The most chunk text that goes along with the head in one transaction. */
+/** The most chunk text written in one transaction. */
 const MAX_TRANSACTION_CHUNK_BYTES = 786_432;
-/** The most chunks written or deleted in one transaction; the service takes 128 operations. */
-const MAX_TRANSACTION_CHUNKS = 100;
+/** The most chunks written, and the most deleted, in one transaction; the service takes 128 writes. */
+const MAX_TRANSACTION_CHUNKS = 50;
 /** The largest value that the service takes. */
 const MAX_CHUNK_BYTES = 1_000_000;
 /** Beyond this number of missing chunks one list is cheaper than single reads. */
@@ -70,6 +70,12 @@
     return new ResultAsync(this.#read());
   }
 
+  /** The newest head with its configuration if it was moved after `held`, else null. */
+  readNewer(held: HeadRecord): ResultAsync<ConfigRecord | null, JackdawlinkError> {
+    return this.#headRepository.readNewer(held.modRevision)
+      .andThen((newer) => newer === null ? okAsync(null) : this.read());
+  }
+
   /** Publishes a configuration that has no errors, or fails with a conflict that carries the difference. */
   publish(publication: Publication): ResultAsync<ConfigRecord, JackdawlinkError> {
     return new ResultAsync(this.#publish(publication));
@@ -154,39 +160,66 @@
     const missing = chunks.filter((chunk) => !stored.has(chunk.digest));
     const writes = await this.#prepareWrites(missing);
     if (writes.isErr()) return err(writes.error);
-    return await this.#headRepository.change(base, {
+    const obsolete = deletions(base.head, chunks);
+    const moved = await this.#headRepository.change(base, {
       edit: { chunks: chunks.map(({ digest, bytes }) => ({ digest, bytes })) },
       author,
       summary,
       changes: policy.configDiff.diffConfigs(checked.config, config)
         .map(policy.configDiff.describeChange),
-      writes: [...writes.value, ...deletions(base.head, chunks)],
+      writes: [...writes.value, ...obsolete.slice(0, MAX_TRANSACTION_CHUNKS)],
       timeoutMs,
     });
+    if (moved.isOk()) await this.#deleteRest(moved.value, obsolete.slice(MAX_TRANSACTION_CHUNKS));
+    return moved;
   }
 
   /** The puts that go along with the head; what is too much for one transaction is written at once. */
   async #prepareWrites(
     missing: readonly policy.configChunks.Chunk[],
   ): Promise<Result<readonly ports.store.Write[], JackdawlinkError>> {
-    const missingBytes = missing.reduce((sum, chunk) => sum + chunk.bytes, 0);
-    const puts = missing.map((chunk): ports.store.Write => ({
-      kind: "put",
-      key: schema.storeKeys.chunkKey(chunk.digest),
-      value: chunk.text,
-    }));
-    if (missingBytes <= MAX_TRANSACTION_CHUNK_BYTES && puts.length <= MAX_TRANSACTION_CHUNKS / 2) {
-      return ok(puts);
-    }
-    for (const put of puts) {
-      const written = await this.#store.transact([], [put]);
+    const batches = batchChunks(missing);
+    if (batches.length <= 1) return ok(batches[0] ?? []);
+    for (const batch of batches) {
+      const written = await this.#store.transact([], batch);
       if (written.isErr()) return err(written.error);
     }
     return ok([]);
   }
+
+  /** Deletes chunks while the head that doesn't name them is the newest; a failure leaves them unused. */
+  async #deleteRest(
+    moved: HeadRecord,
+    obsolete: readonly ports.store.Write[],
+  ): Promise<void> {
+    const compares = [{ key: schema.storeKeys.HEAD, modRevision: moved.modRevision }];
+    for (let from = 0; from < obsolete.length; from += MAX_TRANSACTION_CHUNKS) {
+      await this.#store.transact(compares, obsolete.slice(from, from + MAX_TRANSACTION_CHUNKS));
+    }
+  }
+}
+
+/** Groups the puts of chunks so that each group fits into one transaction. */
+function batchChunks(
+  chunks: readonly policy.configChunks.Chunk[],
+): readonly (readonly ports.store.Write[])[] {
+  const batches: ports.store.Write[][] = [];
+  let roomBytes = 0;
+  for (const { digest, bytes, text } of chunks) {
+    const last = batches.at(-1);
+    const put = { kind: "put", key: schema.storeKeys.chunkKey(digest), value: text } as const;
+    if (last === undefined || bytes > roomBytes || last.length === MAX_TRANSACTION_CHUNKS) {
+      batches.push([put]);
+      roomBytes = MAX_TRANSACTION_CHUNK_BYTES - bytes;
+    } else {
+      last.push(put);
+      roomBytes -= bytes;
+    }
+  }
+  return batches;
 }
 
-/** Deletes the chunks of the old head that the new one doesn't name. */
+/** The deletions of the chunks of the old head that the new one doesn't name. */
 function deletions(
   old: schema.head.Head,
   chunks: readonly policy.configChunks.Chunk[],
@@ -194,7 +227,6 @@
   const kept = new Set(chunks.map((chunk) => chunk.digest));
   return old.chunks
     .filter((ref) => !kept.has(ref.digest))
-    .slice(0, MAX_TRANSACTION_CHUNKS / 2)
     .map((ref) => ({ kind: "delete", key: schema.storeKeys.chunkKey(ref.digest) }));
 }
 
--- a/packages/adapters/src/head_repository.ts
+++ b/packages/adapters/src/head_repository.ts
@@ -81,11 +81,15 @@
 
   /** The newest head; the empty one before the first change. */
   read(): ResultAsync<HeadRecord, JackdawlinkError> {
-    return this.#store.get(schema.storeKeys.HEAD).andThen((stored) => {
-      if (stored === null) return ok({ head: schema.head.EMPTY_HEAD, modRevision: 0 });
-      return decodeStored(stored, schema.head.headSchema)
-        .map((head) => ({ head, modRevision: stored.modRevision }));
-    });
+    return this.#store.get(schema.storeKeys.HEAD).andThen((stored) =>
+      stored === null ? ok({ head: schema.head.EMPTY_HEAD, modRevision: 0 }) : decodeHead(stored)
+    );
+  }
+
+  /** The newest head if it was moved after `modRevision`, else null; such an answer is small. */
+  readNewer(modRevision: number): ResultAsync<HeadRecord | null, JackdawlinkError> {
+    return this.#store.get(schema.storeKeys.HEAD, { minModRevision: modRevision + 1 })
+      .andThen((stored) => stored === null ? ok(null) : decodeHead(stored));
   }
 
   /**
@@ -220,6 +224,13 @@
   }
 }
 
+function decodeHead(
+  stored: ports.store.StoredValue,
+): Result<HeadRecord, JackdawlinkError> {
+  return decodeStored(stored, schema.head.headSchema)
+    .map((head) => ({ head, modRevision: stored.modRevision }));
+}
+
 function nextHead(
   base: schema.head.Head,
   change: HeadEdit & Pick<schema.head.Head, "changeId" | "author" | "summary" | "changedAtMs">,
--- /dev/null
+++ b/packages/adapters/src/malformed_answers_test.ts
@@ -0,0 +1,46 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { once } from "node:events";
+import * as schema from "@jackdawlink/schema";
+import * as v from "valibot";
+import { afterEach, describe, expect, it } from "vitest";
+import { SystemClock } from "./clock.ts";
+import { SILENT_LOG } from "./log.ts";
+import { PlatformStore, StoreAnswerError } from "./platform_store.ts";
+
+let server: Server;
+
+async function storeThatGets(answer: string): Promise<PlatformStore> {
+  server = createServer((_request, response) => response.end(answer));
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return new PlatformStore({
+    settings: v.parse(schema.settings.storeSchema, { url: `http://127.0.0.1:${port}` }),
+    clock: new SystemClock(),
+    log: SILENT_LOG,
+  });
+}
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+describe("malformed answers of the store", () => {
+  it.each([
+    { title: "no JSON", answer: "<html>" },
+    { title: "JSON of another shape", answer: "[1]" },
+    { title: "no revision", answer: "{}" },
+    {
+      title: "keys that are not base64",
+      answer: '{"header":{"revision":"1"},"kvs":[{"key":"!"}]}',
+    },
+    { title: "a revision that is no number", answer: '{"header":{"revision":"x"}}' },
+  ])("give a typed error: $title", async ({ answer }) => {
+    const store = await storeThatGets(answer);
+    const read = await store.get("a");
+    expect(read._unsafeUnwrapErr()).toBeInstanceOf(StoreAnswerError);
+    await store.close();
+  });
+});
--- a/packages/adapters/src/platform_store.ts
+++ b/packages/adapters/src/platform_store.ts
@@ -77,8 +77,12 @@
     this.#backOff = new BackOff({ random: this.#random });
   }
 
-  get(key: string): ResultAsync<ports.store.StoredValue | null, schema.errors.JackdawlinkError> {
-    const body = { key: codec.encodeBytes(key) };
+  get(
+    key: string,
+    { minModRevision = 0 }: ports.store.GetOptions = {},
+  ): ResultAsync<ports.store.StoredValue | null, schema.errors.JackdawlinkError> {
+    const condition = minModRevision > 0 ? { min_mod_revision: String(minModRevision) } : {};
+    const body = { key: codec.encodeBytes(key), ...condition };
     return this.#call("/v3/kv/range", { kind: "read", body, answer: codec.rangeAnswerSchema })
       .map((answer) => answer.kvs[0] ?? null);
   }
--- /dev/null
+++ b/packages/adapters/src/platform_store_test.ts
@@ -0,0 +1,139 @@
+import * as schema from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import * as v from "valibot";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { SystemClock } from "./clock.ts";
+import { SILENT_LOG } from "./log.ts";
+import { PlatformStore, StoreRefusedError } from "./platform_store.ts";
+
+const TIMEOUT_MS = 300;
+
+let platform: testing.platformServer.PlatformServer;
+const stores: PlatformStore[] = [];
+
+function makeStore(settings: object = {}, clientId = "entry-1"): PlatformStore {
+  const store = new PlatformStore({
+    settings: v.parse(schema.settings.storeSchema, {
+      url: platform.url,
+      timeoutMs: TIMEOUT_MS,
+      ...settings,
+    }),
+    clock: new SystemClock(),
+    log: SILENT_LOG,
+    clientId,
+    random: () => 0,
+  });
+  stores.push(store);
+  return store;
+}
+
+function setFaults(faults: object): void {
+  platform.store.faults.set(v.parse(testing.platformFaults.faultsSchema, faults));
+}
+
+const PUT = { kind: "put", key: "a/1", value: "one" } as const;
+
+beforeEach(async () => {
+  platform = await testing.platformServer.startPlatform("127.0.0.1:0");
+});
+
+afterEach(async () => {
+  await Promise.all(stores.splice(0).map((store) => store.close()));
+  await platform.close();
+});
+
+describe("PlatformStore", () => {
+  it("reads, lists, compares and deletes", async () => {
+    const store = makeStore();
+    const created = await store.transact([{ key: "a/1", modRevision: 0 }], [PUT]);
+    const { succeeded, storeRevision } = created._unsafeUnwrap();
+    expect(succeeded).toBe(true);
+    const stored = (await store.get("a/1"))._unsafeUnwrap();
+    expect(stored).toEqual({ key: "a/1", value: "one", modRevision: storeRevision });
+    const again = await store.transact([{ key: "a/1", modRevision: 0 }], [PUT]);
+    expect(again._unsafeUnwrap().succeeded).toBe(false);
+    const [unchanged, changed] = [storeRevision + 1, storeRevision];
+    expect((await store.get("a/1", { minModRevision: unchanged }))._unsafeUnwrap()).toBeNull();
+    expect((await store.get("a/1", { minModRevision: changed }))._unsafeUnwrap()).not.toBeNull();
+    await store.transact([], [{ ...PUT, key: "a/2" }, { ...PUT, key: "b" }]);
+    const listed = (await store.list("a/"))._unsafeUnwrap();
+    expect(listed.map(({ key }) => key)).toEqual(["a/1", "a/2"]);
+    await store.transact([], [{ kind: "delete", key: "a/1" }]);
+    expect((await store.get("a/1"))._unsafeUnwrap()).toBeNull();
+  });
+
+  it("drops the keys of a lease that is revoked or lapses", async () => {
+    const store = makeStore();
+    const revoked = (await store.grantLease(60))._unsafeUnwrap();
+    const lapsing = (await store.grantLease(1))._unsafeUnwrap();
+    await store.transact([], [{ ...PUT, leaseId: revoked }]);
+    await store.transact([], [{ ...PUT, key: "a/2", leaseId: lapsing }]);
+    expect((await store.keepLeaseAlive(revoked))._unsafeUnwrap()).toBe(true);
+    await store.revokeLease(revoked);
+    expect((await store.get("a/1"))._unsafeUnwrap()).toBeNull();
+    expect((await store.keepLeaseAlive(revoked))._unsafeUnwrap()).toBe(false);
+    await vi.waitFor(
+      async () => expect((await store.get("a/2"))._unsafeUnwrap()).toBeNull(),
+      { timeout: 10_000 },
+    );
+  });
+
+  it.each([
+    { title: "refused connections", faults: { rules: [{ outage: "refused" }] } },
+    { title: "no answers", faults: { rules: [{ outage: "hung" }] } },
+    { title: "errors", faults: { rules: [{ outage: "error" }] } },
+    { title: "answers slower than the time-out", faults: { rules: [{ delayMs: 2_000 }] } },
+    { title: "a rate limit", faults: { readsPerSecond: 0 } },
+  ])("fails with a typed error in an outage with $title, and recovers", async ({ faults }) => {
+    const store = makeStore();
+    setFaults(faults);
+    const failed = await store.get("a/1");
+    expect(failed._unsafeUnwrapErr()).toBeInstanceOf(schema.errors.StoreUnavailableError);
+    setFaults({});
+    expect((await store.get("a/1")).isOk()).toBe(true);
+  });
+
+  it("loses the answer of a write that took effect", async () => {
+    const store = makeStore();
+    setFaults({ seed: 7, rules: [{ kinds: ["write"], loseAnswerProbability: 1 }] });
+    expect((await store.transact([], [PUT])).isErr()).toBe(true);
+    expect((await store.get("a/1"))._unsafeUnwrap()?.value).toBe("one");
+  });
+
+  it("lets one client lose the store alone", async () => {
+    setFaults({ rules: [{ clients: ["entry-2"], outage: "refused" }] });
+    expect((await makeStore({}, "entry-1").get("a")).isOk()).toBe(true);
+    expect((await makeStore({}, "entry-2").get("a")).isErr()).toBe(true);
+  });
+
+  it("holds its budget of calls", async () => {
+    const store = makeStore({ readsPerSecond: 1, timeoutMs: TIMEOUT_MS });
+    expect((await store.get("a")).isOk()).toBe(true);
+    const over = await store.get("a");
+    expect(over._unsafeUnwrapErr()).toBeInstanceOf(schema.errors.StoreBudgetError);
+    expect(platform.store.counters().byKind.read).toBe(1);
+  });
+
+  it("tells a refused value from an outage", async () => {
+    const value = "x".repeat(1_048_577);
+    const refused = await makeStore({ timeoutMs: 5_000 }).transact([], [{ ...PUT, value }]);
+    expect(refused._unsafeUnwrapErr()).toBeInstanceOf(StoreRefusedError);
+  });
+
+  it("watches a prefix, and again after an outage", async () => {
+    const store = makeStore();
+    let calls = 0;
+    const stop = store.watch("a/", () => calls += 1);
+    await vi.waitFor(() => expect(calls).toBe(1));
+    await store.transact([], [{ ...PUT, key: "b" }, PUT]);
+    await vi.waitFor(() => expect(calls).toBe(2));
+    const post = (faults: object) =>
+      fetch(`${platform.url}/control/faults`, { method: "POST", body: JSON.stringify(faults) });
+    await post({ rules: [{ kinds: ["watch"], outage: "refused" }] });
+    await vi.waitFor(() => expect(platform.store.counters().openWatches).toBe(0));
+    await post({});
+    await vi.waitFor(() => expect(calls).toBeGreaterThanOrEqual(3), { timeout: 20_000 });
+    stop();
+    await vi.waitFor(() => expect(platform.store.counters().openWatches).toBe(0));
+  });
+});
--- a/packages/cli/src/commands/apply_command.ts
+++ b/packages/cli/src/commands/apply_command.ts
@@ -38,7 +38,7 @@
   override async publishChange(session: Session): Promise<Result<Published, JackdawlinkError>> {
     const tables = readConfigTables(this.files);
     if (tables.isErr()) return err(tables.error);
-    const base = await session.configRepository.read();
+    const base = await session.readConfig();
     if (base.isErr()) return err(base.error);
     const unchanged = await this.#checkRevision(session, base.value);
     if (unchanged.isErr()) return err(unchanged.error);
--- a/packages/cli/src/commands/diff_command.ts
+++ b/packages/cli/src/commands/diff_command.ts
@@ -26,7 +26,7 @@
   override async run(session: Session): Promise<CommandResult> {
     const tables = readConfigTables(this.files);
     if (tables.isErr()) return err(tables.error);
-    const base = await session.configRepository.read();
+    const base = await session.readConfig();
     if (base.isErr()) return err(base.error);
     const merge = { tables: tables.value, prune: this.prune };
     const config = policy.configText.mergeTables(base.value.config, merge);
--- a/packages/cli/src/commands/get_command.ts
+++ b/packages/cli/src/commands/get_command.ts
@@ -24,7 +24,7 @@
   name = Option.String({ required: false });
 
   override async run(session: Session): Promise<CommandResult> {
-    const record = await session.configRepository.read();
+    const record = await session.readConfig();
     if (record.isErr()) return err(record.error);
     const { head, config } = record.value;
     return this.#select(config).map((objects) => ({
--- a/packages/cli/src/publishing.ts
+++ b/packages/cli/src/publishing.ts
@@ -55,7 +55,7 @@
 ): Promise<Result<Published, JackdawlinkError>> {
   let last: JackdawlinkError | null = null;
   for (let attempt = 1; attempt <= MAX_EDIT_ATTEMPTS; attempt += 1) {
-    const base = await session.configRepository.read();
+    const base = await session.readConfig();
     if (base.isErr()) return err(base.error);
     const config = edit(base.value.config);
     if (config.isErr()) return err(config.error);
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -11,6 +11,9 @@
 /** The environment variable that names the settings file. */
 export const SETTINGS_VARIABLE = "JACKDAWLINK_SETTINGS";
 
+/** A command tries to read the configuration for this many time-outs of the store. */
+const READ_TIMEOUTS = 3;
+
 /** The store and the processes that the settings name. */
 export class Session {
   readonly settings: schema.settings.CliSettings;
@@ -39,6 +42,19 @@
     });
   }
 
+  /** Reads the newest configuration, again and again while the store doesn't answer. */
+  async readConfig(): Promise<
+    Result<adapters.configRepository.ConfigRecord, schema.errors.JackdawlinkError>
+  > {
+    const deadlineMs = this.clock.nowMs() + READ_TIMEOUTS * this.settings.store.timeoutMs;
+    for (;;) {
+      const record = await this.configRepository.read();
+      const isFinal = record.isOk() ||
+        !(record.error instanceof schema.errors.StoreUnavailableError);
+      if (isFinal || this.clock.nowMs() >= deadlineMs) return record;
+    }
+  }
+
   async close(): Promise<void> {
     await this.#store.close();
     await this.operators.close();
--- /dev/null
+++ b/packages/policy/src/config_check_test.ts
@@ -0,0 +1,320 @@
+import { readFileSync } from "node:fs";
+import * as schema from "@jackdawlink/schema";
+import * as v from "valibot";
+import { describe, expect, it } from "vitest";
+import { checkConfig } from "./config_check.ts";
+import { parseConfig } from "./config_text.ts";
+
+type Tables = Record<string, Record<string, object>>;
+
+const DIGEST_A = "a".repeat(64);
+const DIGEST_B = "b".repeat(64);
+
+function server(index: number, fields: object = {}): object {
+  return {
+    service: "packs",
+    address: `127.0.0.1:${7_000 + index}`,
+    vm: `vm-${index}`,
+    availabilityZone: index % 2 === 0 ? "zone-a" : "zone-b",
+    ...fields,
+  };
+}
+
+/** A set without findings. */
+const SOUND: Tables = {
+  workspaces: { parish: {} },
+  teams: { east: { workspace: "parish" }, west: { workspace: "parish" } },
+  keys: { east: { team: "east", secretSha256: DIGEST_A } },
+  pools: { packs: {}, booking: {}, spare: { spare: true } },
+  services: { packs: { pool: "packs" }, booking: { pool: "booking" } },
+  backendServers: {
+    "packs-1": server(1),
+    "packs-2": server(2),
+    "packs-3": server(3),
+    "packs-4": server(4),
+    "booking-1": server(5, { service: "booking" }),
+    "booking-2": server(6, { service: "booking" }),
+  },
+  shares: {
+    east: { team: "east", pool: "packs", weight: 3 },
+    west: { team: "west", pool: "packs", weight: 1 },
+  },
+  limits: { east: { team: "east", maxRunningRequests: 32 } },
+  queues: { packs: { service: "packs" } },
+  availabilityBudgets: {
+    packs: { pool: "packs", maxUnavailable: 2, maxUnavailablePerAvailabilityZone: 1 },
+    booking: { pool: "booking", maxUnavailable: 1 },
+  },
+  maintenanceWaves: {
+    monthly: { pools: ["packs"], vmMaintenanceMs: 1_000, finishWithinMs: 3_000 },
+  },
+};
+
+function change(changes: Tables): schema.config.Config {
+  const merged: Tables = { ...SOUND };
+  for (const [kind, objects] of Object.entries(changes)) {
+    merged[kind] = { ...merged[kind], ...objects };
+  }
+  return v.parse(schema.config.configSchema, merged);
+}
+
+describe("checkConfig", () => {
+  it("finds nothing in a sound set", () => {
+    expect(checkConfig(change({}))).toEqual([]);
+  });
+
+  it.each<{ title: string; changes: Tables; found: string; promise: string; severity?: string }>([
+    {
+      title: "a team of an unknown workspace",
+      changes: { teams: { north: { workspace: "lost" } } },
+      found: "teams/north workspace",
+      promise: "team-isolation",
+    },
+    {
+      title: "a key of an unknown team",
+      changes: { keys: { lost: { team: "lost", secretSha256: DIGEST_B } } },
+      found: "keys/lost team",
+      promise: "team-isolation",
+    },
+    {
+      title: "a service in an unknown pool",
+      changes: {
+        services: { modules: { pool: "lost" } },
+        backendServers: { "modules-1": server(9, { service: "modules" }) },
+      },
+      found: "services/modules pool",
+      promise: "one-pool",
+    },
+    {
+      title: "a backend server of an unknown service",
+      changes: { backendServers: { "lost-1": server(9, { service: "lost" }) } },
+      found: "backendServers/lost-1 service",
+      promise: "one-pool",
+    },
+    {
+      title: "a share of an unknown pool",
+      changes: { shares: { lost: { team: "east", pool: "lost", weight: 1 } } },
+      found: "shares/lost pool",
+      promise: "fair-share",
+    },
+    {
+      title: "a share of an unknown team",
+      changes: { shares: { lost: { team: "lost", pool: "booking", weight: 1 } } },
+      found: "shares/lost team",
+      promise: "fair-share",
+    },
+    {
+      title: "a limit of an unknown team",
+      changes: { limits: { lost: { team: "lost", maxRunningRequests: 1 } } },
+      found: "limits/lost team",
+      promise: "team-limit",
+    },
+    {
+      title: "a queue of an unknown service",
+      changes: { queues: { lost: { service: "lost" } } },
+      found: "queues/lost service",
+      promise: "on-time",
+    },
+    {
+      title: "a queue open to an unknown team",
+      changes: { queues: { open: { service: "packs", openTeam: "lost" } } },
+      found: "queues/open openTeam",
+      promise: "team-isolation",
+    },
+    {
+      title: "a budget of an unknown pool",
+      changes: { availabilityBudgets: { lost: { pool: "lost", maxUnavailable: 1 } } },
+      found: "availabilityBudgets/lost pool",
+      promise: "availability-budget",
+    },
+    {
+      title: "a wave over an unknown pool",
+      changes: { maintenanceWaves: { lost: { pools: ["lost"] } } },
+      found: "maintenanceWaves/lost pools",
+      promise: "availability-budget",
+    },
+    {
+      title: "a name that every object inherits",
+      changes: { teams: { north: { workspace: "constructor" } } },
+      found: "teams/north workspace",
+      promise: "team-isolation",
+    },
+    {
+      title: "a VM in two pools",
+      changes: {
+        backendServers: {
+          "booking-1": server(1, { service: "booking", address: "127.0.0.1:8000" }),
+        },
+      },
+      found: "backendServers/booking-1 vm",
+      promise: "one-pool",
+    },
+    {
+      title: "a VM in two availability zones",
+      changes: {
+        backendServers: {
+          "packs-5": server(1, { address: "127.0.0.1:8000", availabilityZone: "zone-c" }),
+        },
+      },
+      found: "backendServers/packs-5 availabilityZone",
+      promise: "availability-budget",
+    },
+    {
+      title: "two backend servers at one address",
+      changes: { backendServers: { "packs-5": server(7, { address: "127.0.0.1:7001" }) } },
+      found: "backendServers/packs-5 address",
+      promise: "own-answer",
+    },
+    {
+      title: "fewer connections than slots",
+      changes: { backendServers: { "packs-1": server(1, { connections: 4 }) } },
+      found: "backendServers/packs-1 connections",
+      promise: "own-answer",
+    },
+    {
+      title: "a service without backend servers",
+      changes: { services: { modules: { pool: "packs" } } },
+      found: "services/modules ",
+      promise: "on-time",
+      severity: "warning",
+    },
+    {
+      title: "a service whose backend servers all drain",
+      changes: {
+        backendServers: {
+          "booking-1": server(5, { service: "booking", draining: true }),
+          "booking-2": server(6, { service: "booking", draining: true }),
+        },
+      },
+      found: "services/booking ",
+      promise: "on-time",
+      severity: "warning",
+    },
+    {
+      title: "one secret for two keys",
+      changes: { keys: { west: { team: "west", secretSha256: DIGEST_A } } },
+      found: "keys/west secretSha256",
+      promise: "team-isolation",
+    },
+    {
+      title: "two shares of one team in one pool",
+      changes: { shares: { again: { team: "east", pool: "packs", weight: 9 } } },
+      found: "shares/again pool",
+      promise: "fair-share",
+    },
+    {
+      title: "a team with a key and no share",
+      changes: {
+        teams: { north: { workspace: "parish" } },
+        keys: { north: { team: "north", secretSha256: DIGEST_B } },
+      },
+      found: "teams/north ",
+      promise: "fair-share",
+      severity: "warning",
+    },
+    {
+      title: "two limits of one team",
+      changes: { limits: { again: { team: "east", maxRunningRequests: 30 } } },
+      found: "limits/again team",
+      promise: "team-limit",
+    },
+    {
+      title: "a limit that limits nothing",
+      changes: { limits: { west: { team: "west" } } },
+      found: "limits/west ",
+      promise: "team-limit",
+      severity: "warning",
+    },
+    {
+      title: "a limit below the team's share",
+      changes: { limits: { east: { team: "east", maxRunningRequests: 23 } } },
+      found: "limits/east maxRunningRequests",
+      promise: "fair-share",
+      severity: "warning",
+    },
+    {
+      title: "two spare pools",
+      changes: { pools: { second: { spare: true } } },
+      found: "pools/second spare",
+      promise: "on-time",
+    },
+    {
+      title: "no spare pool",
+      changes: { pools: { spare: {} } },
+      found: "pools/ spare",
+      promise: "on-time",
+      severity: "warning",
+    },
+    {
+      title: "two budgets of one pool",
+      changes: { availabilityBudgets: { again: { pool: "packs", maxUnavailable: 1 } } },
+      found: "availabilityBudgets/again pool",
+      promise: "availability-budget",
+    },
+    {
+      title: "a budget that protects nothing",
+      changes: { availabilityBudgets: { booking: { pool: "booking", maxUnavailable: 2 } } },
+      found: "availabilityBudgets/booking maxUnavailable",
+      promise: "availability-budget",
+      severity: "warning",
+    },
+    {
+      title: "a pool without a budget in a wave",
+      changes: { maintenanceWaves: { monthly: { pools: ["spare"] } } },
+      found: "maintenanceWaves/monthly pools",
+      promise: "availability-budget",
+    },
+    {
+      title: "a wave with less time than its budget takes",
+      changes: {
+        maintenanceWaves: {
+          monthly: { pools: ["packs"], vmMaintenanceMs: 1_000, finishWithinMs: 1_999 },
+        },
+      },
+      found: "maintenanceWaves/monthly finishWithinMs",
+      promise: "on-time",
+    },
+    {
+      title: "a wave that drains for less time than a request may run",
+      changes: { maintenanceWaves: { monthly: { pools: ["packs"], drainTimeoutMs: 9_999 } } },
+      found: "maintenanceWaves/monthly drainTimeoutMs",
+      promise: "graceful-stop",
+    },
+    {
+      title: "two running waves over one pool",
+      changes: {
+        maintenanceWaves: {
+          first: { pools: ["packs"], state: "running" },
+          second: { pools: ["packs"], state: "running" },
+        },
+      },
+      found: "maintenanceWaves/second state",
+      promise: "availability-budget",
+    },
+  ])("finds $title", ({ changes, found, promise, severity = "error" }) => {
+    const findings = checkConfig(change(changes));
+    expect(findings.map((finding) => ({
+      found: `${finding.kind}/${finding.name} ${finding.field}`,
+      promise: finding.promise,
+      severity: finding.severity,
+    }))).toEqual([{ found, promise, severity }]);
+  });
+
+  it("gives all findings at once, errors first", () => {
+    const findings = checkConfig(change({
+      services: { modules: { pool: "packs" } },
+      teams: { north: { workspace: "lost" } },
+      limits: { again: { team: "east", maxRunningRequests: 30 } },
+    }));
+    expect(findings.map(({ severity }) => severity)).toEqual(["error", "error", "warning"]);
+  });
+
+  it.each(["boardwise", "brughiera"])("finds nothing in the example of %s", (name) => {
+    const url = new URL(`../../../examples/${name}.toml`, import.meta.url);
+    const file = { file: name, text: readFileSync(url, "utf8") };
+    const config = parseConfig([file])._unsafeUnwrap();
+    expect(checkConfig(config)).toEqual([]);
+    expect(Object.keys(config.workspaces)).toHaveLength(6);
+    expect(Object.keys(config.services)).toHaveLength(5);
+  });
+});
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -29,6 +29,11 @@
   }
   | { readonly kind: "delete"; readonly key: string };
 
+/** Limits a read to values that were changed at or after a store revision. */
+export interface GetOptions {
+  readonly minModRevision?: number;
+}
+
 /** Whether the conditions of a transaction held, and the store's revision after it. */
 export interface TransactionOutcome {
   readonly succeeded: boolean;
@@ -41,7 +46,11 @@
  * in the value and read again.
  */
 export interface Store {
-  get(key: string): ResultAsync<StoredValue | null, errors.JackdawlinkError>;
+  /** The value, or null; with `minModRevision` also null where the key has not changed since. */
+  get(
+    key: string,
+    options?: GetOptions,
+  ): ResultAsync<StoredValue | null, errors.JackdawlinkError>;
   /** All values below a prefix, in the order of their keys. */
   list(prefix: string): ResultAsync<readonly StoredValue[], errors.JackdawlinkError>;
   transact(
--- /dev/null
+++ b/packages/testing/src/memory_store.ts
@@ -0,0 +1,118 @@
+/**
+ * A store in the memory of a test, with calls that fail, effects that come late and answers that get
+ * lost.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { KeyValueTable } from "./key_value_table.ts";
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+
+/** What happens to one call: `late` takes effect after the caller has been told of a failure. */
+export type CallFate = "answered" | "lost-before" | "lost-after" | "late";
+
+/** What a {@link MemoryStore} is made of. */
+export interface MemoryStoreOptions {
+  readonly nowMs?: () => number;
+  /** Decides the fate of each call; all are answered without it. */
+  readonly fate?: (call: "read" | "write") => CallFate;
+  /** Runs before each call takes effect; lets other calls come in between. */
+  readonly pause?: () => Promise<void>;
+}
+
+/** Implements the port on a {@link KeyValueTable}. */
+export class MemoryStore implements ports.store.Store {
+  readonly table: KeyValueTable;
+  readonly #fate: (call: "read" | "write") => CallFate;
+  readonly #pause: () => Promise<void>;
+  readonly #late: Promise<unknown>[] = [];
+
+  constructor({ nowMs, fate, pause }: MemoryStoreOptions = {}) {
+    this.table = new KeyValueTable(nowMs ?? (() => performance.now()));
+    this.#fate = fate ?? (() => "answered");
+    this.#pause = pause ?? (() => Promise.resolve());
+  }
+
+  /** Resolves once all late effects have happened. */
+  async settled(): Promise<void> {
+    await Promise.all(this.#late);
+  }
+
+  get(
+    key: string,
+    { minModRevision = 0 }: ports.store.GetOptions = {},
+  ): ResultAsync<ports.store.StoredValue | null, JackdawlinkError> {
+    return this.#call("read", () => {
+      const stored = this.table.get(key);
+      return stored === undefined || stored.modRevision < minModRevision ? null : stored;
+    });
+  }
+
+  list(prefix: string): ResultAsync<readonly ports.store.StoredValue[], JackdawlinkError> {
+    return this.#call("read", () => this.table.range({ key: prefix, end: `${prefix}\uffff` }));
+  }
+
+  transact(
+    compares: readonly ports.store.Compare[],
+    writes: readonly ports.store.Write[],
+  ): ResultAsync<ports.store.TransactionOutcome, JackdawlinkError> {
+    return this.#call("write", () => {
+      const succeeded = compares.every(({ key, modRevision }) =>
+        (this.table.get(key)?.modRevision ?? 0) === modRevision
+      );
+      if (succeeded) this.table.commit(() => writes.forEach((write) => this.#write(write)));
+      return { succeeded, storeRevision: this.table.revision };
+    });
+  }
+
+  grantLease(ttlSeconds: number): ResultAsync<string, JackdawlinkError> {
+    return this.#call("write", () => this.table.grantLease(ttlSeconds));
+  }
+
+  keepLeaseAlive(leaseId: string): ResultAsync<boolean, JackdawlinkError> {
+    return this.#call("write", () => {
+      this.table.expireLeases();
+      return this.table.keepAlive(leaseId) > 0;
+    });
+  }
+
+  revokeLease(leaseId: string): ResultAsync<void, JackdawlinkError> {
+    return this.#call("write", () => void this.table.revokeLease(leaseId));
+  }
+
+  watch(prefix: string, onChange: () => void): () => void {
+    return this.table.onEvents((events) => {
+      if (events.some((event) => event.keyValue.key.startsWith(prefix))) onChange();
+    });
+  }
+
+  #write(write: ports.store.Write): void {
+    if (write.kind === "delete") this.table.deleteRange({ key: write.key, end: "" });
+    else this.table.put(write.key, write.value, { leaseId: write.leaseId ?? "0" });
+  }
+
+  #call<TAnswer>(
+    call: "read" | "write",
+    effect: () => TAnswer,
+  ): ResultAsync<TAnswer, JackdawlinkError> {
+    return new ResultAsync(this.#suffer(this.#fate(call), effect));
+  }
+
+  async #suffer<TAnswer>(
+    fate: CallFate,
+    effect: () => TAnswer,
+  ): Promise<Result<TAnswer, JackdawlinkError>> {
+    await this.#pause();
+    const lost = new schema.errors.StoreUnavailableError("The answer was lost");
+    if (fate === "lost-before") return err(lost);
+    if (fate === "late") {
+      this.#late.push(this.#pause().then(this.#pause).then(effect));
+      return err(lost);
+    }
+    const answer = effect();
+    return fate === "answered" ? ok(answer) : err(lost);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/test_clock.ts
@@ -0,0 +1,57 @@
+/**
+ * A clock that a test moves.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+
+interface Timer {
+  readonly atMs: number;
+  readonly callback: () => void;
+}
+
+/** Stands still until it is moved; with `isSelfMoving` each timer fires in the next turn of the loop. */
+export class TestClock implements ports.clock.Clock {
+  readonly #timers = new Set<Timer>();
+  readonly #isSelfMoving: boolean;
+  #nowMs = 0;
+
+  constructor({ isSelfMoving = false }: { isSelfMoving?: boolean } = {}) {
+    this.#isSelfMoving = isSelfMoving;
+  }
+
+  nowMs(): number {
+    return this.#nowMs;
+  }
+
+  wallMs(): number {
+    return this.#nowMs;
+  }
+
+  after(delayMs: number, callback: () => void): () => void {
+    const timer = { atMs: this.#nowMs + delayMs, callback };
+    this.#timers.add(timer);
+    if (this.#isSelfMoving) setImmediate(() => this.#fire(timer));
+    return () => this.#timers.delete(timer);
+  }
+
+  /** Moves the time on and fires the timers that are due, in their order. */
+  advance(elapsedMs: number): void {
+    const untilMs = this.#nowMs + elapsedMs;
+    for (let due = this.#firstDue(untilMs); due !== undefined; due = this.#firstDue(untilMs)) {
+      this.#fire(due);
+    }
+    this.#nowMs = untilMs;
+  }
+
+  #firstDue(untilMs: number): Timer | undefined {
+    const due = [...this.#timers].filter((timer) => timer.atMs <= untilMs);
+    return due.sort((left, right) => left.atMs - right.atMs)[0];
+  }
+
+  #fire(timer: Timer): void {
+    if (!this.#timers.delete(timer)) return;
+    this.#nowMs = Math.max(this.#nowMs, timer.atMs);
+    timer.callback();
+  }
+}
