Parse only new chunks, and split the larger modules

The assembler keeps the parsed chunks of the configuration in force and takes in new ones from the store or from peers alike, after a check of digest and schema.

History is bounded to 1,000 revisions of 20 lines, so that one list of it stays below 2 MB or so.

The dangling-name cases are one table now, with the same ten references and one more assertion each (severity, kind and name).

--- a/packages/adapters/src/config_repository.ts
+++ b/packages/adapters/src/config_repository.ts
@@ -13,6 +13,7 @@
 import * as schema from "@jackdawlink/schema";
 import { err, ok, okAsync, type Result, ResultAsync } from "neverthrow";
 import * as v from "valibot";
+import * as chunkWrites from "./chunk_writes.ts";
 import type { HeadRecord, HeadRepository } from "./head_repository.ts";
 
 type JackdawlinkError = schema.errors.JackdawlinkError;
@@ -39,10 +40,14 @@
   readonly timeoutMs?: number;
 }
 
-/** The most chunk text written in one transaction. */
-const MAX_TRANSACTION_CHUNK_BYTES = 786_432;
-/** The most chunks written, and the most deleted, in one transaction; the service takes 128 writes. */
-const MAX_TRANSACTION_CHUNKS = 50;
+/** What a {@link ConfigRepository} is made of. */
+export interface ConfigRepositoryOptions {
+  readonly store: ports.store.Store;
+  readonly headRepository: HeadRepository;
+  /** Holds the chunks; shared with whoever also gets chunks from peers. */
+  readonly assembler?: policy.configAssembler.ConfigAssembler;
+}
+
 /** The largest value that the service takes. */
 const MAX_CHUNK_BYTES = 1_000_000;
 /** Beyond this number of missing chunks one list is cheaper than single reads. */
@@ -56,13 +61,12 @@
 export class ConfigRepository {
   readonly #store: ports.store.Store;
   readonly #headRepository: HeadRepository;
-  #texts = new Map<string, string>();
+  readonly #assembler: policy.configAssembler.ConfigAssembler;
 
-  constructor(
-    { store, headRepository }: { store: ports.store.Store; headRepository: HeadRepository },
-  ) {
+  constructor({ store, headRepository, assembler }: ConfigRepositoryOptions) {
     this.#store = store;
     this.#headRepository = headRepository;
+    this.#assembler = assembler ?? new policy.configAssembler.ConfigAssembler();
   }
 
   /** The newest head with its configuration. */
@@ -85,33 +89,28 @@
     for (let attempt = 1; attempt <= MAX_READ_ATTEMPTS; attempt += 1) {
       const record = await this.#headRepository.read();
       if (record.isErr()) return err(record.error);
-      const texts = await this.#readChunks(record.value.head.chunks);
-      if (texts.isErr()) return err(texts.error);
-      if (texts.value === null) continue;
-      return policy.configChunks.joinChunks(texts.value)
-        .map((config) => ({ ...record.value, config }));
+      const { chunks } = record.value.head;
+      const fetched = await this.#fetchChunks(this.#assembler.missing(chunks));
+      if (fetched.isErr()) return err(fetched.error);
+      if (this.#assembler.missing(chunks).length > 0) continue;
+      return this.#assembler.assemble(chunks).map((config) => ({ ...record.value, config }));
     }
     return err(
       new schema.errors.StoreUnavailableError("The head moved on faster than it could be read"),
     );
   }
 
-  /** The texts of chunks; null where one is gone. */
-  async #readChunks(
-    refs: readonly schema.head.ChunkRef[],
-  ): Promise<Result<readonly string[] | null, JackdawlinkError>> {
-    const missing = refs.filter((ref) => !this.#texts.has(ref.digest));
-    const read = await this.#readMissing(missing.map((ref) => ref.digest));
+  /** Takes over the chunks that the store still has. */
+  async #fetchChunks(digests: readonly string[]): Promise<Result<void, JackdawlinkError>> {
+    const read = await this.#readMissing(digests);
     if (read.isErr()) return err(read.error);
-    const texts = new Map<string, string>();
-    for (const { digest } of refs) {
-      const text = this.#texts.get(digest) ?? read.value.get(digest);
-      if (text === undefined) return ok(null);
-      if (policy.configChunks.digestOf(text) !== digest) return err(corruptChunk(digest));
-      texts.set(digest, text);
+    for (const digest of digests) {
+      const text = read.value.get(digest);
+      if (text === undefined) continue;
+      const added = this.#assembler.add(digest, text);
+      if (added.isErr()) return err(added.error);
     }
-    this.#texts = texts;
-    return ok([...texts.values()]);
+    return ok(undefined);
   }
 
   async #readMissing(
@@ -160,17 +159,19 @@
     const missing = chunks.filter((chunk) => !stored.has(chunk.digest));
     const writes = await this.#prepareWrites(missing);
     if (writes.isErr()) return err(writes.error);
-    const obsolete = deletions(base.head, chunks);
+    const obsolete = chunkWrites.deletions(base.head, chunks);
     const moved = await this.#headRepository.change(base, {
       edit: { chunks: chunks.map(({ digest, bytes }) => ({ digest, bytes })) },
       author,
       summary,
       changes: policy.configDiff.diffConfigs(checked.config, config)
         .map(policy.configDiff.describeChange),
-      writes: [...writes.value, ...obsolete.slice(0, MAX_TRANSACTION_CHUNKS)],
+      writes: [...writes.value, ...obsolete.slice(0, chunkWrites.MAX_TRANSACTION_CHUNKS)],
       timeoutMs,
     });
-    if (moved.isOk()) await this.#deleteRest(moved.value, obsolete.slice(MAX_TRANSACTION_CHUNKS));
+    if (moved.isOk()) {
+      await this.#deleteRest(moved.value, obsolete.slice(chunkWrites.MAX_TRANSACTION_CHUNKS));
+    }
     return moved;
   }
 
@@ -178,7 +179,7 @@
   async #prepareWrites(
     missing: readonly policy.configChunks.Chunk[],
   ): Promise<Result<readonly ports.store.Write[], JackdawlinkError>> {
-    const batches = batchChunks(missing);
+    const batches = chunkWrites.batchChunks(missing);
     if (batches.length <= 1) return ok(batches[0] ?? []);
     for (const batch of batches) {
       const written = await this.#store.transact([], batch);
@@ -193,43 +194,15 @@
     obsolete: readonly ports.store.Write[],
   ): Promise<void> {
     const compares = [{ key: schema.storeKeys.HEAD, modRevision: moved.modRevision }];
-    for (let from = 0; from < obsolete.length; from += MAX_TRANSACTION_CHUNKS) {
-      await this.#store.transact(compares, obsolete.slice(from, from + MAX_TRANSACTION_CHUNKS));
+    for (let from = 0; from < obsolete.length; from += chunkWrites.MAX_TRANSACTION_CHUNKS) {
+      await this.#store.transact(
+        compares,
+        obsolete.slice(from, from + chunkWrites.MAX_TRANSACTION_CHUNKS),
+      );
     }
   }
 }
 
-/** Groups the puts of chunks so that each group fits into one transaction. */
-function batchChunks(
-  chunks: readonly policy.configChunks.Chunk[],
-): readonly (readonly ports.store.Write[])[] {
-  const batches: ports.store.Write[][] = [];
-  let roomBytes = 0;
-  for (const { digest, bytes, text } of chunks) {
-    const last = batches.at(-1);
-    const put = { kind: "put", key: schema.storeKeys.chunkKey(digest), value: text } as const;
-    if (last === undefined || bytes > roomBytes || last.length === MAX_TRANSACTION_CHUNKS) {
-      batches.push([put]);
-      roomBytes = MAX_TRANSACTION_CHUNK_BYTES - bytes;
-    } else {
-      last.push(put);
-      roomBytes -= bytes;
-    }
-  }
-  return batches;
-}
-
-/** The deletions of the chunks of the old head that the new one doesn't name. */
-function deletions(
-  old: schema.head.Head,
-  chunks: readonly policy.configChunks.Chunk[],
-): readonly ports.store.Write[] {
-  const kept = new Set(chunks.map((chunk) => chunk.digest));
-  return old.chunks
-    .filter((ref) => !kept.has(ref.digest))
-    .map((ref) => ({ kind: "delete", key: schema.storeKeys.chunkKey(ref.digest) }));
-}
-
 function invalidConfig(issues: readonly v.BaseIssue<unknown>[]): JackdawlinkError {
   const lines = issues.map((issue) => `${v.getDotPath(issue) ?? ""}: ${issue.message}`);
   const message = `The configuration does not fit its schema: ${lines.join("; ")}`;
@@ -249,10 +222,6 @@
   return new ConfigConflictError(message, { props: { revision, author, changes } });
 }
 
-function corruptChunk(digest: string): JackdawlinkError {
-  return new schema.errors.InvalidInputError(`Chunk ${digest} does not have its digest`);
-}
-
 function oversizedChunk({ bytes }: policy.configChunks.Chunk): JackdawlinkError {
   const message = `A chunk of the configuration has ${bytes} bytes, more than the store takes`;
   return new schema.errors.InvalidInputError(message);
--- a/packages/adapters/src/head_repository.ts
+++ b/packages/adapters/src/head_repository.ts
@@ -8,46 +8,23 @@
 import * as schema from "@jackdawlink/schema";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { BackOff } from "./back_off.ts";
+import {
+  conflictError,
+  decodeHead,
+  type HeadChange,
+  type HeadRecord,
+  type HeadUpdate,
+  isTransient,
+  nextHead,
+  outcomeUnknown,
+} from "./head_change.ts";
 import * as history from "./history.ts";
 import { decodeStored } from "./stored_json.ts";
 
-type JackdawlinkError = schema.errors.JackdawlinkError;
-
-/** No answer told whether a change took effect before the time was up; history has its id if it did. */
-export const OutcomeUnknownError = schema.errors.StoreUnavailableError.subclass(
-  "OutcomeUnknownError",
-  { props: { changeId: "" } },
-);
-
-/** The head with the store's revision of it, zero before the first. */
-export interface HeadRecord {
-  readonly head: schema.head.Head;
-  readonly modRevision: number;
-}
-
-/** What a change replaces in the head; what is left out stays. */
-export type HeadEdit = Partial<Pick<schema.head.Head, "chunks" | "members" | "fences">>;
+export type { HeadChange, HeadEdit, HeadRecord, HeadUpdate } from "./head_change.ts";
+export { OutcomeUnknownError } from "./head_change.ts";
 
-/** One change of the head. */
-export interface HeadChange {
-  readonly edit: HeadEdit;
-  readonly author: string;
-  readonly summary: string;
-  /** Lines for the history record. */
-  readonly changes?: readonly string[];
-  /** Writes of the same transaction. */
-  readonly writes?: readonly ports.store.Write[];
-  readonly timeoutMs?: number;
-}
-
-/** An edit that is made again from the newest head whenever another writer was first. */
-export interface HeadUpdate {
-  /** Null where nothing is left to do. `nextRevision` is the revision that the edit would have. */
-  readonly mutate: (head: schema.head.Head, nextRevision: number) => HeadEdit | null;
-  readonly author: string;
-  readonly summary: string;
-  readonly timeoutMs?: number;
-}
+type JackdawlinkError = schema.errors.JackdawlinkError;
 
 /** What a {@link HeadRepository} is made of. */
 export interface HeadRepositoryOptions {
@@ -223,41 +200,3 @@
     return new Promise((resolve) => this.#clock.after(delayMs, resolve));
   }
 }
-
-function decodeHead(
-  stored: ports.store.StoredValue,
-): Result<HeadRecord, JackdawlinkError> {
-  return decodeStored(stored, schema.head.headSchema)
-    .map((head) => ({ head, modRevision: stored.modRevision }));
-}
-
-function nextHead(
-  base: schema.head.Head,
-  change: HeadEdit & Pick<schema.head.Head, "changeId" | "author" | "summary" | "changedAtMs">,
-): schema.head.Head {
-  const revision = base.revision + 1;
-  return {
-    ...base,
-    ...change,
-    revision,
-    configRevision: change.chunks === undefined ? base.configRevision : revision,
-    membersRevision: change.members === undefined ? base.membersRevision : revision,
-  };
-}
-
-/** Whether the same call may succeed later. */
-function isTransient(error: JackdawlinkError): boolean {
-  return error instanceof schema.errors.StoreUnavailableError;
-}
-
-function conflictError(base: schema.head.Head): JackdawlinkError {
-  return new schema.errors.ConflictError(
-    `Another writer has moved the head on from revision ${base.revision}`,
-  );
-}
-
-function outcomeUnknown(head: schema.head.Head, cause?: unknown): JackdawlinkError {
-  const message = `It is not known whether change ${head.changeId} took effect; ` +
-    `look for it in the history at revision ${head.revision}`;
-  return new OutcomeUnknownError(message, { props: { changeId: head.changeId }, cause });
-}
--- a/packages/adapters/src/history.ts
+++ b/packages/adapters/src/history.ts
@@ -8,9 +8,9 @@
 import * as v from "valibot";
 
 /** How many revisions are kept; an older record goes with the write of a new one. */
-export const KEPT_REVISIONS = 2_000;
+export const KEPT_REVISIONS = 1_000;
 /** The most changes that a record lists. */
-export const MAX_LISTED_CHANGES = 50;
+export const MAX_LISTED_CHANGES = 20;
 
 /** What one revision changed, and who made it. */
 export const historyRecordSchema = v.object({
--- a/packages/adapters/src/platform_store.ts
+++ b/packages/adapters/src/platform_store.ts
@@ -11,17 +11,20 @@
 import { BackOff } from "./back_off.ts";
 import { CallBudget } from "./call_budget.ts";
 import * as codec from "./gateway_codec.ts";
+import {
+  overBudget,
+  refused,
+  StoreAnswerError,
+  StoreRefusedError,
+  unavailable,
+} from "./store_errors.ts";
 import { StoreWatch } from "./store_watch.ts";
 
+export { StoreAnswerError, StoreRefusedError } from "./store_errors.ts";
+
 /** The header by which a process names itself to the platform. */
 export const CLIENT_HEADER = "jackdawlink-client";
 
-/** The store answered with something that is not of its protocol. */
-export const StoreAnswerError = schema.errors.StoreUnavailableError.subclass("StoreAnswerError");
-
-/** The store refused the call for good; it had no effect. */
-export const StoreRefusedError = schema.errors.JackdawlinkError.subclass("StoreRefusedError");
-
 /** What a {@link PlatformStore} is made of. */
 export interface PlatformStoreOptions {
   readonly settings: schema.settings.StoreSettings;
@@ -241,22 +244,3 @@
   const issues = parsed.issues.map((issue) => `${v.getDotPath(issue) ?? ""}: ${issue.message}`);
   return err(new StoreAnswerError(`The store's answer to ${path} is malformed: ${issues[0]}`));
 }
-
-function unavailable(
-  path: string,
-  reason: string,
-  cause?: unknown,
-): schema.errors.JackdawlinkError {
-  const message = `The store did not answer ${path}: ${reason}`;
-  return new schema.errors.StoreUnavailableError(message, { cause });
-}
-
-function refused(path: string, reason: string): schema.errors.JackdawlinkError {
-  return new StoreRefusedError(`The store refused ${path}: ${reason}`);
-}
-
-function overBudget(kind: Kind): schema.errors.JackdawlinkError {
-  return new schema.errors.StoreBudgetError(
-    `The budget of store ${kind}s of this process is used up`,
-  );
-}
--- a/packages/policy/src/config_check_test.ts
+++ b/packages/policy/src/config_check_test.ts
@@ -63,76 +63,75 @@
     expect(checkConfig(change({}))).toEqual([]);
   });
 
-  it.each<{ title: string; changes: Tables; found: string; promise: string; severity?: string }>([
-    {
-      title: "a team of an unknown workspace",
-      changes: { teams: { north: { workspace: "lost" } } },
-      found: "teams/north workspace",
-      promise: "team-isolation",
-    },
+  it.each<{ kind: string; object: object; field: string; promise: string }>([
+    { kind: "teams", object: { workspace: "lost" }, field: "workspace", promise: "team-isolation" },
     {
-      title: "a key of an unknown team",
-      changes: { keys: { lost: { team: "lost", secretSha256: DIGEST_B } } },
-      found: "keys/lost team",
+      kind: "keys",
+      object: { team: "lost", secretSha256: DIGEST_B },
+      field: "team",
       promise: "team-isolation",
     },
     {
-      title: "a service in an unknown pool",
-      changes: {
-        services: { modules: { pool: "lost" } },
-        backendServers: { "modules-1": server(9, { service: "modules" }) },
-      },
-      found: "services/modules pool",
+      kind: "backendServers",
+      object: server(9, { service: "lost" }),
+      field: "service",
       promise: "one-pool",
     },
     {
-      title: "a backend server of an unknown service",
-      changes: { backendServers: { "lost-1": server(9, { service: "lost" }) } },
-      found: "backendServers/lost-1 service",
-      promise: "one-pool",
-    },
-    {
-      title: "a share of an unknown pool",
-      changes: { shares: { lost: { team: "east", pool: "lost", weight: 1 } } },
-      found: "shares/lost pool",
+      kind: "shares",
+      object: { team: "east", pool: "lost", weight: 1 },
+      field: "pool",
       promise: "fair-share",
     },
     {
-      title: "a share of an unknown team",
-      changes: { shares: { lost: { team: "lost", pool: "booking", weight: 1 } } },
-      found: "shares/lost team",
+      kind: "shares",
+      object: { team: "lost", pool: "booking", weight: 1 },
+      field: "team",
       promise: "fair-share",
     },
     {
-      title: "a limit of an unknown team",
-      changes: { limits: { lost: { team: "lost", maxRunningRequests: 1 } } },
-      found: "limits/lost team",
+      kind: "limits",
+      object: { team: "lost", maxRunningRequests: 1 },
+      field: "team",
       promise: "team-limit",
     },
+    { kind: "queues", object: { service: "lost" }, field: "service", promise: "on-time" },
     {
-      title: "a queue of an unknown service",
-      changes: { queues: { lost: { service: "lost" } } },
-      found: "queues/lost service",
-      promise: "on-time",
-    },
-    {
-      title: "a queue open to an unknown team",
-      changes: { queues: { open: { service: "packs", openTeam: "lost" } } },
-      found: "queues/open openTeam",
+      kind: "queues",
+      object: { service: "packs", openTeam: "lost" },
+      field: "openTeam",
       promise: "team-isolation",
     },
     {
-      title: "a budget of an unknown pool",
-      changes: { availabilityBudgets: { lost: { pool: "lost", maxUnavailable: 1 } } },
-      found: "availabilityBudgets/lost pool",
+      kind: "availabilityBudgets",
+      object: { pool: "lost", maxUnavailable: 1 },
+      field: "pool",
       promise: "availability-budget",
     },
     {
-      title: "a wave over an unknown pool",
-      changes: { maintenanceWaves: { lost: { pools: ["lost"] } } },
-      found: "maintenanceWaves/lost pools",
+      kind: "maintenanceWaves",
+      object: { pools: ["lost"] },
+      field: "pools",
       promise: "availability-budget",
     },
+  ])(
+    "finds that $kind refer by $field to an unknown object",
+    ({ kind, object, field, promise }) => {
+      const findings = checkConfig(change({ [kind]: { new: object } }));
+      expect(findings).toMatchObject([{ severity: "error", kind, name: "new", field, promise }]);
+    },
+  );
+
+  it.each<{ title: string; changes: Tables; found: string; promise: string; severity?: string }>([
+    {
+      title: "a service in an unknown pool",
+      changes: {
+        services: { modules: { pool: "lost" } },
+        backendServers: { "modules-1": server(9, { service: "modules" }) },
+      },
+      found: "services/modules pool",
+      promise: "one-pool",
+    },
     {
       title: "a name that every object inherits",
       changes: { teams: { north: { workspace: "constructor" } } },
--- a/packages/policy/src/config_chunks.ts
+++ b/packages/policy/src/config_chunks.ts
@@ -7,7 +7,7 @@
  */
 import { createHash } from "node:crypto";
 import * as schema from "@jackdawlink/schema";
-import { err, ok, type Result } from "neverthrow";
+import { err, ok, Result } from "neverthrow";
 import * as v from "valibot";
 import { stringifyCanonically } from "./canonical_json.ts";
 
@@ -16,6 +16,9 @@
   readonly text: string;
 }
 
+/** The objects of one chunk; the tables of the other kinds are empty. */
+export type ChunkTables = schema.config.Config;
+
 /** The mean size to which the buckets of a kind are held. */
 const BUCKET_TARGET_BYTES = 16_384;
 const FNV_OFFSET = 0x811c9dc5;
@@ -31,20 +34,32 @@
   return Object.entries(config).flatMap(([kind, objects]) => splitKind(kind, objects));
 }
 
-/** Puts chunk texts together and checks the result against the schema. */
+/** Parses one chunk and checks its objects against the schema. */
+export function parseChunk(text: string): Result<ChunkTables, schema.errors.JackdawlinkError> {
+  const chunk = parseChunkText(text);
+  if (chunk === null) return err(invalid("a chunk is not of its schema"));
+  const tables = v.safeParse(schema.config.configSchema, { [chunk.kind]: chunk.objects });
+  if (tables.success) return ok(tables.output);
+  const issue = tables.issues[0];
+  return err(invalid(`${v.getDotPath(issue) ?? ""}: ${issue.message}`));
+}
+
+/** Puts parsed chunks together. */
+export function mergeChunks(chunks: readonly ChunkTables[]): schema.config.Config {
+  const config = schema.config.emptyConfig();
+  for (const tables of chunks) {
+    for (const [kind, objects] of Object.entries(tables)) {
+      Object.assign(config[kind as schema.config.ObjectKind], objects);
+    }
+  }
+  return config;
+}
+
+/** Parses chunk texts and puts them together. */
 export function joinChunks(
   texts: readonly string[],
 ): Result<schema.config.Config, schema.errors.JackdawlinkError> {
-  const tables: Record<string, Record<string, unknown>> = {};
-  for (const text of texts) {
-    const chunk = parseChunk(text);
-    if (chunk === null) return err(invalid("a chunk is not of its schema"));
-    tables[chunk.kind] = { ...tables[chunk.kind], ...chunk.objects };
-  }
-  const parsed = v.safeParse(schema.config.configSchema, tables);
-  if (parsed.success) return ok(parsed.output);
-  const issue = parsed.issues[0];
-  return err(invalid(`${v.getDotPath(issue) ?? ""}: ${issue.message}`));
+  return Result.combine(texts.map(parseChunk)).map(mergeChunks);
 }
 
 /** The SHA-256 of a chunk's text, in hexadecimal digits. */
@@ -86,7 +101,7 @@
   return hash;
 }
 
-function parseChunk(text: string): v.InferOutput<typeof chunkSchema> | null {
+function parseChunkText(text: string): v.InferOutput<typeof chunkSchema> | null {
   try {
     const parsed = v.safeParse(chunkSchema, JSON.parse(text));
     return parsed.success ? parsed.output : null;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * as canonicalJson from "./canonical_json.ts";
+export * as configAssembler from "./config_assembler.ts";
 export * as configCheck from "./config_check.ts";
 export * as configChunks from "./config_chunks.ts";
 export * as configDiff from "./config_diff.ts";
