--- a/packages/adapters/src/chunk_writes.ts
+++ b/packages/adapters/src/chunk_writes.ts
@@ -15,13 +15,14 @@
 /** Groups the puts of chunks so that each group fits into one transaction. */
 export function batchChunks(
   chunks: readonly policy.configChunks.Chunk[],
+  maxChunks: number,
 ): readonly (readonly ports.store.Write[])[] {
   const batches: ports.store.Write[][] = [];
   let roomBytes = 0;
   for (const { digest, bytes, text } of chunks) {
     const last = batches.at(-1);
     const put = { kind: "put", key: schema.storeKeys.chunkKey(digest), value: text } as const;
-    if (last === undefined || bytes > roomBytes || last.length === MAX_TRANSACTION_CHUNKS) {
+    if (last === undefined || bytes > roomBytes || last.length === maxChunks) {
       batches.push([put]);
       roomBytes = MAX_TRANSACTION_CHUNK_BYTES - bytes;
     } else {
@@ -42,3 +43,14 @@
     .filter((ref) => !kept.has(ref.digest))
     .map((ref) => ({ kind: "delete", key: schema.storeKeys.chunkKey(ref.digest) }));
 }
+
+/** The listed chunks that a head doesn't name and that were last written before it. */
+export function unusedChunks(
+  listed: readonly ports.store.StoredValue[],
+  { head, modRevision }: { readonly head: schema.head.Head; readonly modRevision: number },
+): readonly ports.store.Compare[] {
+  const named = new Set(head.chunks.map((ref) => schema.storeKeys.chunkKey(ref.digest)));
+  return listed
+    .filter((stored) => !named.has(stored.key) && stored.modRevision < modRevision)
+    .map((stored) => ({ key: stored.key, modRevision: stored.modRevision }));
+}
--- a/packages/adapters/src/config_repository.ts
+++ b/packages/adapters/src/config_repository.ts
@@ -4,7 +4,7 @@
  * A publish writes the missing chunks, the history record and the head in one transaction, and deletes
  * the chunks that the new head no longer names. So the store always holds exactly the chunks of the
  * head; a reader that finds one missing has an old head and reads again. Only a change too large for
- * one transaction writes its chunks beforehand.
+ * one transaction writes its chunks beforehand, and sweeps unused ones afterwards.
  *
  * @module
  */
@@ -46,6 +46,8 @@
   readonly headRepository: HeadRepository;
   /** Holds the chunks; shared with whoever also gets chunks from peers. */
   readonly assembler?: policy.configAssembler.ConfigAssembler;
+  /** The most chunks written, and the most deleted, in one transaction. */
+  readonly maxTransactionChunks?: number;
 }
 
 /** The largest value that the service takes. */
@@ -63,10 +65,15 @@
   readonly #headRepository: HeadRepository;
   readonly #assembler: policy.configAssembler.ConfigAssembler;
 
-  constructor({ store, headRepository, assembler }: ConfigRepositoryOptions) {
+  readonly #maxTransactionChunks: number;
+
+  constructor(
+    { store, headRepository, assembler, maxTransactionChunks }: ConfigRepositoryOptions,
+  ) {
     this.#store = store;
     this.#headRepository = headRepository;
     this.#assembler = assembler ?? new policy.configAssembler.ConfigAssembler();
+    this.#maxTransactionChunks = maxTransactionChunks ?? chunkWrites.MAX_TRANSACTION_CHUNKS;
   }
 
   /** The newest head with its configuration. */
@@ -77,7 +84,7 @@
   /** The newest head with its configuration if it was moved after `held`, else null. */
   readNewer(held: HeadRecord): ResultAsync<ConfigRecord | null, JackdawlinkError> {
     return this.#headRepository.readNewer(held.modRevision)
-      .andThen((newer) => newer === null ? okAsync(null) : this.read());
+      .andThen((newer) => newer === null ? okAsync(null) : new ResultAsync(this.#read(newer)));
   }
 
   /** Publishes a configuration that has no errors, or fails with a conflict that carries the difference. */
@@ -85,9 +92,11 @@
     return new ResultAsync(this.#publish(publication));
   }
 
-  async #read(): Promise<Result<ConfigRecord, JackdawlinkError>> {
+  /** Reads the chunks of a head that was read just now, or of the newest. */
+  async #read(newest?: HeadRecord): Promise<Result<ConfigRecord, JackdawlinkError>> {
     for (let attempt = 1; attempt <= MAX_READ_ATTEMPTS; attempt += 1) {
-      const record = await this.#headRepository.read();
+      const isGiven = attempt === 1 && newest !== undefined;
+      const record = isGiven ? ok(newest) : await this.#headRepository.read();
       if (record.isErr()) return err(record.error);
       const { chunks } = record.value.head;
       const fetched = await this.#fetchChunks(this.#assembler.missing(chunks));
@@ -166,12 +175,12 @@
       summary,
       changes: policy.configDiff.diffConfigs(checked.config, config)
         .map(policy.configDiff.describeChange),
-      writes: [...writes.value, ...obsolete.slice(0, chunkWrites.MAX_TRANSACTION_CHUNKS)],
+      writes: [...writes.value, ...obsolete.slice(0, this.#maxTransactionChunks)],
       timeoutMs,
     });
-    if (moved.isOk()) {
-      await this.#deleteRest(moved.value, obsolete.slice(chunkWrites.MAX_TRANSACTION_CHUNKS));
-    }
+    const isLarge = missing.length > writes.value.length ||
+      obsolete.length > this.#maxTransactionChunks;
+    if (moved.isOk() && isLarge) await this.#sweepChunks(moved.value);
     return moved;
   }
 
@@ -179,7 +188,7 @@
   async #prepareWrites(
     missing: readonly policy.configChunks.Chunk[],
   ): Promise<Result<readonly ports.store.Write[], JackdawlinkError>> {
-    const batches = chunkWrites.batchChunks(missing);
+    const batches = chunkWrites.batchChunks(missing, this.#maxTransactionChunks);
     if (batches.length <= 1) return ok(batches[0] ?? []);
     for (const batch of batches) {
       const written = await this.#store.transact([], batch);
@@ -188,16 +197,19 @@
     return ok([]);
   }
 
-  /** Deletes chunks while the head that doesn't name them is the newest; a failure leaves them unused. */
-  async #deleteRest(
-    moved: HeadRecord,
-    obsolete: readonly ports.store.Write[],
-  ): Promise<void> {
-    const compares = [{ key: schema.storeKeys.HEAD, modRevision: moved.modRevision }];
-    for (let from = 0; from < obsolete.length; from += chunkWrites.MAX_TRANSACTION_CHUNKS) {
+  /**
+   * Deletes the chunks that the head doesn't name, as long as it is the newest. A chunk written after
+   * the head belongs to a publish that is going on, and stays.
+   */
+  async #sweepChunks(moved: HeadRecord): Promise<void> {
+    const listed = await this.#store.list(schema.storeKeys.CHUNK_PREFIX);
+    if (listed.isErr()) return;
+    const unused = chunkWrites.unusedChunks(listed.value, moved);
+    for (let from = 0; from < unused.length; from += this.#maxTransactionChunks) {
+      const group = unused.slice(from, from + this.#maxTransactionChunks);
       await this.#store.transact(
-        compares,
-        obsolete.slice(from, from + chunkWrites.MAX_TRANSACTION_CHUNKS),
+        [{ key: schema.storeKeys.HEAD, modRevision: moved.modRevision }, ...group],
+        group.map(({ key }) => ({ kind: "delete", key })),
       );
     }
   }
--- a/packages/adapters/src/platform_store.ts
+++ b/packages/adapters/src/platform_store.ts
@@ -4,20 +4,15 @@
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
-import * as schema from "@jackdawlink/schema";
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type * as schema from "@jackdawlink/schema";
+import { err, type Result, ResultAsync } from "neverthrow";
 import * as undici from "undici";
-import * as v from "valibot";
+import type * as v from "valibot";
 import { BackOff } from "./back_off.ts";
 import { CallBudget } from "./call_budget.ts";
 import * as codec from "./gateway_codec.ts";
-import {
-  overBudget,
-  refused,
-  StoreAnswerError,
-  StoreRefusedError,
-  unavailable,
-} from "./store_errors.ts";
+import { overBudget, refused, StoreRefusedError, unavailable } from "./store_errors.ts";
+import { decodeAnswer, parseJson } from "./store_answers.ts";
 import { StoreWatch } from "./store_watch.ts";
 
 export { StoreAnswerError, StoreRefusedError } from "./store_errors.ts";
@@ -34,9 +29,19 @@
   readonly clientId?: string;
   /** A random source between 0 and 1, for jitter. */
   readonly random?: () => number;
+  /** Told of each call that was sent, for metrics. */
+  readonly onCall?: (call: StoreCall) => void;
 }
 
-type Kind = "read" | "write";
+/** One call that was sent to the store. */
+export interface StoreCall {
+  readonly path: string;
+  readonly kind: "read" | "write";
+  readonly isAnswered: boolean;
+  readonly elapsedMs: number;
+}
+
+type Kind = StoreCall["kind"];
 
 interface CallOptions<TSchema> {
   readonly kind: Kind;
@@ -46,6 +51,8 @@
 
 /** A failed status with its reason; only the first characters of a body are kept. */
 const MAX_REASON_CHARACTERS = 200;
+/** The longest back-off; it also leaves each call half of its time-out for the call itself. */
+const MAX_BACK_OFF_MS = 1_000;
 const HTTP_OK = 200;
 /** Statuses of calls that are wrong in themselves; the same call would be refused again. */
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 404, 413]);
@@ -63,6 +70,7 @@
   readonly #backOff: BackOff;
   readonly #watches = new Set<StoreWatch>();
   #notBeforeMs = 0;
+  #lastFailureAtMs = 0;
 
   constructor(options: PlatformStoreOptions) {
     const { settings, clock } = options;
@@ -77,7 +85,8 @@
       read: new CallBudget(settings.readsPerSecond, () => clock.nowMs()),
       write: new CallBudget(settings.writesPerSecond, () => clock.nowMs()),
     };
-    this.#backOff = new BackOff({ random: this.#random });
+    const capMs = Math.min(MAX_BACK_OFF_MS, settings.timeoutMs / 2);
+    this.#backOff = new BackOff({ random: this.#random, capMs });
   }
 
   get(
@@ -176,9 +185,12 @@
     if (waitMs === null) return err(overBudget(kind));
     const backOffMs = this.#notBeforeMs - clock.nowMs();
     await this.#sleep(Math.min(settings.timeoutMs, Math.max(waitMs, backOffMs)));
-    const result = await this.#exchange(path, { body, timeoutMs: deadlineMs - clock.nowMs() });
-    this.#noteOutcome(path, result);
-    return result.andThen((value) => decodeAnswer(path, value, answer));
+    const sentAtMs = clock.nowMs();
+    const result = await this.#exchange(path, { body, timeoutMs: deadlineMs - sentAtMs });
+    this.#noteOutcome(path, { result, sentAtMs });
+    const elapsedMs = clock.nowMs() - sentAtMs;
+    this.#options.onCall?.({ path, kind, isAnswered: result.isOk(), elapsedMs });
+    return result.andThen((value) => decodeAnswer(path, { value, schema: answer }));
   }
 
   async #exchange(
@@ -200,21 +212,26 @@
       if (REFUSED_STATUSES.has(response.statusCode)) return err(refused(path, reason));
       return err(unavailable(path, reason));
     } catch (cause) {
-      return err(unavailable(path, (cause as Error).message, cause));
+      return err(unavailable(path, (cause as Error).message, { cause }));
     }
   }
 
+  /** Calls that were under way together count as one failure. */
   #noteOutcome(
     path: string,
-    result: Result<unknown, schema.errors.JackdawlinkError>,
+    { result, sentAtMs }: {
+      result: Result<unknown, schema.errors.JackdawlinkError>;
+      sentAtMs: number;
+    },
   ): void {
     if (result.isOk() || result.error instanceof StoreRefusedError) {
       this.#backOff.succeeded();
       return;
     }
-    const backOffMs = Math.round(this.#backOff.failed());
-    this.#notBeforeMs = this.#options.clock.nowMs() + backOffMs;
-    this.#options.log.warn("Store call failed", { path, backOffMs, reason: result.error.message });
+    this.#options.log.warn("Store call failed", { path, reason: result.error.message });
+    if (sentAtMs < this.#lastFailureAtMs) return;
+    this.#lastFailureAtMs = this.#options.clock.nowMs();
+    this.#notBeforeMs = this.#lastFailureAtMs + this.#backOff.failed();
   }
 
   #sleep(delayMs: number): Promise<void> {
@@ -222,25 +239,3 @@
     return new Promise((resolve) => this.#options.clock.after(delayMs, resolve));
   }
 }
-
-function parseJson(
-  path: string,
-  text: string,
-): Result<unknown, schema.errors.JackdawlinkError> {
-  try {
-    return ok(JSON.parse(text));
-  } catch (cause) {
-    return err(new StoreAnswerError(`The store's answer to ${path} is not JSON`, { cause }));
-  }
-}
-
-function decodeAnswer<TSchema extends v.GenericSchema>(
-  path: string,
-  value: unknown,
-  answerSchema: TSchema,
-): Result<v.InferOutput<TSchema>, schema.errors.JackdawlinkError> {
-  const parsed = v.safeParse(answerSchema, value);
-  if (parsed.success) return ok(parsed.output);
-  const issues = parsed.issues.map((issue) => `${v.getDotPath(issue) ?? ""}: ${issue.message}`);
-  return err(new StoreAnswerError(`The store's answer to ${path} is malformed: ${issues[0]}`));
-}
--- a/packages/adapters/src/store_errors.ts
+++ b/packages/adapters/src/store_errors.ts
@@ -15,7 +15,7 @@
 export function unavailable(
   path: string,
   reason: string,
-  cause?: unknown,
+  { cause }: { cause?: unknown } = {},
 ): schema.errors.JackdawlinkError {
   const message = `The store did not answer ${path}: ${reason}`;
   return new schema.errors.StoreUnavailableError(message, { cause });
--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -83,7 +83,7 @@
         ? ok(parsed.output)
         : err(unreachable(address, `malformed answer: ${parsed.issues[0].message}`));
     } catch (cause) {
-      return err(unreachable(address, (cause as Error).message, cause));
+      return err(unreachable(address, (cause as Error).message, { cause }));
     }
   }
 }
@@ -91,7 +91,7 @@
 function unreachable(
   address: string,
   reason: string,
-  cause?: unknown,
+  { cause }: { cause?: unknown } = {},
 ): schema.errors.JackdawlinkError {
   const message = `${address} gave no usable answer: ${reason}`;
   return new schema.errors.PeerUnavailableError(message, { cause });
