--- a/packages/adapters/src/config_repository.ts
+++ b/packages/adapters/src/config_repository.ts
@@ -4,15 +4,16 @@
  * A publish writes the missing chunks, the history record and the head in one transaction, and deletes
  * the chunks that the new head no longer names. So the store always holds exactly the chunks of the
  * head; a reader that finds one missing has an old head and reads again. Only a change too large for
- * one transaction writes its chunks beforehand.
+ * one transaction writes its chunks beforehand, and sweeps unused ones afterwards.
  *
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
 import * as policy from "@jackdawlink/policy";
 import * as schema from "@jackdawlink/schema";
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { err, ok, okAsync, type Result, ResultAsync } from "neverthrow";
 import * as v from "valibot";
+import * as chunkWrites from "./chunk_writes.ts";
 import type { HeadRecord, HeadRepository } from "./head_repository.ts";
 
 type JackdawlinkError = schema.errors.JackdawlinkError;
@@ -39,10 +40,16 @@
   readonly timeoutMs?: number;
 }
 
-/** The most chunk text that goes along with the head in one transaction. */
-const MAX_TRANSACTION_CHUNK_BYTES = 786_432;
-/** The most chunks written or deleted in one transaction; the service takes 128 operations. */
-const MAX_TRANSACTION_CHUNKS = 100;
+/** What a {@link ConfigRepository} is made of. */
+export interface ConfigRepositoryOptions {
+  readonly store: ports.store.Store;
+  readonly headRepository: HeadRepository;
+  /** Holds the chunks; shared with whoever also gets chunks from peers. */
+  readonly assembler?: policy.configAssembler.ConfigAssembler;
+  /** The most chunks written, and the most deleted, in one transaction. */
+  readonly maxTransactionChunks?: number;
+}
+
 /** The largest value that the service takes. */
 const MAX_CHUNK_BYTES = 1_000_000;
 /** Beyond this number of missing chunks one list is cheaper than single reads. */
@@ -56,13 +63,17 @@
 export class ConfigRepository {
   readonly #store: ports.store.Store;
   readonly #headRepository: HeadRepository;
-  #texts = new Map<string, string>();
+  readonly #assembler: policy.configAssembler.ConfigAssembler;
+
+  readonly #maxTransactionChunks: number;
 
   constructor(
-    { store, headRepository }: { store: ports.store.Store; headRepository: HeadRepository },
+    { store, headRepository, assembler, maxTransactionChunks }: ConfigRepositoryOptions,
   ) {
     this.#store = store;
     this.#headRepository = headRepository;
+    this.#assembler = assembler ?? new policy.configAssembler.ConfigAssembler();
+    this.#maxTransactionChunks = maxTransactionChunks ?? chunkWrites.MAX_TRANSACTION_CHUNKS;
   }
 
   /** The newest head with its configuration. */
@@ -70,42 +81,45 @@
     return new ResultAsync(this.#read());
   }
 
+  /** The newest head with its configuration if it was moved after `held`, else null. */
+  readNewer(held: HeadRecord): ResultAsync<ConfigRecord | null, JackdawlinkError> {
+    return this.#headRepository.readNewer(held.modRevision)
+      .andThen((newer) => newer === null ? okAsync(null) : new ResultAsync(this.#read(newer)));
+  }
+
   /** Publishes a configuration that has no errors, or fails with a conflict that carries the difference. */
   publish(publication: Publication): ResultAsync<ConfigRecord, JackdawlinkError> {
     return new ResultAsync(this.#publish(publication));
   }
 
-  async #read(): Promise<Result<ConfigRecord, JackdawlinkError>> {
+  /** Reads the chunks of a head that was read just now, or of the newest. */
+  async #read(newest?: HeadRecord): Promise<Result<ConfigRecord, JackdawlinkError>> {
     for (let attempt = 1; attempt <= MAX_READ_ATTEMPTS; attempt += 1) {
-      const record = await this.#headRepository.read();
+      const isGiven = attempt === 1 && newest !== undefined;
+      const record = isGiven ? ok(newest) : await this.#headRepository.read();
       if (record.isErr()) return err(record.error);
-      const texts = await this.#readChunks(record.value.head.chunks);
-      if (texts.isErr()) return err(texts.error);
-      if (texts.value === null) continue;
-      return policy.configChunks.joinChunks(texts.value)
-        .map((config) => ({ ...record.value, config }));
+      const { chunks } = record.value.head;
+      const fetched = await this.#fetchChunks(this.#assembler.missing(chunks));
+      if (fetched.isErr()) return err(fetched.error);
+      if (this.#assembler.missing(chunks).length > 0) continue;
+      return this.#assembler.assemble(chunks).map((config) => ({ ...record.value, config }));
     }
     return err(
       new schema.errors.StoreUnavailableError("The head moved on faster than it could be read"),
     );
   }
 
-  /** The texts of chunks; null where one is gone. */
-  async #readChunks(
-    refs: readonly schema.head.ChunkRef[],
-  ): Promise<Result<readonly string[] | null, JackdawlinkError>> {
-    const missing = refs.filter((ref) => !this.#texts.has(ref.digest));
-    const read = await this.#readMissing(missing.map((ref) => ref.digest));
+  /** Takes over the chunks that the store still has. */
+  async #fetchChunks(digests: readonly string[]): Promise<Result<void, JackdawlinkError>> {
+    const read = await this.#readMissing(digests);
     if (read.isErr()) return err(read.error);
-    const texts = new Map<string, string>();
-    for (const { digest } of refs) {
-      const text = this.#texts.get(digest) ?? read.value.get(digest);
-      if (text === undefined) return ok(null);
-      if (policy.configChunks.digestOf(text) !== digest) return err(corruptChunk(digest));
-      texts.set(digest, text);
+    for (const digest of digests) {
+      const text = read.value.get(digest);
+      if (text === undefined) continue;
+      const added = this.#assembler.add(digest, text);
+      if (added.isErr()) return err(added.error);
     }
-    this.#texts = texts;
-    return ok([...texts.values()]);
+    return ok(undefined);
   }
 
   async #readMissing(
@@ -154,48 +168,51 @@
     const missing = chunks.filter((chunk) => !stored.has(chunk.digest));
     const writes = await this.#prepareWrites(missing);
     if (writes.isErr()) return err(writes.error);
-    return await this.#headRepository.change(base, {
+    const obsolete = chunkWrites.deletions(base.head, chunks);
+    const moved = await this.#headRepository.change(base, {
       edit: { chunks: chunks.map(({ digest, bytes }) => ({ digest, bytes })) },
       author,
       summary,
       changes: policy.configDiff.diffConfigs(checked.config, config)
         .map(policy.configDiff.describeChange),
-      writes: [...writes.value, ...deletions(base.head, chunks)],
+      writes: [...writes.value, ...obsolete.slice(0, this.#maxTransactionChunks)],
       timeoutMs,
     });
+    const isLarge = missing.length > writes.value.length ||
+      obsolete.length > this.#maxTransactionChunks;
+    if (moved.isOk() && isLarge) await this.#sweepChunks(moved.value);
+    return moved;
   }
 
   /** The puts that go along with the head; what is too much for one transaction is written at once. */
   async #prepareWrites(
     missing: readonly policy.configChunks.Chunk[],
   ): Promise<Result<readonly ports.store.Write[], JackdawlinkError>> {
-    const missingBytes = missing.reduce((sum, chunk) => sum + chunk.bytes, 0);
-    const puts = missing.map((chunk): ports.store.Write => ({
-      kind: "put",
-      key: schema.storeKeys.chunkKey(chunk.digest),
-      value: chunk.text,
-    }));
-    if (missingBytes <= MAX_TRANSACTION_CHUNK_BYTES && puts.length <= MAX_TRANSACTION_CHUNKS / 2) {
-      return ok(puts);
-    }
-    for (const put of puts) {
-      const written = await this.#store.transact([], [put]);
+    const batches = chunkWrites.batchChunks(missing, this.#maxTransactionChunks);
+    if (batches.length <= 1) return ok(batches[0] ?? []);
+    for (const batch of batches) {
+      const written = await this.#store.transact([], batch);
       if (written.isErr()) return err(written.error);
     }
     return ok([]);
   }
-}
 
-/** Deletes the chunks of the old head that the new one doesn't name. */
-function deletions(
-  old: schema.head.Head,
-  chunks: readonly policy.configChunks.Chunk[],
-): readonly ports.store.Write[] {
-  const kept = new Set(chunks.map((chunk) => chunk.digest));
-  return old.chunks
-    .filter((ref) => !kept.has(ref.digest))
-    .slice(0, MAX_TRANSACTION_CHUNKS / 2)
-    .map((ref) => ({ kind: "delete", key: schema.storeKeys.chunkKey(ref.digest) }));
+  /**
+   * Deletes the chunks that the head doesn't name, as long as it is the newest. A chunk written after
+   * the head belongs to a publish that is going on, and stays.
+   */
+  async #sweepChunks(moved: HeadRecord): Promise<void> {
+    const listed = await this.#store.list(schema.storeKeys.CHUNK_PREFIX);
+    if (listed.isErr()) return;
+    const unused = chunkWrites.unusedChunks(listed.value, moved);
+    for (let from = 0; from < unused.length; from += this.#maxTransactionChunks) {
+      const group = unused.slice(from, from + this.#maxTransactionChunks);
+      await this.#store.transact(
+        [{ key: schema.storeKeys.HEAD, modRevision: moved.modRevision }, ...group],
+        group.map(({ key }) => ({ kind: "delete", key })),
+      );
+    }
+  }
 }
 
 function invalidConfig(issues: readonly v.BaseIssue<unknown>[]): JackdawlinkError {
@@ -217,10 +234,6 @@
   return new ConfigConflictError(message, { props: { revision, author, changes } });
 }
 
-function corruptChunk(digest: string): JackdawlinkError {
-  return new schema.errors.InvalidInputError(`Chunk ${digest} does not have its digest`);
-}
-
 function oversizedChunk({ bytes }: policy.configChunks.Chunk): JackdawlinkError {
   const message = `A chunk of the configuration has ${bytes} bytes, more than the store takes`;
   return new schema.errors.InvalidInputError(message);
--- a/packages/entry/src/claims/claim_manager_test.ts
+++ b/packages/entry/src/claims/claim_manager_test.ts
@@ -10,6 +10,7 @@
 const KEYS = ["019a0000-0000-7000-8000-000000000001", "019a0000-0000-7000-8000-000000000002"];
 /** The wall clock starts shortly after the time inside the keys. */
 const WALL_START_MS = 0x019a00000000 + 1_000;
+const FATES: testing.memoryStore.CallFate[] = ["answered", "lost-before", "lost-after", "late"];
 const SILENT_LOG: ports.log.Log = { debug() {}, info() {}, warn() {}, error() {} };
 
 /** Lets everything that waits for a store answer go on. */
@@ -34,8 +35,16 @@
 
 /** Several claim managers over one store; messages wait until they are delivered or dropped. */
 class Cluster {
-  readonly clock = new testing.manualClock.ManualClock(WALL_START_MS);
-  readonly store = new testing.memoryStore.MemoryStore();
+  readonly clock = new testing.testClock.TestClock({ wallStartMs: WALL_START_MS });
+  fate: testing.memoryStore.CallFate = "answered";
+  writeCount = 0;
+  readonly store = new testing.memoryStore.MemoryStore({
+    nowMs: () => this.clock.nowMs(),
+    fate: (call) => {
+      this.writeCount += call === "write" ? 1 : 0;
+      return this.fate;
+    },
+  });
   readonly managers: ClaimManager[];
   readonly #handlers = new Map<string, Map<string, Handler>>();
   readonly #visibleMembers = new Map<string, string[]>();
@@ -127,13 +136,13 @@
 
   it("refuses while the store is out, and grants the key afterwards", async () => {
     const cluster = new Cluster();
-    cluster.store.faultOf = () => "out";
+    cluster.fate = "lost-before";
     const refused = cluster.managers[0]!.claim(askOf(KEYS[0]!));
     for (let round = 0; round < 10; round += 1) {
       await cluster.deliverAll();
     }
     expect((await refused).result).toBe("unavailable");
-    cluster.store.faultOf = () => "none";
+    cluster.fate = "answered";
     const granted = cluster.managers[1]!.claim(askOf(KEYS[0]!));
     await cluster.deliverAll();
     expect((await granted).result).toBe("granted");
@@ -144,7 +153,7 @@
     const warmUp = cluster.managers[0]!.claim(askOf(KEYS[1]!));
     await cluster.deliverAll();
     await warmUp;
-    const writesBefore = cluster.store.callCounts.transact;
+    const writesBefore = cluster.writeCount;
     const asks = Array.from({ length: 100 }, (_, index) => {
       const key = `019a0000-0000-7000-8000-${String(index + 100).padStart(12, "0")}`;
       return cluster.managers[index % 3]!.claim(askOf(key));
@@ -152,7 +161,7 @@
     await cluster.deliverAll();
     const results = await Promise.all(asks);
     expect(results.every(({ result }) => result === "granted")).toBe(true);
-    expect(cluster.store.callCounts.transact - writesBefore).toBeLessThanOrEqual(2);
+    expect(cluster.writeCount - writesBefore).toBeLessThanOrEqual(2);
   });
 
   it("runs a key at most once under lost messages, lost answers and disputed owners", async () => {
@@ -175,7 +184,7 @@
       },
       {
         weight: 2,
-        arbitrary: fc.record({ kind: fc.constant("store"), a: fc.nat(2), b: fc.nat(0) }),
+        arbitrary: fc.record({ kind: fc.constant("store"), a: fc.nat(3), b: fc.nat(0) }),
       },
       {
         weight: 2,
@@ -203,8 +212,7 @@
           advance: (a) => cluster.clock.advance(a),
           view: (a, b) => cluster.setView(MEMBER_IDS[a]!, MEMBER_IDS.slice(b)),
           store: (a) => {
-            const faults: testing.memoryStore.StoreFault[] = ["none", "out", "answerLost"];
-            cluster.store.faultOf = () => faults[a]!;
+            cluster.fate = FATES[a]!;
           },
           finish: (a) => {
             const run = running.splice(a, 1)[0];
@@ -215,7 +223,7 @@
           actions[kind]!(a, b);
           await settle();
         }
-        cluster.store.faultOf = () => "none";
+        cluster.fate = "answered";
         MEMBER_IDS.forEach((memberId) => cluster.setView(memberId, MEMBER_IDS));
         await cluster.deliverAll();
         expect([...runs.values()].every((count) => count <= 1)).toBe(true);
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -7,6 +7,7 @@
 export * as canonicalJson from "./canonical_json.ts";
 export * as claimIds from "./claims/ids.ts";
 export * as claimShard from "./claims/shard.ts";
+export * as configAssembler from "./config_assembler.ts";
 export * as configCheck from "./config_check.ts";
 export * as configChunks from "./config_chunks.ts";
 export * as configDiff from "./config_diff.ts";
--- a/packages/testing/src/memory_store.ts
+++ b/packages/testing/src/memory_store.ts
@@ -1,128 +1,118 @@
 /**
- * A platform store inside the process, with faults, for tests of decisions over the store port.
+ * A store in the memory of a test, with calls that fail, effects that come late and answers that get
+ * lost.
  *
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
-import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { KeyValueTable } from "./key_value_table.ts";
 
-/** What befalls the next calls. */
-export type StoreFault = "none" | "out" | "answerLost";
+type JackdawlinkError = schema.errors.JackdawlinkError;
 
-interface Stored extends ports.store.StoredValue {
-  readonly leaseId?: string;
-}
+/** What happens to one call: `late` takes effect after the caller has been told of a failure. */
+export type CallFate = "answered" | "lost-before" | "lost-after" | "late";
 
-type Failable<TValue> = ResultAsync<TValue, schema.errors.JackdawlinkError>;
+/** What a {@link MemoryStore} is made of. */
+export interface MemoryStoreOptions {
+  readonly nowMs?: () => number;
+  /** Decides the fate of each call; all are answered without it. */
+  readonly fate?: (call: "read" | "write") => CallFate;
+  /** Runs before each call takes effect; lets other calls come in between. */
+  readonly pause?: () => Promise<void>;
+}
 
-/** Implements the store port in memory. Leases lapse only by {@link MemoryStore.lapseLease}. */
+/** Implements the port on a {@link KeyValueTable}. */
 export class MemoryStore implements ports.store.Store {
-  readonly #values = new Map<string, Stored>();
-  readonly #watchers = new Set<{ prefix: string; onChange: () => void }>();
-  readonly #leases = new Set<string>();
-  #revision = 0;
-  #leaseCount = 0;
-  /** Decides the fault of each call. */
-  faultOf: () => StoreFault = () => "none";
-  /** The calls so far, by kind. */
-  readonly callCounts = { get: 0, list: 0, transact: 0, lease: 0 };
-
-  get(key: string): Failable<ports.store.StoredValue | null> {
-    this.callCounts.get += 1;
-    return this.#answer(() => this.#values.get(key) ?? null);
+  readonly table: KeyValueTable;
+  readonly #fate: (call: "read" | "write") => CallFate;
+  readonly #pause: () => Promise<void>;
+  readonly #late: Promise<unknown>[] = [];
+
+  constructor({ nowMs, fate, pause }: MemoryStoreOptions = {}) {
+    this.table = new KeyValueTable(nowMs ?? (() => performance.now()));
+    this.#fate = fate ?? (() => "answered");
+    this.#pause = pause ?? (() => Promise.resolve());
+  }
+
+  /** Resolves once all late effects have happened. */
+  async settled(): Promise<void> {
+    await Promise.all(this.#late);
+  }
+
+  get(
+    key: string,
+    { minModRevision = 0 }: ports.store.GetOptions = {},
+  ): ResultAsync<ports.store.StoredValue | null, JackdawlinkError> {
+    return this.#call("read", () => {
+      const stored = this.table.get(key);
+      return stored === undefined || stored.modRevision < minModRevision ? null : stored;
+    });
   }
 
-  list(prefix: string): Failable<readonly ports.store.StoredValue[]> {
-    this.callCounts.list += 1;
-    return this.#answer(() =>
-      [...this.#values.values()]
-        .filter((stored) => stored.key.startsWith(prefix))
-        .sort((left, right) => (left.key < right.key ? -1 : 1))
-    );
+  list(prefix: string): ResultAsync<readonly ports.store.StoredValue[], JackdawlinkError> {
+    return this.#call("read", () => this.table.range({ key: prefix, end: `${prefix}\uffff` }));
   }
 
   transact(
     compares: readonly ports.store.Compare[],
     writes: readonly ports.store.Write[],
-  ): Failable<ports.store.TransactionOutcome> {
-    this.callCounts.transact += 1;
-    return this.#answer(() => this.#transact(compares, writes));
-  }
-
-  grantLease(): Failable<string> {
-    this.callCounts.lease += 1;
-    return this.#answer(() => {
-      this.#leaseCount += 1;
-      const leaseId = `lease-${this.#leaseCount}`;
-      this.#leases.add(leaseId);
-      return leaseId;
+  ): ResultAsync<ports.store.TransactionOutcome, JackdawlinkError> {
+    return this.#call("write", () => {
+      const succeeded = compares.every(({ key, modRevision }) =>
+        (this.table.get(key)?.modRevision ?? 0) === modRevision
+      );
+      if (succeeded) this.table.commit(() => writes.forEach((write) => this.#write(write)));
+      return { succeeded, storeRevision: this.table.revision };
     });
   }
 
-  keepLeaseAlive(leaseId: string): Failable<boolean> {
-    this.callCounts.lease += 1;
-    return this.#answer(() => this.#leases.has(leaseId));
+  grantLease(ttlSeconds: number): ResultAsync<string, JackdawlinkError> {
+    return this.#call("write", () => this.table.grantLease(ttlSeconds));
   }
 
-  revokeLease(leaseId: string): Failable<void> {
-    this.callCounts.lease += 1;
-    return this.#answer(() => this.lapseLease(leaseId));
+  keepLeaseAlive(leaseId: string): ResultAsync<boolean, JackdawlinkError> {
+    return this.#call("write", () => {
+      this.table.expireLeases();
+      return this.table.keepAlive(leaseId) > 0;
+    });
   }
 
-  watch(prefix: string, onChange: () => void): () => void {
-    const watcher = { prefix, onChange };
-    this.#watchers.add(watcher);
-    return () => this.#watchers.delete(watcher);
+  revokeLease(leaseId: string): ResultAsync<void, JackdawlinkError> {
+    return this.#call("write", () => void this.table.revokeLease(leaseId));
   }
 
-  /** Ends a lease, and with it the values put under it. */
-  lapseLease(leaseId: string): void {
-    this.#leases.delete(leaseId);
-    for (const stored of [...this.#values.values()]) {
-      if (stored.leaseId === leaseId) {
-        this.#write({ kind: "delete", key: stored.key });
-      }
-    }
+  watch(prefix: string, onChange: () => void): () => void {
+    return this.table.onEvents((events) => {
+      if (events.some((event) => event.keyValue.key.startsWith(prefix))) onChange();
+    });
   }
 
-  #transact(
-    compares: readonly ports.store.Compare[],
-    writes: readonly ports.store.Write[],
-  ): ports.store.TransactionOutcome {
-    const succeeded = compares.every(({ key, modRevision }) =>
-      (this.#values.get(key)?.modRevision ?? 0) === modRevision
-    );
-    if (succeeded && writes.length > 0) {
-      this.#revision += 1;
-      writes.forEach((write) => this.#write(write));
-    }
-    return { succeeded, storeRevision: this.#revision };
+  #write(write: ports.store.Write): void {
+    if (write.kind === "delete") this.table.deleteRange({ key: write.key, end: "" });
+    else this.table.put(write.key, write.value, { leaseId: write.leaseId ?? "0" });
   }
 
-  #write(write: ports.store.Write): void {
-    if (write.kind === "put") {
-      const { key, value, leaseId } = write;
-      this.#values.set(key, { key, value, leaseId, modRevision: this.#revision });
-    } else {
-      this.#values.delete(write.key);
-    }
-    for (const { prefix, onChange } of this.#watchers) {
-      if (write.key.startsWith(prefix)) {
-        queueMicrotask(onChange);
-      }
-    }
+  #call<TAnswer>(
+    call: "read" | "write",
+    effect: () => TAnswer,
+  ): ResultAsync<TAnswer, JackdawlinkError> {
+    return new ResultAsync(this.#suffer(this.#fate(call), effect));
   }
 
-  #answer<TValue>(effect: () => TValue): Failable<TValue> {
-    const fault = this.faultOf();
-    if (fault === "out") {
-      return errAsync(new schema.errors.StoreUnavailableError("The store is out"));
-    }
-    const value = effect();
-    if (fault === "answerLost") {
-      return errAsync(new schema.errors.StoreUnavailableError("The store's answer was lost"));
+  async #suffer<TAnswer>(
+    fate: CallFate,
+    effect: () => TAnswer,
+  ): Promise<Result<TAnswer, JackdawlinkError>> {
+    await this.#pause();
+    const lost = new schema.errors.StoreUnavailableError("The answer was lost");
+    if (fate === "lost-before") return err(lost);
+    if (fate === "late") {
+      this.#late.push(this.#pause().then(this.#pause).then(effect));
+      return err(lost);
     }
-    return okAsync(value);
+    const answer = effect();
+    return fate === "answered" ? ok(answer) : err(lost);
   }
 }
