Add the command for experiments, with CSV, SVG and a summary

Purpose: figures have to stand beside their baselines and targets, with the seed that gave them. An experiment yields figures and plots for one seed; the command runs it for each seed, writes one CSV file and the plots, and prints one table. A target counts as met only where the worst seed meets it, so that a median can't hide a miss.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,11 @@
 /**
- * Placeholder.
+ * `npm run bench -- <experiment>`: runs experiments and compares their figures with targets.
  *
  * @module
  */
-export {};
+import { Builtins, Cli } from "clipanion";
+import { BenchCommand } from "./bench_command.ts";
+
+const cli = new Cli({ binaryName: "bench", binaryLabel: "jackdawlink-bench" });
+for (const command of [Builtins.HelpCommand, BenchCommand]) cli.register(command);
+process.exit(await cli.run(process.argv.slice(2)));
--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -3,4 +3,8 @@
  *
  * @module
  */
-export {};
+export * as experiment from "./experiment.ts";
+export * as experiments from "./experiments.ts";
+export * as reportFiles from "./report/report_files.ts";
+export * as summary from "./report/summary.ts";
+export * as svgPlot from "./report/svg_plot.ts";
--- /dev/null
+++ b/packages/bench/src/report/summary.ts
@@ -0,0 +1,124 @@
+/**
+ * Sums up the figures of several seeds and compares them with their targets.
+ *
+ * @module
+ */
+import type * as experiment from "../experiment.ts";
+import type * as csv from "./csv.ts";
+
+/** The figures of one seed. */
+export interface SeedFigures {
+  readonly seed: number;
+  readonly figures: readonly experiment.Figure[];
+}
+
+/** One figure over all seeds. A target counts as met only where the worst seed meets it. */
+export interface FigureSummary {
+  readonly name: string;
+  readonly unit: string;
+  readonly median: number;
+  readonly least: number;
+  readonly most: number;
+  readonly baseline: experiment.Baseline | null;
+  readonly target: experiment.Target | null;
+  readonly isMet: boolean | null;
+}
+
+/** The columns of {@link figureRows}. */
+export const FIGURE_COLUMNS = [
+  "seed",
+  "figure",
+  "unit",
+  "value",
+  "baseline",
+  "baseline value",
+  "target",
+];
+
+const TARGET_SIGNS = { atMost: "<=", atLeast: ">=" } as const;
+const SIGNIFICANT_DIGITS = 4;
+
+/** One row for each figure of each seed. */
+export function figureRows(seeds: readonly SeedFigures[]): csv.CsvRow[] {
+  return seeds.flatMap(({ seed, figures }) =>
+    figures.map(({ name, unit, value, baseline, target }) => [
+      seed,
+      name,
+      unit,
+      value,
+      baseline?.name ?? "",
+      baseline?.value ?? "",
+      target === undefined ? "" : writeTarget(target),
+    ])
+  );
+}
+
+/** One summary for each name of a figure, in the order of their first mention. */
+export function summarize(seeds: readonly SeedFigures[]): FigureSummary[] {
+  const byName = new Map<string, experiment.Figure[]>();
+  for (const figure of seeds.flatMap(({ figures }) => figures)) {
+    byName.set(figure.name, [...(byName.get(figure.name) ?? []), figure]);
+  }
+  return [...byName.values()].map(summarizeFigure);
+}
+
+function summarizeFigure(figures: readonly experiment.Figure[]): FigureSummary {
+  const { name, unit, baseline, target = null } = figures[0]!;
+  const values = figures.map(({ value }) => value);
+  const baselines = figures.flatMap((figure) => figure.baseline?.value ?? []);
+  return {
+    name,
+    unit,
+    median: medianOf(values),
+    least: Math.min(...values),
+    most: Math.max(...values),
+    baseline: baseline === undefined ? null : { name: baseline.name, value: medianOf(baselines) },
+    target,
+    isMet: target === null ? null : values.every((value) => keepsTarget(value, target)),
+  };
+}
+
+/** Whether a value keeps a target; what could not be measured does not. */
+export function keepsTarget(value: number, target: experiment.Target): boolean {
+  return target.kind === "atMost" ? value <= target.value : value >= target.value;
+}
+
+/** A table for the terminal and for Markdown. */
+export function writeTable(summaries: readonly FigureSummary[]): string {
+  const header = ["figure", "median", "range over seeds", "baseline (median)", "target", ""];
+  const rows = summaries.map(tableRow);
+  const widths = header.map((_, column) =>
+    Math.max(...[header, ...rows].map((row) => row[column]!.length))
+  );
+  const writeRow = (row: readonly string[]) =>
+    `| ${row.map((cell, column) => cell.padEnd(widths[column]!)).join(" | ")} |`;
+  const rule = `| ${widths.map((width) => "-".repeat(width)).join(" | ")} |`;
+  return [writeRow(header), rule, ...rows.map(writeRow)].join("\n");
+}
+
+function tableRow(summary: FigureSummary): string[] {
+  const { name, unit, baseline, target, isMet } = summary;
+  return [
+    name,
+    `${round(summary.median)} ${unit}`.trim(),
+    `${round(summary.least)} to ${round(summary.most)}`,
+    baseline === null ? "" : `${round(baseline.value)} (${baseline.name})`,
+    target === null ? "" : writeTarget(target),
+    isMet === null ? "" : isMet ? "met" : "missed",
+  ];
+}
+
+function writeTarget({ kind, value }: experiment.Target): string {
+  return `${TARGET_SIGNS[kind]} ${value}`;
+}
+
+function round(value: number): string {
+  return String(Number(value.toPrecision(SIGNIFICANT_DIGITS)));
+}
+
+function medianOf(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = Math.floor(sorted.length / 2);
+  if (sorted.length % 2 === 1) return sorted[middle]!;
+  return (sorted[middle - 1]! + sorted[middle]!) / 2;
+}
