Add seeded open-loop load and the share experiment

Purpose: nearness to share with callers that are uneven over the entries, beside an even fixed split. The load runs in a process of its own, so that reading the entries' log lines doesn't delay it; latencies count from the intended time of sending. The fixed split is a model in simulated time, driven by the same seeded arrivals and run times, and served by the same weighted fair queueing of the policy package.

--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -5,7 +5,7 @@
  */
 import * as os from "node:os";
 import { Command, Option } from "clipanion";
-import { EXPERIMENTS } from "./experiments.ts";
+import { EXPERIMENTS } from "./experiment_table.ts";
 import type * as experiment from "./experiment.ts";
 import * as reportFiles from "./report/report_files.ts";
 import * as summary from "./report/summary.ts";
--- a/packages/bench/src/experiments.ts
+++ /dev/null
@@ -1,9 +0,0 @@
-/**
- * The lookup table of all experiments.
- *
- * @module
- */
-import type * as experiment from "./experiment.ts";
-
-/** Experiments by name. */
-export const EXPERIMENTS: experiment.ExperimentTable = {};
--- /dev/null
+++ b/packages/bench/src/experiments/share.ts
@@ -0,0 +1,183 @@
+/**
+ * Nearness to share with uneven callers, against an even fixed split of the slots over the entries.
+ *
+ * @module
+ */
+import * as testing from "@jackdawlink/testing";
+import * as fixedSplit from "../baselines/fixed_split.ts";
+import type * as experiment from "../experiment.ts";
+import * as experimentSystem from "../experiment_system.ts";
+import * as arrivals from "../load/arrivals.ts";
+import * as loadProcess from "../load/load_process.ts";
+import type * as loadSpec from "../load/load_spec.ts";
+import * as shareWindows from "../share_windows.ts";
+import * as shareCases from "./share_cases.ts";
+
+const MAX_DISTANCE: experiment.Target = { kind: "atMost", value: 3 };
+const MAX_WAIT_MS = 3_000;
+const BACKEND_SERVERS_PER_SERVICE = 2;
+const PERCENT = 100;
+const SEED_STEP = 1_000;
+
+type System = testing.testSystem.TestSystem;
+
+/** A team's stream with the entries that it comes to. */
+interface TeamStream {
+  readonly team: string;
+  readonly entries: readonly number[];
+  readonly stream: loadSpec.Stream;
+}
+
+export const shareExperiment: experiment.Experiment = {
+  description: "Distance of full teams from their weighted shares, with uneven callers",
+  runSeed: ({ seed, progress }) =>
+    experimentSystem.withSystem({ seed }, async (system) => {
+      await publish(system);
+      progress("loading three services at once");
+      const streams = new Map(
+        shareCases.SHARE_CASES.map((shareCase) => [
+          shareCase.service,
+          streamsOf(shareCase, { system, seed }),
+        ]),
+      );
+      const load = await loadProcess.runLoad(system, {
+        streams: [...streams.values()].flat().map(({ stream }) => stream),
+      });
+      const reports = await Promise.all(shareCases.SHARE_CASES.map(async (shareCase) => {
+        const { service } = shareCase;
+        const sinceWallMs = load.startedAtWallMs;
+        const runs = await experimentSystem.slotRuns(system, { service, sinceWallMs });
+        return reportOf(shareCase, { runs, baselineRuns: simulate(streams.get(service)!) });
+      }));
+      return {
+        figures: reports.flatMap(({ figures }) => figures),
+        plots: reports.map(({ plot }) => plot),
+      };
+    }),
+};
+
+async function publish(system: System): Promise<void> {
+  const config = testing.exampleConfig.exampleConfig({
+    availabilityZones: experimentSystem.AVAILABILITY_ZONES,
+    services: shareCases.SHARE_CASES.map(({ service }) => service),
+    backendServersPerService: BACKEND_SERVERS_PER_SERVICE,
+    teams: Object.fromEntries(
+      shareCases.SHARE_CASES.flatMap(({ teams }) =>
+        teams.map(({ team, weight }) => [team, { weight }])
+      ),
+    ),
+  });
+  const queues = Object.fromEntries(
+    Object.entries(config.queues!).map(([name, queue]) => [name, {
+      ...queue,
+      maxWaitMs: MAX_WAIT_MS,
+    }]),
+  );
+  const started = await system.startBackendServers({ ...config, queues });
+  await experimentSystem.applyEverywhere(system, started);
+}
+
+function streamsOf(
+  { service, teams }: shareCases.ShareCase,
+  { system, seed }: { system: System; seed: number },
+): TeamStream[] {
+  return teams.map(({ team, entries, phases }, index) => ({
+    team,
+    entries,
+    stream: {
+      name: team,
+      seed: seed * SEED_STEP + index,
+      urls: experimentSystem.queueUrls(entries.map((entry) => system.entries[entry]!), {
+        queue: service,
+      }),
+      headers: experimentSystem.keyHeader(team),
+      phases: [...phases],
+      meanRunMs: shareCases.MEAN_RUN_MS,
+      withIdempotencyKeys: false,
+    },
+  }));
+}
+
+/** The same arrivals and run times under the fixed split. */
+function simulate(streams: readonly TeamStream[]): fixedSplit.SlotRun[] {
+  const requests = streams.flatMap(({ team, entries, stream }) =>
+    arrivals.arrivalsOf(stream).map(({ atMs, urlIndex, runMs }) => ({
+      entry: entries[urlIndex]!,
+      team,
+      atMs,
+      runMs: runMs!,
+    }))
+  );
+  return fixedSplit.simulateFixedSplit(requests, {
+    entryCount: experimentSystem.ENTRY_COUNT,
+    slots: shareCases.SLOTS,
+    maxWaitMs: MAX_WAIT_MS,
+    weightOf: shareCases.weightOf,
+  });
+}
+
+function reportOf(
+  { service, windows }: shareCases.ShareCase,
+  runs: {
+    runs: readonly fixedSplit.SlotRun[];
+    baselineRuns: readonly fixedSplit.SlotRun[];
+  },
+) {
+  const useOf = (slotRuns: readonly fixedSplit.SlotRun[]) =>
+    windows.map((window) =>
+      shareWindows.windowUse(slotRuns, {
+        window,
+        slots: shareCases.SLOTS,
+        weightOf: shareCases.weightOf,
+      })
+    );
+  const real = useOf(runs.runs);
+  const split = useOf(runs.baselineRuns);
+  const figures: experiment.Figure[] = [
+    {
+      name: `${service}: largest distance from share`,
+      unit: "%",
+      value: shareWindows.largestDistance(real) * PERCENT,
+      baseline: {
+        name: "even fixed split, model",
+        value: shareWindows.largestDistance(split) * PERCENT,
+      },
+      target: MAX_DISTANCE,
+    },
+    {
+      name: `${service}: slot time used, least window`,
+      unit: "%",
+      value: leastUsed(real),
+      baseline: { name: "even fixed split, model", value: leastUsed(split) },
+    },
+  ];
+  return { figures, plot: plotOf(service, { windows, real, split }) };
+}
+
+function leastUsed(uses: readonly shareWindows.WindowUse[]): number {
+  return Math.min(...uses.map(({ usedRatio }) => usedRatio)) * PERCENT;
+}
+
+function plotOf(
+  service: string,
+  { windows, real, split }: {
+    windows: readonly shareWindows.ShareWindow[];
+    real: readonly shareWindows.WindowUse[];
+    split: readonly shareWindows.WindowUse[];
+  },
+) {
+  const distances = (uses: readonly shareWindows.WindowUse[]) =>
+    uses.map((use, index) =>
+      [windows[index]!.startMs / 1_000, shareWindows.largestDistance([use]) * PERCENT] as const
+    );
+  return {
+    name: service,
+    title: `Largest distance of a full team from its share over 10 s (${service})`,
+    xLabel: "start of the window, s",
+    yLabel: "distance, %",
+    series: [
+      { name: "jackdawlink", points: distances(real) },
+      { name: "even fixed split", points: distances(split) },
+    ],
+  };
+}
--- /dev/null
+++ b/packages/bench/src/experiments/share_cases.ts
@@ -0,0 +1,138 @@
+/**
+ * The uneven callers of the share experiment. Each service has {@link SLOTS} slots.
+ *
+ * @module
+ */
+import { ENTRY_COUNT } from "../experiment_system.ts";
+import type * as loadSpec from "../load/load_spec.ts";
+import * as shareWindows from "../share_windows.ts";
+
+/** One team with where and how often it sends requests. */
+export interface ShareTeam {
+  readonly team: string;
+  readonly weight: number;
+  /** Indexes of the entries that its requests come to. */
+  readonly entries: readonly number[];
+  readonly phases: readonly loadSpec.Phase[];
+}
+
+/** The callers of one service, and the windows in which shares are compared. */
+export interface ShareCase {
+  readonly service: string;
+  readonly teams: readonly ShareTeam[];
+  readonly windows: readonly shareWindows.ShareWindow[];
+}
+
+export const SLOTS = 16;
+export const MEAN_RUN_MS = 100;
+
+const MS_PER_SECOND = 1_000;
+const SUM_OF_WEIGHTS = 16;
+/** Requests a second that keep one slot busy. */
+const RATE_PER_SLOT = MS_PER_SECOND / MEAN_RUN_MS;
+/** A full team asks for so many times its share. */
+const FULL_FACTOR = 2;
+const BURST_FACTOR = 5;
+const QUIET_FACTOR = 1 / 20;
+/** The mean demand of a bursty team, in shares. */
+const BURSTY_MEAN = 0.5;
+
+const ALL_ENTRIES = Array.from({ length: ENTRY_COUNT }, (_, index) => index);
+const LOAD_MS = 31_000;
+const FIRST_WINDOW_MS = 5_000;
+const WINDOW = { lengthMs: 10_000, stepMs: 1_000 };
+const SECOND_BURST_MS = 16_000;
+/** What waits at the end of a burst has gone by then. */
+const SECOND_WINDOW_MS = 20_000;
+
+/** A team that always asks for more than its share. */
+function fullTeam(
+  team: string,
+  { weight, entries = ALL_ENTRIES }: { weight: number; entries?: readonly number[] },
+): ShareTeam {
+  const ratePerSecond = rateOfShare(weight) * FULL_FACTOR;
+  return { team, weight, entries, phases: [{ startMs: 0, endMs: LOAD_MS, ratePerSecond }] };
+}
+
+/** A team that asks for five times its mean in one span, and for a twentieth before and after. */
+function burstyTeam(
+  team: string,
+  { weight, startMs, endMs }: { weight: number; startMs: number; endMs: number },
+): ShareTeam {
+  const meanRate = rateOfShare(weight) * BURSTY_MEAN;
+  const quietRate = meanRate * QUIET_FACTOR;
+  const phases = [
+    { startMs: 0, endMs: startMs, ratePerSecond: quietRate },
+    { startMs, endMs, ratePerSecond: meanRate * BURST_FACTOR },
+    { startMs: endMs, endMs: Math.max(endMs, LOAD_MS), ratePerSecond: quietRate },
+  ];
+  return { team, weight, entries: ALL_ENTRIES, phases };
+}
+
+function rateOfShare(weight: number): number {
+  return SLOTS * weight / SUM_OF_WEIGHTS * RATE_PER_SLOT;
+}
+
+const LARGE_TEAMS = ["large-1", "large-2", "large-3", "large-4"];
+const SMALL_TEAMS = ["small-1", "small-2", "small-3", "small-4"];
+const ENTRIES_OF_SMALL_TEAM = 3;
+
+/** All cases; they run at the same time, each on backend servers of its own. */
+export const SHARE_CASES: readonly ShareCase[] = [
+  {
+    service: "skewed",
+    teams: [
+      fullTeam("two-entries", { weight: 4, entries: [0, 1] }),
+      fullTeam("all-entries", { weight: 4 }),
+      fullTeam("heavy", { weight: 8 }),
+    ],
+    windows: shareWindows.slidingWindows({ startMs: FIRST_WINDOW_MS, endMs: LOAD_MS, ...WINDOW }, [
+      "two-entries",
+      "all-entries",
+      "heavy",
+    ]),
+  },
+  {
+    service: "workspaces",
+    teams: [
+      ...LARGE_TEAMS.map((team) => fullTeam(team, { weight: 3 })),
+      ...SMALL_TEAMS.map((team, index) =>
+        fullTeam(team, {
+          weight: 1,
+          entries: ALL_ENTRIES.slice(index, index + ENTRIES_OF_SMALL_TEAM),
+        })
+      ),
+    ],
+    windows: shareWindows.slidingWindows({ startMs: FIRST_WINDOW_MS, endMs: LOAD_MS, ...WINDOW }, [
+      ...LARGE_TEAMS,
+      ...SMALL_TEAMS,
+    ]),
+  },
+  {
+    service: "bursts",
+    teams: [
+      fullTeam("steady", { weight: 8 }),
+      burstyTeam("first-burst", { weight: 4, startMs: 0, endMs: SECOND_BURST_MS }),
+      burstyTeam("second-burst", { weight: 4, startMs: SECOND_BURST_MS, endMs: LOAD_MS }),
+    ],
+    windows: [
+      ...shareWindows.slidingWindows(
+        { startMs: FIRST_WINDOW_MS, endMs: SECOND_BURST_MS, ...WINDOW },
+        ["steady", "first-burst"],
+      ),
+      ...shareWindows.slidingWindows(
+        { startMs: SECOND_WINDOW_MS, endMs: LOAD_MS, ...WINDOW },
+        ["steady", "second-burst"],
+      ),
+    ],
+  },
+];
+
+const WEIGHTS = new Map(
+  SHARE_CASES.flatMap(({ teams }) => teams.map(({ team, weight }) => [team, weight] as const)),
+);
+
+/** The weight of a team in its case. */
+export function weightOf(team: string): number {
+  return WEIGHTS.get(team) ?? 1;
+}
--- /dev/null
+++ b/packages/bench/src/load/load_command.ts
@@ -0,0 +1,20 @@
+/**
+ * The hidden command that runs a load generator.
+ *
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import * as loadProcess from "./load_process.ts";
+
+/** `generate-load SPEC RESULT` */
+export class LoadCommand extends Command {
+  static override paths = [[loadProcess.GENERATE_LOAD]];
+
+  specFile = Option.String({ required: true });
+  resultFile = Option.String({ required: true });
+
+  override async execute(): Promise<number> {
+    await loadProcess.generateLoad(this);
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/load/load_process.ts
@@ -0,0 +1,45 @@
+/**
+ * Runs a load generator as a process of its own, so that what the experiment does besides (such as
+ * reading the log lines of entries) does not delay it.
+ *
+ * @module
+ */
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as schema from "@jackdawlink/schema";
+import type * as testing from "@jackdawlink/testing";
+import * as v from "valibot";
+import { LoadGenerator } from "./load_generator.ts";
+import * as loadSpec from "./load_spec.ts";
+
+/** A load generator ended without a result. */
+export const LoadError = schema.errors.JackdawlinkError.subclass("LoadError");
+
+/** The name of the hidden command that runs a load generator. */
+export const GENERATE_LOAD = "generate-load";
+const PROGRAM = "jackdawlink-bench";
+
+/** Starts a load generator beside a system and resolves with what it saw. */
+export async function runLoad(
+  system: testing.testSystem.TestSystem,
+  spec: loadSpec.LoadSpecInput,
+): Promise<loadSpec.LoadResult> {
+  const directory = fs.mkdtempSync(path.join(system.directory, "load-"));
+  const specFile = path.join(directory, "spec.json");
+  const resultFile = path.join(directory, "result.json");
+  fs.writeFileSync(specFile, JSON.stringify(spec));
+  const program = await system.processes.start(PROGRAM, {
+    args: [GENERATE_LOAD, specFile, resultFile],
+    awaitReady: false,
+  });
+  const { code } = await program.exited;
+  if (code !== 0) throw new LoadError(`The load generator failed: ${program.lines.join("\n")}`);
+  return v.parse(loadSpec.loadResultSchema, JSON.parse(fs.readFileSync(resultFile, "utf8")));
+}
+
+/** What the process does: reads the specification, runs it and writes the result. */
+export async function generateLoad(files: { specFile: string; resultFile: string }): Promise<void> {
+  const spec = JSON.parse(fs.readFileSync(files.specFile, "utf8"));
+  const result = await new LoadGenerator(v.parse(loadSpec.loadSpecSchema, spec)).run();
+  fs.writeFileSync(files.resultFile, JSON.stringify(result));
+}
--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 export * as experiment from "./experiment.ts";
-export * as experiments from "./experiments.ts";
+export * as experimentTable from "./experiment_table.ts";
 export * as reportFiles from "./report/report_files.ts";
 export * as summary from "./report/summary.ts";
 export * as svgPlot from "./report/svg_plot.ts";
