--- a/packages/bench/src/experiments/overhead.ts
+++ b/packages/bench/src/experiments/overhead.ts
@@ -10,14 +10,22 @@
 import * as loadProcess from "../load/load_process.ts";
 import type * as loadSpec from "../load/load_spec.ts";
 
-const SERVICE = "booking";
 const TEAM = "renewals";
-const BACKEND_SERVERS = 2;
 const SLOTS = 8;
-const RUN_MS = 20;
 const MS_PER_SECOND = 1_000;
-/** Half of what the slots can run. */
-const HALF_LOAD_PER_SECOND = BACKEND_SERVERS * SLOTS * MS_PER_SECOND / RUN_MS / 2;
+
+/** A service with its backend servers, loaded by half of what their slots can run. */
+interface ServiceSize {
+  readonly service: string;
+  readonly backendServers: number;
+  readonly runMs: number;
+}
+
+/** The first is as large as those of the first users; the second has few slots for nine entries. */
+const SIZES: readonly ServiceSize[] = [
+  { service: "booking", backendServers: 8, runMs: 40 },
+  { service: "packs", backendServers: 2, runMs: 20 },
+];
 const MAX_OVERHEAD_P99_MS: experiment.Target = { kind: "atMost", value: 3 };
 
 /** Direct requests and requests by entries take turns, so that noise of the machine hits both. */
@@ -34,47 +42,77 @@
   runSeed: ({ seed, progress }) =>
     experimentSystem.withSystem({ seed }, async (system) => {
       await publish(system);
-      progress("half load, direct and by entries in turn");
-      const half = await loadProcess.runLoad(system, { streams: turnsOf(system, seed) });
+      const reports: experiment.SeedReport[] = [];
+      for (const size of SIZES) {
+        progress(`half load on ${slotsOf(size)} slots, direct and by entries in turn`);
+        const load = await loadProcess.runLoad(system, {
+          streams: turnsOf(size, { system, seed }),
+        });
+        reports.push(latencyReport(size, load));
+      }
       progress("one entry in a closed loop, then a direct connection");
       const highest = await loadProcess.runLoad(system, { loops: loopsOf(system) });
-      return reportOf(half, highest);
+      return {
+        figures: [...reports.flatMap(({ figures }) => figures), highestRate(highest)],
+        plots: reports.flatMap(({ plots = [] }) => plots),
+      };
     }),
 };
 
 async function publish(system: System): Promise<void> {
   const config = testing.exampleConfig.exampleConfig({
     availabilityZones: experimentSystem.AVAILABILITY_ZONES,
-    services: [SERVICE],
-    backendServersPerService: BACKEND_SERVERS,
-    teams: { [TEAM]: { weight: 1, maxRunningRequests: BACKEND_SERVERS * SLOTS } },
+    services: SIZES.map(({ service }) => service),
+    backendServersPerService: Math.max(...SIZES.map(({ backendServers }) => backendServers)),
+    teams: { [TEAM]: { weight: 1, maxRunningRequests: Math.max(...SIZES.map(slotsOf)) } },
   });
-  const started = await system.startBackendServers(config);
+  const backendServers = Object.fromEntries(
+    SIZES.flatMap(({ service, backendServers: count }) =>
+      Object.entries(config.backendServers!)
+        .filter(([, server]) => server.service === service)
+        .slice(0, count)
+    ),
+  );
+  const started = await system.startBackendServers({ ...config, backendServers });
   await experimentSystem.applyEverywhere(system, started);
 }
 
-function directUrls(system: System): string[] {
-  return [...system.backendServers.values()].map(({ address }) => `http://${address}/work`);
+function slotsOf({ backendServers }: ServiceSize): number {
+  return backendServers * SLOTS;
+}
+
+function halfLoadPerSecond(size: ServiceSize): number {
+  return slotsOf(size) * MS_PER_SECOND / size.runMs / 2;
 }
 
-function turnsOf(system: System, seed: number): loadSpec.StreamInput[] {
+function directUrls(system: System, service: string): string[] {
+  return [...system.backendServers.values()]
+    .filter(({ name }) => name.startsWith(`${service}-`))
+    .map(({ address }) => `http://${address}/work`);
+}
+
+function turnsOf(
+  size: ServiceSize,
+  { system, seed }: { system: System; seed: number },
+): loadSpec.StreamInput[] {
+  const ratePerSecond = halfLoadPerSecond(size);
   const ways = [
-    { name: "direct", urls: directUrls(system), headers: {} },
+    { name: "direct", urls: directUrls(system, size.service), headers: {} },
     {
       name: "entries",
-      urls: experimentSystem.queueUrls(system.entries, { queue: SERVICE }),
+      urls: experimentSystem.queueUrls(system.entries, { queue: size.service }),
       headers: experimentSystem.keyHeader(TEAM),
     },
   ];
   return ways.map((way, index) => ({
     ...way,
-    urls: way.urls.map((url) => `${url}?runMs=${RUN_MS}`),
+    urls: way.urls.map((url) => `${url}?runMs=${size.runMs}`),
     seed,
     phases: [
-      { startMs: 0, endMs: WARM_UP_MS, ratePerSecond: HALF_LOAD_PER_SECOND / ways.length },
+      { startMs: 0, endMs: WARM_UP_MS, ratePerSecond: ratePerSecond / ways.length },
       ...Array.from({ length: TURNS }, (_, turn) => {
         const startMs = WARM_UP_MS + (turn * ways.length + index) * TURN_MS;
-        return { startMs, endMs: startMs + TURN_MS, ratePerSecond: HALF_LOAD_PER_SECOND };
+        return { startMs, endMs: startMs + TURN_MS, ratePerSecond };
       }),
     ],
   }));
@@ -82,10 +120,11 @@
 
 /** Requests without work, one entry first, then the backend servers without it. */
 function loopsOf(system: System): loadSpec.Loop[] {
-  const entryUrls = experimentSystem.queueUrls(system.entries.slice(0, 1), { queue: SERVICE });
+  const { service } = SIZES[0]!;
+  const entryUrls = experimentSystem.queueUrls(system.entries.slice(0, 1), { queue: service });
   const loops = [
     { name: "entries", urls: entryUrls, headers: experimentSystem.keyHeader(TEAM) },
-    { name: "direct", urls: directUrls(system), headers: {} },
+    { name: "direct", urls: directUrls(system, service), headers: {} },
   ];
   return loops.map((loop, index) => ({
     ...loop,
@@ -96,31 +135,33 @@
   }));
 }
 
-function reportOf(half: loadSpec.LoadResult, highest: loadSpec.LoadResult): experiment.SeedReport {
-  const direct = latenciesOf(half, "direct");
-  const entries = latenciesOf(half, "entries");
+function latencyReport(size: ServiceSize, load: loadSpec.LoadResult): experiment.SeedReport {
+  const direct = latenciesOf(load, "direct");
+  const entries = latenciesOf(load, "entries");
+  const label = `${slotsOf(size)} slots`;
   const addedMs = (percentile: number) =>
     entries.percentileMs(percentile) - direct.percentileMs(percentile);
   const refused =
-    half.requests.filter(({ name, outcome }) => name === "entries" && outcome !== "answered")
+    load.requests.filter(({ name, outcome }) => name === "entries" && outcome !== "answered")
       .length;
   return {
     figures: [
-      { name: "added latency p50", unit: "ms", value: addedMs(50) },
-      { name: "added latency p99", unit: "ms", value: addedMs(99), target: MAX_OVERHEAD_P99_MS },
-      baselineFigure("latency p50", { percentile: 50, entries, direct }),
-      baselineFigure("latency p99", { percentile: 99, entries, direct }),
-      { name: "not answered at half load", unit: "requests", value: refused },
+      { name: `${label}: added latency p50`, unit: "ms", value: addedMs(50) },
       {
-        name: "requests per second of one entry",
-        unit: "/s",
-        value: ratePerSecond(highest, "entries"),
-        baseline: { name: "direct", value: ratePerSecond(highest, "direct") },
+        name: `${label}: added latency p99`,
+        unit: "ms",
+        value: addedMs(99),
+        target: MAX_OVERHEAD_P99_MS,
       },
+      baselineFigure(`${label}: latency p50`, { percentile: 50, entries, direct }),
+      baselineFigure(`${label}: latency p99`, { percentile: 99, entries, direct }),
+      { name: `${label}: not answered`, unit: "requests", value: refused },
     ],
     plots: [{
-      name: "latency",
-      title: `Latency at half load (${HALF_LOAD_PER_SECOND}/s, runs of ${RUN_MS} ms)`,
+      name: size.service,
+      title: `Latency at ${
+        halfLoadPerSecond(size)
+      }/s, half load of ${label}, runs ${size.runMs} ms`,
       xLabel: "percentile",
       yLabel: "latency, ms",
       series: [
@@ -131,6 +172,15 @@
   };
 }
 
+function highestRate(load: loadSpec.LoadResult): experiment.Figure {
+  return {
+    name: "requests per second of one entry",
+    unit: "/s",
+    value: ratePerSecond(load, "entries"),
+    baseline: { name: "direct", value: ratePerSecond(load, "direct") },
+  };
+}
+
 function baselineFigure(
   name: string,
   { percentile, entries, direct }: { percentile: number; entries: Latencies; direct: Latencies },
