--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -8,6 +8,7 @@
 export * as backendServerClient from "./backend_server_client.ts";
 export * as backendServerFaults from "./backend_server_faults.ts";
 export * as backendServerRecord from "./backend_server_record.ts";
+export * as balancer from "./balancer.ts";
 export * as caller from "./caller.ts";
 export * as exampleConfig from "./example_config.ts";
 export * as faultProxy from "./fault_proxy.ts";
--- a/packages/testing/src/traffic.ts
+++ b/packages/testing/src/traffic.ts
@@ -23,10 +23,12 @@
   readonly unrepeatablePercent?: number;
   /** How long callers wait. */
   readonly deadlineMs?: number;
+  /** Whether requests are sent to an entry at the moment; always without it. */
+  readonly isReady?: (entryUrl: string) => boolean;
 }
 
-/** A refused loop waits this long, so that refusals don't become a flood. */
-const PAUSE_AFTER_REFUSAL_MS = 20;
+/** A loop that was refused waits this long, so that refusals don't become a flood. */
+const PAUSE_MS = 20;
 const DEFAULT_DEADLINE_MS = 5_000;
 const PERCENT = 100;
 
@@ -76,11 +78,16 @@
   }
 
   async #run(from: { entryUrl: string; team: string; key: string }): Promise<void> {
+    const { isReady = () => true } = this.#options;
     while (!this.#isStopped) {
+      if (!isReady(from.entryUrl)) {
+        await pause();
+        continue;
+      }
       const told = await this.#sendOne(from);
       this.told.push(told);
       if (told.answer.outcome !== "answered") {
-        await new Promise((resolve) => setTimeout(resolve, PAUSE_AFTER_REFUSAL_MS));
+        await pause();
       }
     }
   }
@@ -110,3 +117,7 @@
     return { marker, team, entryUrl, isRepeatable, sentAtMs, answeredAtMs: Date.now(), answer };
   }
 }
+
+function pause(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+}
