--- /dev/null
+++ b/packages/adapters/src/peer_links_test.ts
@@ -0,0 +1,193 @@
+import * as schema from "@jackdawlink/schema";
+import * as selfsigned from "selfsigned";
+import { afterEach, beforeAll, describe, expect, it, vi } from "vitest";
+import { WebSocket } from "ws";
+import { SystemClock } from "./clock.ts";
+import { SILENT_LOG } from "./log.ts";
+import * as codec from "./peer_codec.ts";
+import { PeerLinkMesh } from "./peer_links.ts";
+import { MAX_BUFFERED_BYTES } from "./peer_link.ts";
+import type { PeerTlsMaterial } from "./peer_tls.ts";
+
+const PATIENCE = { timeout: 10_000, interval: 10 };
+const ANY_PORT = "127.0.0.1:0";
+
+const HEARTBEAT: schema.peer.Heartbeat = {
+  type: "heartbeat",
+  incarnation: "one",
+  revision: 1,
+  sentAtMs: 1,
+  echoSentAtMs: null,
+  echoIncarnation: "",
+  storeReadAgeMs: null,
+  unheardMemberIds: [],
+  draining: false,
+};
+
+const HELLO = { type: "hello", memberId: "left", incarnation: "one", protocolVersion: 1 };
+
+interface Node {
+  readonly mesh: PeerLinkMesh;
+  readonly address: string;
+  readonly received: string[];
+  readonly events: string[];
+}
+
+const nodes: Node[] = [];
+
+async function startNode(
+  memberId: string,
+  options: { tls?: PeerTlsMaterial; listenOn?: string; refusedTypes?: string[] } = {},
+): Promise<Node> {
+  const received: string[] = [];
+  const events: string[] = [];
+  const mesh = new PeerLinkMesh({
+    memberId,
+    tls: options.tls ?? null,
+    clock: new SystemClock(),
+    log: SILENT_LOG,
+    mayTake: (_sender, type) => !(options.refusedTypes ?? []).includes(type),
+    onEvent: (event) => events.push(event),
+  });
+  mesh.on("heartbeat", (_heartbeat, sender) => received.push(sender.memberId));
+  const address = (await mesh.listen(options.listenOn ?? ANY_PORT))._unsafeUnwrap();
+  mesh.introduce({ incarnation: `${memberId}-1`, peerAddress: address });
+  const node = { mesh, address, received, events };
+  nodes.push(node);
+  return node;
+}
+
+/** Sends heartbeats until one arrives. */
+async function expectArrival(from: Node, to: { node: Node; memberId: string }): Promise<void> {
+  await vi.waitFor(() => {
+    from.mesh.send(to.memberId, HEARTBEAT);
+    expect(to.node.received.length).toBeGreaterThan(0);
+  }, PATIENCE);
+}
+
+afterEach(() => nodes.splice(0).forEach(({ mesh }) => mesh.close()));
+
+describe("PeerLinkMesh", () => {
+  it("dials listed members, and dials a stranger back while its link is open", async () => {
+    const left = await startNode("left");
+    const right = await startNode("right");
+    left.mesh.setPeers([], [right.address]);
+    await expectArrival(right, { node: left, memberId: "left" });
+    await expectArrival(left, { node: right, memberId: "right" });
+    left.mesh.close();
+    await vi.waitFor(() => expect(right.mesh.linkedMemberIds()).toEqual([]), PATIENCE);
+  });
+
+  it("dials again after the peer has come back", async () => {
+    const left = await startNode("left");
+    const right = await startNode("right");
+    left.mesh.setPeers([{ memberId: "right", address: right.address }], []);
+    await expectArrival(left, { node: right, memberId: "right" });
+    right.mesh.close();
+    await vi.waitFor(() => expect(left.mesh.linkedMemberIds()).toEqual([]), PATIENCE);
+    const returned = await startNode("right", { listenOn: right.address });
+    await expectArrival(left, { node: returned, memberId: "right" });
+  });
+
+  it("refuses types that the sender may not send", async () => {
+    const left = await startNode("left");
+    const right = await startNode("right", { refusedTypes: ["heartbeat"] });
+    left.mesh.setPeers([{ memberId: "right", address: right.address }], []);
+    await vi.waitFor(() => {
+      left.mesh.send("right", HEARTBEAT);
+      expect(right.events).toContain("notAllowed");
+    }, PATIENCE);
+    expect(right.received).toEqual([]);
+  });
+
+  it("drops messages to a slow peer instead of keeping them", async () => {
+    const left = await startNode("left");
+    const right = await startNode("right");
+    left.mesh.setPeers([{ memberId: "right", address: right.address }], []);
+    await expectArrival(left, { node: right, memberId: "right" });
+    const echoIncarnation = "x".repeat(MAX_BUFFERED_BYTES / 4);
+    for (let count = 0; count < 100; count += 1) {
+      left.mesh.send("right", { ...HEARTBEAT, echoIncarnation });
+    }
+    expect(left.events.filter((event) => event === "dropped").length).toBeGreaterThan(50);
+  });
+
+  it.each([
+    { name: "bytes that are no msgpack", bytes: Uint8Array.of(0xc1), event: "badMessage" },
+    { name: "no schema", bytes: codec.encode({ type: "nonsense" } as never), event: "badMessage" },
+    { name: "a hello without address", bytes: codec.encode(HELLO as never), event: "badMessage" },
+    { name: "no hello first", bytes: codec.encode(HEARTBEAT), event: "badHello" },
+  ])("counts and closes on $name", async ({ bytes, event }) => {
+    const right = await startNode("right");
+    const socket = new WebSocket(`ws://${right.address}/`);
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.once("open", () => socket.send(bytes));
+    await closed;
+    expect(right.events).toEqual([event]);
+    expect(right.received).toEqual([]);
+  });
+});
+
+describe("PeerLinkMesh with TLS", () => {
+  let authority: PeerTlsMaterial;
+  let stranger: PeerTlsMaterial;
+
+  async function certificateOf(name: string, ca?: PeerTlsMaterial): Promise<PeerTlsMaterial> {
+    const made = await selfsigned.generate([{ name: "commonName", value: name }], {
+      keySize: 2048,
+      algorithm: "sha256",
+      ...(ca === undefined
+        ? { extensions: [{ name: "basicConstraints", cA: true, critical: true }] }
+        : { ca: { key: ca.key, cert: ca.cert } }),
+    });
+    return { cert: made.cert, key: made.private, ca: ca?.cert ?? made.cert };
+  }
+
+  beforeAll(async () => {
+    authority = await certificateOf("authority");
+    stranger = await certificateOf("authority");
+  });
+
+  it("links members whose certificates the authority signed", async () => {
+    const left = await startNode("left", { tls: await certificateOf("left", authority) });
+    const right = await startNode("right", { tls: await certificateOf("right", authority) });
+    left.mesh.setPeers([{ memberId: "right", address: right.address }], []);
+    await expectArrival(left, { node: right, memberId: "right" });
+    await expectArrival(right, { node: left, memberId: "left" });
+  });
+
+  it("refuses a hello that names another member than the certificate", async () => {
+    const right = await startNode("right", { tls: await certificateOf("right", authority) });
+    const left = await startNode("left", { tls: await certificateOf("other", authority) });
+    left.mesh.setPeers([{ memberId: "right", address: right.address }], []);
+    await vi.waitFor(() => expect(right.events).toContain("badHello"), PATIENCE);
+    expect(right.received).toEqual([]);
+  });
+
+  it("does not link to a member whose certificate names another", async () => {
+    const right = await startNode("right", { tls: await certificateOf("other", authority) });
+    const left = await startNode("left", { tls: await certificateOf("left", authority) });
+    left.mesh.setPeers([{ memberId: "right", address: right.address }], []);
+    await vi.waitFor(() => expect(right.events).toContain("badHello"), PATIENCE);
+    expect(left.mesh.linkedMemberIds()).toEqual([]);
+  });
+
+  it.each(["another authority", "no certificate"])("refuses a stranger with %s", async (kind) => {
+    const right = await startNode("right", { tls: await certificateOf("right", authority) });
+    const own = kind === "no certificate" ? {} : await certificateOf("left", stranger);
+    const socket = new WebSocket(`wss://${right.address}/`, {
+      ...own,
+      ca: authority.cert,
+      rejectUnauthorized: false,
+    });
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.on("error", () => undefined);
+    socket.on("open", () => {
+      socket.send(codec.encode({ ...HELLO, peerAddress: right.address } as never));
+      socket.send(codec.encode(HEARTBEAT));
+    });
+    await closed;
+    expect(right.received).toEqual([]);
+    await vi.waitFor(() => expect(right.events).toContain("badHello"), PATIENCE);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/membership/catch_up_test.ts
@@ -0,0 +1,102 @@
+import type * as ports from "@jackdawlink/ports";
+import * as policy from "@jackdawlink/policy";
+import * as schema from "@jackdawlink/schema";
+import { beforeEach, describe, expect, it } from "vitest";
+import { CatchUp } from "./catch_up.ts";
+
+type Handler = (message: never, sender: ports.peers.Sender) => void;
+
+const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
+const SENDER = { memberId: "peer", incarnation: "one" };
+const CONFIG: schema.config.Config = {
+  ...schema.config.emptyConfig(),
+  teams: { billing: { workspace: "shops" } },
+  workspaces: { shops: { displayName: "" } },
+};
+const CHUNKS = policy.configChunks.splitConfig(CONFIG);
+
+function headAt(revision: number, texts: readonly policy.configChunks.Chunk[]): schema.head.Head {
+  const chunks = texts.map(({ digest, bytes }) => ({ digest, bytes }));
+  return { ...schema.head.EMPTY_HEAD, revision, configRevision: revision, chunks };
+}
+
+describe("CatchUp", () => {
+  let handlers: Map<string, Handler>;
+  let sent: schema.peer.Message[];
+  let current: ports.members.Snapshot;
+  let nowMs: number;
+  let catchUp: CatchUp;
+
+  beforeEach(() => {
+    handlers = new Map();
+    sent = [];
+    nowMs = 0;
+    current = { head: schema.head.EMPTY_HEAD, config: schema.config.emptyConfig() };
+    catchUp = new CatchUp({
+      links: {
+        send: (_memberId, message) => void sent.push(message),
+        on: (type, handler) => void handlers.set(type, handler as Handler),
+      },
+      clock: { nowMs: () => nowMs, wallMs: () => 0, after: () => () => {} },
+      log: SILENT,
+      current: () => current,
+      adopt: (snapshot) => current = snapshot,
+    });
+  });
+
+  function receive(message: schema.peer.CatchUpRequest | schema.peer.CatchUpAnswer): void {
+    handlers.get(message.type)?.(message as never, SENDER);
+  }
+
+  const whole = CHUNKS.map(({ digest, text }) => ({ digest, text }));
+  const garbage = policy.configChunks.digestOf("garbage");
+  it.each([
+    { name: "a whole answer", revision: 3, held: 1, chunks: whole, names: CHUNKS, takes: true },
+    { name: "a lower revision", revision: 1, held: 1, chunks: whole, names: CHUNKS, takes: false },
+    {
+      name: "a chunk with another digest",
+      revision: 3,
+      held: 1,
+      chunks: whole.map(({ digest }) => ({ digest, text: "other" })),
+      names: CHUNKS,
+      takes: false,
+    },
+    {
+      name: "a chunk that is no configuration",
+      revision: 3,
+      held: 1,
+      chunks: [{ digest: garbage, text: "garbage" }],
+      names: [{ digest: garbage, bytes: 7, text: "garbage" }],
+      takes: false,
+    },
+  ])("takes over $name: $takes", ({ revision, held, chunks, names, takes }) => {
+    current = { ...current, head: headAt(held, []) };
+    receive({ type: "catchUpAnswer", head: headAt(revision, names), chunks });
+    expect(current.head.revision).toBe(takes ? revision : held);
+    expect(current.config.teams).toEqual(takes ? CONFIG.teams : {});
+  });
+
+  it("asks for the rest of an answer in parts", () => {
+    const head = headAt(3, CHUNKS);
+    catchUp.ask("peer");
+    receive({ type: "catchUpAnswer", head, chunks: whole.slice(0, 1) });
+    expect(sent.at(-1)).toMatchObject({ heldDigests: [CHUNKS[0]?.digest] });
+    receive({ type: "catchUpAnswer", head, chunks: whole.slice(1) });
+    expect(current.config).toEqual(CONFIG);
+  });
+
+  it("sends only chunks that the asker does not hold", () => {
+    current = { head: headAt(3, CHUNKS), config: CONFIG };
+    receive({ type: "catchUpRequest", revision: 2, heldDigests: [CHUNKS[0]?.digest ?? ""] });
+    expect(sent).toMatchObject([{ type: "catchUpAnswer", chunks: whole.slice(1) }]);
+  });
+
+  it("puts one question at a time, and the next after the first stays unanswered", () => {
+    catchUp.ask("peer");
+    catchUp.ask("other");
+    expect(sent.length).toBe(1);
+    nowMs = 1_000;
+    catchUp.ask("other");
+    expect(sent.length).toBe(2);
+  });
+});
--- a/packages/entry/test/membership_test.ts
+++ b/packages/entry/test/membership_test.ts
@@ -70,6 +70,16 @@
     await listed(MEMBER_IDS);
   });
 
+  it("give head and configuration to one that starts while the store is out for it", async () => {
+    const { revision } = await statusOf("entry-0");
+    await setFaults({ rules: [{ clients: ["entry-9"], outage: "refused" }] });
+    await start("entry-9", { seedPeerAddresses: [entryOf("entry-1").ready.peerAddress] });
+    const status = await until(() => statusOf("entry-9"), (seen) => seen.revision >= revision);
+    expect(status).toMatchObject({ fresh: false, incarnation: null });
+    await setFaults({});
+    await listed([...MEMBER_IDS, "entry-9"]);
+  });
+
   it("come back after all are killed and started at once", async () => {
     entries.forEach((entry) => entry.child.kill("SIGKILL"));
     await startAll();
@@ -88,10 +98,10 @@
   });
 
   async function startAll(): Promise<void> {
-    await Promise.all(MEMBER_IDS.map(start));
+    await Promise.all(MEMBER_IDS.map((memberId) => start(memberId)));
   }
 
-  async function start(memberId: string): Promise<void> {
+  async function start(memberId: string, changes: object = {}): Promise<void> {
     const entry = await programs.startEntry(memberId, {
       availabilityZone: "zone-a",
       callerAddress: "127.0.0.1:0",
@@ -100,6 +110,7 @@
       shutdownGraceMs: 500,
       store: { url: `http://${platform.ready.address}` },
       timing: TIMING,
+      ...changes,
     });
     entries.set(memberId, entry);
   }
