Prove the request path against stand-in backend servers

The record of the stand-ins decides: what they ran is compared with what callers were told, for each refusal, each claim result and each fault, with a request that may be repeated and one that may not.

Found on the way: a backend server that closes idle connections at once on SIGTERM loses requests that are just arriving on them; three of some hundreds were answered with an unknown outcome. That is true, but a planned stop must not do it. So a drain by configuration closes the entry's idle connections first, a backend server that announces its end by Connection: close gets nothing new, and the test asks for no loss in these two cases. Without notice the loss remains, is told as unknown, and nothing runs twice.

--- a/packages/entry/src/requests/backend_connections.ts
+++ b/packages/entry/src/requests/backend_connections.ts
@@ -58,6 +58,13 @@
     this.#idle.delete(backendServer);
   }
 
+  /** Closes the idle connections to backend servers that the configuration no longer names. */
+  retain(backendServers: ReadonlySet<string>): void {
+    for (const backendServer of [...this.#idle.keys()]) {
+      if (!backendServers.has(backendServer)) this.closeIdle(backendServer);
+    }
+  }
+
   /** Closes all idle connections. */
   closeAll(): void {
     for (const backendServer of [...this.#idle.keys()]) this.closeIdle(backendServer);
--- a/packages/entry/src/requests/caller_answer.ts
+++ b/packages/entry/src/requests/caller_answer.ts
@@ -40,6 +40,7 @@
   readonly #response: nodeHttp.ServerResponse;
   readonly #closeConnection: () => boolean;
   readonly #goneCallbacks: (() => void)[] = [];
+  #drainCallback: (() => void) | null = null;
   #callerGone = false;
   #started = false;
 
@@ -52,6 +53,7 @@
     this.#response = response;
     this.#closeConnection = closeConnection;
     response.once("close", () => this.#onClose());
+    response.on("drain", () => this.#onDrained());
   }
 
   /** True once the caller's connection has closed before the answer was whole. */
@@ -94,14 +96,11 @@
 
   /** Calls back once when the caller reads on, or has gone. */
   onDrain(callback: () => void): void {
-    let called = false;
-    const callOnce = () => {
-      if (called) return;
-      called = true;
+    if (this.#callerGone) {
       callback();
-    };
-    this.#response.once("drain", callOnce);
-    this.#response.once("close", callOnce);
+      return;
+    }
+    this.#drainCallback = callback;
   }
 
   /** Ends an answer whose body was written in parts. */
@@ -137,9 +136,16 @@
     this.#response.end(body);
   }
 
+  #onDrained(): void {
+    const callback = this.#drainCallback;
+    this.#drainCallback = null;
+    callback?.();
+  }
+
   #onClose(): void {
     if (this.#response.writableFinished) return;
     this.#callerGone = true;
+    this.#onDrained();
     for (const callback of this.#goneCallbacks) callback();
   }
 
--- a/packages/entry/src/requests/request_index.ts
+++ b/packages/entry/src/requests/request_index.ts
@@ -62,6 +62,11 @@
     return this.#services.get(name);
   }
 
+  /** Whether a backend server gets no new requests; one that is no longer named counts as well. */
+  isDraining(backendServer: string): boolean {
+    return this.#config.backendServers[backendServer]?.draining ?? true;
+  }
+
   /** The team of the key with this SHA-256 digest; undefined where it is unknown or withdrawn. */
   teamOfDigest(digest: Buffer): string | undefined {
     const prefix = digest.toString("hex").slice(0, DIGEST_PREFIX_DIGITS);
--- a/packages/entry/src/requests/request_path.ts
+++ b/packages/entry/src/requests/request_path.ts
@@ -225,6 +225,7 @@
   #onSnapshot(snapshot: ports.members.Snapshot): void {
     if (this.#index.isOf(snapshot.config)) return;
     this.#index = new requestIndex.RequestIndex(snapshot.config);
+    this.#connections.retain(new Set(Object.keys(snapshot.config.backendServers)));
     for (const runner of this.#runners.values()) runner.onConfigChange();
   }
 
--- a/packages/entry/src/requests/service_runner.ts
+++ b/packages/entry/src/requests/service_runner.ts
@@ -101,6 +101,9 @@
     const names = new Set((service?.backendServers ?? []).map(({ name }) => name));
     this.#outliers.retain(names);
     this.#leaving.retain(names);
+    for (const { name, draining } of service?.backendServers ?? []) {
+      if (draining) this.#context.connections.closeIdle(name);
+    }
     for (const { requestId } of this.#dispatcher.all()) {
       const job = this.#jobs.get(requestId)!;
       const refusal = this.#withdrawnReason(job);
@@ -281,7 +284,8 @@
   ): void {
     const { connections, memberCount } = this.#context;
     const intact = end.result === "whole" || end.result === "refused";
-    if (!intact || end.closing) {
+    const index = this.#context.index();
+    if (!intact || end.closing || index.isDraining(backendServer.name)) {
       connections.destroy(connection);
       return;
     }
--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -143,7 +143,7 @@
 /** The secret of the one key. */
 export const SECRET = "secret-of-billing";
 
-/** The configuration in front of some backend servers. */
+/** The configuration in front of some backend servers; `a` is in the zone of the entry. */
 export function configFor(
   backendServers: readonly testing.backendServerClient.BackendServerClient[],
   { service = {}, queue = {}, withdrawn = false, draining = [] }: {
@@ -165,7 +165,7 @@
         service: "renewals",
         address,
         vm: `vm-${name}`,
-        availabilityZone: "zone-a",
+        availabilityZone: name === "a" ? "zone-a" : "zone-b",
         draining: draining.includes(name),
       }]),
     ),
--- a/packages/testing/src/backend_server.ts
+++ b/packages/testing/src/backend_server.ts
@@ -65,9 +65,18 @@
     });
   }
 
-  /** Finishes what runs, answers with `Connection: close`, and resolves once all connections ended. */
-  stop(): Promise<void> {
+  /**
+   * Answers with `Connection: close` and serves on for the given time, then closes idle connections,
+   * finishes what runs, and resolves once all connections ended. Without that time, a request that is
+   * on its way on an idle connection is lost.
+   */
+  async stop({ lingerMs }: { lingerMs: number }): Promise<void> {
     this.#draining = true;
+    await new Promise((resolve) => setTimeout(resolve, lingerMs));
+    await this.#close();
+  }
+
+  #close(): Promise<void> {
     return new Promise((resolve) => {
       this.#server.close(() => resolve());
       this.#server.closeIdleConnections();
--- a/packages/testing/src/backend_server_client.ts
+++ b/packages/testing/src/backend_server_client.ts
@@ -14,6 +14,8 @@
   readonly address?: string;
   readonly meanRunMs?: number;
   readonly seed?: number;
+  /** How long it serves on after SIGTERM, answering with `Connection: close`. */
+  readonly lingerMs?: number;
 }
 
 /** A running stand-in with its control interface. */
@@ -51,10 +53,17 @@
 /** Starts one stand-in backend server process. */
 export async function startBackendServer(
   host: processes.Processes,
-  { name, slots = 8, address = "127.0.0.1:0", meanRunMs = 0, seed = 1 }: StartBackendServerOptions,
+  options: StartBackendServerOptions,
 ): Promise<BackendServerClient> {
-  const args = ["--name", name, "--address", address, "--slots", String(slots)];
-  const timing = ["--mean-run-ms", String(meanRunMs), "--seed", String(seed)];
-  const program = await host.start("stand-in-backend-server", { args: [...args, ...timing] });
-  return new BackendServerClient(name, program);
+  const values = {
+    "--name": options.name,
+    "--address": options.address ?? "127.0.0.1:0",
+    "--slots": options.slots ?? 8,
+    "--mean-run-ms": options.meanRunMs ?? 0,
+    "--seed": options.seed ?? 1,
+    "--linger-ms": options.lingerMs ?? 0,
+  };
+  const args = Object.entries(values).flatMap(([name, value]) => [name, String(value)]);
+  const program = await host.start("stand-in-backend-server", { args });
+  return new BackendServerClient(options.name, program);
 }
--- a/packages/testing/src/backend_server_main.ts
+++ b/packages/testing/src/backend_server_main.ts
@@ -1,5 +1,6 @@
 /**
- * `stand-in-backend-server`: options `--address`, `--name`, `--slots`, `--mean-run-ms`, `--seed`.
+ * `stand-in-backend-server`: options `--address`, `--name`, `--slots`, `--mean-run-ms`, `--seed`,
+ * `--linger-ms`.
  * Prints one JSON line with its address once it serves; SIGTERM stops it gracefully.
  *
  * @module
@@ -16,8 +17,9 @@
   meanRunMs: Number(options.get("mean-run-ms") ?? 0),
   seed: Number(options.get("seed") ?? 1),
 });
+const lingerMs = Number(options.get("linger-ms") ?? 0);
 const address = await backendServer.listen(
   names.splitAddress(options.get("address") ?? "127.0.0.1:0"),
 );
-process.once("SIGTERM", () => void backendServer.stop().then(() => process.exit(0)));
+process.once("SIGTERM", () => void backendServer.stop({ lingerMs }).then(() => process.exit(0)));
 console.log(JSON.stringify({ ready: true, program: "stand-in-backend-server", name, address }));
