--- /dev/null
+++ b/packages/policy/src/requests/dispatcher_test.ts
@@ -0,0 +1,201 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import * as dispatchers from "./dispatcher.ts";
+import type * as lines from "./line.ts";
+
+const URGENCIES = ["urgent", "normal", "background"] as const;
+
+function request(overrides: Partial<lines.WaitingRequest>): lines.WaitingRequest {
+  return {
+    requestId: "r",
+    team: "billing",
+    service: "renewals",
+    urgency: "normal",
+    enqueuedAtMs: 0,
+    expiresAtMs: 1_000_000,
+    ...overrides,
+  };
+}
+
+interface Start {
+  readonly request: lines.WaitingRequest;
+  readonly atMs: number;
+}
+
+/** Starts one request, as a service runner does where one permit is free. */
+function startOne(
+  dispatcher: dispatchers.Dispatcher,
+  { nowMs, standings }: {
+    nowMs: number;
+    standings: (team: string) => dispatchers.TeamStanding;
+  },
+): Start | null {
+  const next = dispatcher.candidates(nowMs, standings).next();
+  if (next.done) return null;
+  dispatcher.started(next.value.requestId, { nowMs, weight: standings(next.value.team).weight });
+  return { request: next.value, atMs: nowMs };
+}
+
+const EVEN: dispatchers.TeamStanding = { running: 0, target: null, weight: 1 };
+
+describe("order of starts", () => {
+  it.each([
+    {
+      name: "urgent before normal before background of one team",
+      requests: [
+        { requestId: "b", urgency: "background" as const },
+        { requestId: "n" },
+        { requestId: "u", urgency: "urgent" as const },
+      ],
+      standings: {},
+      order: ["u", "n", "b"],
+    },
+    {
+      name: "an aged background request before a later normal one",
+      requests: [
+        { requestId: "b", urgency: "background" as const },
+        { requestId: "n", enqueuedAtMs: 3_500 },
+      ],
+      standings: {},
+      order: ["b", "n"],
+    },
+    {
+      name: "the team furthest below its target",
+      requests: [{ requestId: "x", team: "a" }, { requestId: "y", team: "b" }],
+      standings: {
+        a: { running: 3, target: 4, weight: 1 },
+        b: { running: 1, target: 4, weight: 1 },
+      },
+      order: ["y", "x"],
+    },
+    {
+      name: "a team without a target of its own last",
+      requests: [{ requestId: "x", team: "a" }, { requestId: "y", team: "b" }],
+      standings: {
+        a: { running: 0, target: 0, weight: 1 },
+        b: { running: 9, target: 4, weight: 1 },
+      },
+      order: ["y", "x"],
+    },
+  ])("takes $name", ({ requests, standings, order }) => {
+    const dispatcher = new dispatchers.Dispatcher();
+    for (const overrides of requests) dispatcher.add(request(overrides));
+    const table = new Map<string, dispatchers.TeamStanding>(Object.entries(standings));
+    const started = order.map(() =>
+      startOne(dispatcher, { nowMs: 100, standings: (team) => table.get(team) ?? EVEN })
+    );
+    expect(started.map((start) => start?.request.requestId)).toEqual(order);
+  });
+
+  it("serves teams by weight without targets", () => {
+    const dispatcher = new dispatchers.Dispatcher();
+    const weights: Record<string, number> = { a: 1, b: 2, c: 5 };
+    for (let index = 0; index < 300; index++) {
+      for (const team of Object.keys(weights)) {
+        dispatcher.add(request({ requestId: `${team}${index}`, team }));
+      }
+    }
+    const starts: Record<string, number> = { a: 0, b: 0, c: 0 };
+    const standings = (team: string) => ({ ...EVEN, weight: weights[team]! });
+    for (let count = 0; count < 160; count++) {
+      starts[startOne(dispatcher, { nowMs: 10, standings })!.request.team]! += 1;
+    }
+    expect(starts).toEqual({ a: 20, b: 40, c: 100 });
+  });
+
+  it("removes expired requests and returns them", () => {
+    const dispatcher = new dispatchers.Dispatcher();
+    dispatcher.add(request({ requestId: "early", expiresAtMs: 10 }));
+    dispatcher.add(request({ requestId: "late", expiresAtMs: 20 }));
+    expect(dispatcher.expire(10).map(({ requestId }) => requestId)).toEqual(["early"]);
+    expect(dispatcher.all().map(({ requestId }) => requestId)).toEqual(["late"]);
+    expect(dispatcher.remove("early")).toBe(false);
+  });
+});
+
+/** Arrivals of a team and an urgency within the simulated time. */
+const arrivalArbitrary = fc.record({
+  atMs: fc.integer({ min: 0, max: 10_000 }),
+  team: fc.constantFrom("a", "b", "c", "d"),
+  urgency: fc.constantFrom(...URGENCIES),
+});
+
+/** One permit comes free each interval; arrivals join as their time comes. */
+function simulate(
+  arrivals: readonly { atMs: number; team: string; urgency: lines.WaitingRequest["urgency"] }[],
+  { intervalMs, standings }: {
+    intervalMs: number;
+    standings: (team: string) => dispatchers.TeamStanding;
+  },
+): readonly Start[] {
+  const dispatcher = new dispatchers.Dispatcher();
+  const pending = [...arrivals].sort((a, b) => a.atMs - b.atMs);
+  const starts: Start[] = [];
+  let index = 0;
+  for (let nowMs = 0; index < pending.length || dispatcher.waiting > 0; nowMs += intervalMs) {
+    while (index < pending.length && pending[index]!.atMs <= nowMs) {
+      const { atMs, team, urgency } = pending[index]!;
+      dispatcher.add(request({ requestId: `r${index}`, team, urgency, enqueuedAtMs: atMs }));
+      index += 1;
+    }
+    const start = startOne(dispatcher, { nowMs, standings });
+    if (start !== null) starts.push(start);
+  }
+  return starts;
+}
+
+describe("properties of the order", () => {
+  it("starts each request once, and within a team never passes one by more than the offsets", () => {
+    fc.assert(
+      fc.property(fc.array(arrivalArbitrary, { maxLength: 120 }), (arrivals) => {
+        const starts = simulate(arrivals, { intervalMs: 50, standings: () => EVEN });
+        expect(new Set(starts.map((start) => start.request.requestId)).size).toBe(arrivals.length);
+        for (const [position, { request: early }] of starts.entries()) {
+          for (const { request: later } of starts.slice(position + 1)) {
+            if (later.team !== early.team) continue;
+            expect(early.enqueuedAtMs - later.enqueuedAtMs).toBeLessThanOrEqual(7_000);
+          }
+        }
+      }),
+      { seed: 1, numRuns: 100 },
+    );
+  });
+
+  it("starts background work of a team without a target under a flood of others", () => {
+    const flood = Array.from({ length: 2_000 }, (_, index) => ({
+      atMs: index * 5,
+      team: "a",
+      urgency: "urgent" as const,
+    }));
+    const background = { atMs: 10, team: "b", urgency: "background" as const };
+    const starts = simulate([...flood, background], {
+      intervalMs: 10,
+      standings: (team) => ({ running: 0, target: team === "a" ? 8 : 0, weight: 1 }),
+    });
+    const start = starts.find(({ request: { team } }) => team === "b")!;
+    expect(start.atMs - start.request.enqueuedAtMs).toBeLessThanOrEqual(
+      dispatchers.TEAM_STARVATION_MS + 10,
+    );
+  });
+
+  it("starts urgent work of a team at its target within its bound", () => {
+    const flood = Array.from({ length: 3_000 }, (_, index) => ({
+      atMs: index * 4,
+      team: ["a", "c", "d"][index % 3]!,
+      urgency: "normal" as const,
+    }));
+    const urgent = Array.from({ length: 60 }, (_, index) => ({
+      atMs: index * 200,
+      team: "b",
+      urgency: "urgent" as const,
+    }));
+    const starts = simulate([...flood, ...urgent], {
+      intervalMs: 20,
+      standings: (team) => ({ running: team === "b" ? 9 : 0, target: 8, weight: 1 }),
+    });
+    const waits = starts.filter(({ request: { team } }) => team === "b")
+      .map(({ atMs, request: { enqueuedAtMs } }) => atMs - enqueuedAtMs);
+    expect(waits).toHaveLength(60);
+    expect(Math.max(...waits)).toBeLessThanOrEqual(4_300);
+  });
+});
--- /dev/null
+++ b/packages/policy/src/requests/routing_test.ts
@@ -0,0 +1,154 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import * as leavings from "./leaving.ts";
+import * as outliers from "./outliers.ts";
+import * as routing from "./routing.ts";
+
+function candidate(
+  backendServer: string,
+  change: Partial<routing.Candidate> = {},
+): routing.Candidate {
+  return {
+    backendServer,
+    availabilityZone: "zone-a",
+    slots: 8,
+    running: 0,
+    draining: false,
+    leaving: false,
+    health: "healthy",
+    weight: 1,
+    ...change,
+  };
+}
+
+const QUESTION: routing.RoutingQuestion = {
+  availabilityZone: "zone-a",
+  repeatable: true,
+  tried: new Set(),
+  tieBreak: (name) => name.charCodeAt(0) / 256,
+};
+
+describe("orderBackendServers", () => {
+  it.each<{
+    name: string;
+    candidates: routing.Candidate[];
+    change?: Partial<routing.RoutingQuestion>;
+    order: string[];
+  }>([
+    {
+      name: "the least loaded",
+      candidates: [candidate("a", { running: 2 }), candidate("b", { running: 1 })],
+      order: ["b", "a"],
+    },
+    {
+      name: "load against slots",
+      candidates: [candidate("a", { running: 2, slots: 16 }), candidate("b", { running: 2 })],
+      order: ["a", "b"],
+    },
+    {
+      name: "the own availability zone",
+      candidates: [candidate("a", { availabilityZone: "zone-b" }), candidate("b", { running: 7 })],
+      order: ["b", "a"],
+    },
+    {
+      name: "neither draining, leaving, ejected nor tried ones",
+      candidates: [
+        candidate("a", { draining: true }),
+        candidate("b", { leaving: true }),
+        candidate("c", { health: "ejected" }),
+        candidate("d"),
+        candidate("e"),
+      ],
+      change: { tried: new Set(["d"]) },
+      order: ["e"],
+    },
+    {
+      name: "one probe at a time, first for a repeatable request",
+      candidates: [
+        candidate("a"),
+        candidate("b", { health: "probing" }),
+        candidate("c", { health: "probing", running: 1 }),
+      ],
+      order: ["b", "a"],
+    },
+    {
+      name: "a probe last for a request that may not be repeated",
+      candidates: [
+        candidate("a", { availabilityZone: "zone-b" }),
+        candidate("b", { health: "probing" }),
+      ],
+      change: { repeatable: false },
+      order: ["a", "b"],
+    },
+    {
+      name: "a returning one up to its weight",
+      candidates: [candidate("a", { weight: 0.25, running: 2 }), candidate("b", { running: 7 })],
+      order: ["b"],
+    },
+  ])("takes $name", ({ candidates, change, order }) => {
+    expect(routing.orderBackendServers(candidates, { ...QUESTION, ...change })).toEqual(order);
+  });
+});
+
+describe("Outliers", () => {
+  const failure = { nowMs: 0, serviceSize: 4 };
+
+  it("ejects after failures in a row, probes, and returns slowly", () => {
+    const state = new outliers.Outliers();
+    const ejected = [1, 2, 3].map(() => state.failed("a", failure));
+    expect(ejected).toEqual([false, false, true]);
+    expect(state.health("a", outliers.BASE_EJECTION_MS - 1)).toBe("ejected");
+    expect(state.health("a", outliers.BASE_EJECTION_MS)).toBe("probing");
+    state.failed("a", { ...failure, nowMs: outliers.BASE_EJECTION_MS });
+    expect(state.health("a", 3 * outliers.BASE_EJECTION_MS - 1)).toBe("ejected");
+    state.succeeded("a", 3 * outliers.BASE_EJECTION_MS);
+    expect(state.health("a", 3 * outliers.BASE_EJECTION_MS)).toBe("healthy");
+    expect(state.weight("a", 3 * outliers.BASE_EJECTION_MS)).toBe(outliers.SLOW_START_MIN_WEIGHT);
+    const returnedMs = 3 * outliers.BASE_EJECTION_MS + outliers.SLOW_START_MS;
+    expect(state.weight("a", returnedMs)).toBe(1);
+  });
+
+  it("ejects one that fails half of its requests", () => {
+    const state = new outliers.Outliers();
+    let ejected = false;
+    for (let index = 0; index < outliers.FAILURE_WINDOW_REQUESTS; index++) {
+      if (index % 2 === 0) state.succeeded("a", index);
+      else ejected = state.failed("a", failure) || ejected;
+    }
+    expect(ejected).toBe(true);
+  });
+
+  it("never ejects more than the bounded part of a service", () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 9 }),
+        fc.array(fc.tuple(fc.nat(8), fc.boolean(), fc.nat(500)), { maxLength: 300 }),
+        (serviceSize, events) => {
+          const state = new outliers.Outliers();
+          const names = Array.from({ length: serviceSize }, (_, index) => `server-${index}`);
+          let nowMs = 0;
+          for (const [index, isFailure, stepMs] of events) {
+            nowMs += stepMs;
+            const name = names[index % serviceSize]!;
+            if (isFailure) state.failed(name, { nowMs, serviceSize });
+            else state.succeeded(name, nowMs);
+            const out = names.filter((other) => state.health(other, nowMs) !== "healthy").length;
+            expect(out).toBeLessThanOrEqual(serviceSize * outliers.MAX_EJECTED_RATIO);
+          }
+        },
+      ),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+});
+
+describe("Leaving", () => {
+  it("holds for the longest time noted, and forgets what is no longer named", () => {
+    const state = new leavings.Leaving();
+    state.note("a", { nowMs: 0, holdMs: 100 });
+    state.note("a", { nowMs: 0, holdMs: 50 });
+    expect([99, 100].map((nowMs) => state.isLeaving("a", nowMs))).toEqual([true, false]);
+    state.retain(new Set());
+    expect(state.isLeaving("a", 0)).toBe(false);
+  });
+});
