Let a request return to a backend server where no other is usable

A repeatable request that had failed at one backend server waited until its time was over where all others were ejected. It now may go there again.

Tests of bodies and answers that don't tell their length: chunked, truncated and beyond their bounds.

--- a/packages/entry/src/requests/service_runner.ts
+++ b/packages/entry/src/requests/service_runner.ts
@@ -16,6 +16,8 @@
 /** Added to the told deadline before a run without an answer counts as over. */
 export const RUN_END_MARGIN_MS = 500;
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /** What all runners of an entry share. */
 export interface RunnerContext {
   readonly availabilityZone: string;
@@ -177,22 +179,40 @@
     };
   }
 
-  /** The order of backend servers; worked out once per round for requests that have not failed yet. */
+  /**
+   * The order of backend servers for a request; one that failed wherever it could go may go there
+   * again. Worked out once per round for requests that have not failed yet.
+   */
   #orderFor(
     job: requestJob.RequestJob,
     { nowMs, orders }: { nowMs: number; orders: Map<boolean, readonly string[]> },
   ): readonly string[] {
     const { repeatable } = job.request;
-    const known = job.tried.size === 0 ? orders.get(repeatable) : undefined;
-    if (known !== undefined) return known;
-    const order = policy.routing.orderBackendServers(this.#candidates(nowMs), {
+    if (job.tried.size > 0) {
+      const untried = this.#order({ nowMs, repeatable, tried: job.tried });
+      if (untried.length > 0) return untried;
+    }
+    let order = orders.get(repeatable);
+    if (order === undefined) {
+      order = this.#order({ nowMs, repeatable, tried: NONE_TRIED });
+      orders.set(repeatable, order);
+    }
+    return order;
+  }
+
+  #order(
+    { nowMs, repeatable, tried }: {
+      nowMs: number;
+      repeatable: boolean;
+      tried: ReadonlySet<string>;
+    },
+  ): readonly string[] {
+    return policy.routing.orderBackendServers(this.#candidates(nowMs), {
       availabilityZone: this.#context.availabilityZone,
       repeatable,
-      tried: job.tried,
+      tried,
       tieBreak: () => this.#context.random(),
     });
-    if (job.tried.size === 0) orders.set(repeatable, order);
-    return order;
   }
 
   #candidates(nowMs: number): readonly policy.routing.Candidate[] {
@@ -359,7 +379,7 @@
       return;
     }
     job.outcome.attemptFailed(end.result);
-    this.#noteTried(job, backendServer.name);
+    job.tried.add(backendServer.name);
     trail.record(job.request.requestId, "Attempt failed", {
       fields: {
         backendServer: backendServer.name,
@@ -373,13 +393,6 @@
     else this.refuse(job, refusalOf(job, { end, nowMs }));
   }
 
-  /** Once a request has failed everywhere, it may go anywhere again. */
-  #noteTried({ tried }: requestJob.RequestJob, backendServer: string): void {
-    tried.add(backendServer);
-    const service = this.#context.index().service(this.#service);
-    if (tried.size >= (service?.backendServers.length ?? 0)) tried.clear();
-  }
-
   #shouldRetry(
     job: requestJob.RequestJob,
     { end, nowMs }: { end: backendAttempt.AttemptEnd; nowMs: number },
--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -235,7 +235,7 @@
     { method = "GET", headers = {}, body, key = SECRET }: {
       method?: string;
       headers?: Record<string, string>;
-      body?: string;
+      body?: string | ReadableStream;
       key?: string | null;
     } = {},
   ): Promise<CallerView> {
@@ -247,6 +247,7 @@
         method,
         headers: { ...authorization, ...headers },
         body,
+        duplex: "half",
       });
       const text = await answer.text();
       return {
--- a/packages/entry/test/request_path_test.ts
+++ b/packages/entry/test/request_path_test.ts
@@ -191,6 +191,19 @@
     expect(await runsOf(servers)).toEqual([]);
   });
 
+  it("refuses a body beyond the bound that does not tell its length", async () => {
+    const { servers, fixture } = await start(["a"], { service: { maxRequestBytes: 100 } });
+    const body = new ReadableStream({
+      start(controller) {
+        controller.enqueue(new TextEncoder().encode("x".repeat(101)));
+        controller.close();
+      },
+    });
+    const view = await fixture.send("renew/x", { method: "POST", body });
+    expect(view).toMatchObject({ status: 413, outcome: "not-run" });
+    expect(await runsOf(servers)).toEqual([]);
+  });
+
   it("refuses beyond the queue's bound, and the waiting run once permits come", async () => {
     const { fixture } = await start(["a"], { queue: { maxWaiting: 2 } });
     fixture.permits.teamTotal = 0;
@@ -251,6 +264,8 @@
   readonly fault: testing.backendServerFaults.FaultInput;
   readonly service?: Partial<config.Service>;
   readonly answerBytes?: number;
+  /** Whether the answer is sent in chunks, without its length. */
+  readonly chunked?: boolean;
   /** What a POST, which may not be repeated, is told. */
   readonly once: { readonly status: number; readonly outcome: string | null };
   /** What a GET, which is tried elsewhere, is told. */
@@ -291,6 +306,21 @@
     once: BROKEN,
     repeatable: BROKEN,
   },
+  { fault: { kind: "truncate", count: 1 }, chunked: true, once: UNKNOWN, repeatable: SERVED },
+  {
+    fault: { kind: "oversized", bytes: 5_000, count: 1 },
+    service: { maxAnswerBytes: 4_000 },
+    chunked: true,
+    once: UNKNOWN,
+    repeatable: SERVED,
+  },
+  {
+    fault: { kind: "truncate", count: 1 },
+    answerBytes: 1_000_000,
+    chunked: true,
+    once: BROKEN,
+    repeatable: BROKEN,
+  },
   { fault: { kind: "refuseRequest", count: 1 }, once: SERVED, repeatable: SERVED },
   { fault: { kind: "connectionClose", count: 1 }, once: SERVED, repeatable: SERVED },
   {
@@ -306,13 +336,16 @@
     { ...faultCase, method: "GET", expected: faultCase.repeatable },
   ]);
 
-  it.each(cases)("tells the truth of $method after $fault", async (faultCase) => {
-    const { method, fault, service, answerBytes = 2_000, expected } = faultCase;
+  it.each(cases)("tells the truth of $method after $fault.kind", async (faultCase) => {
+    const { method, fault, service, answerBytes = 2_000, chunked = false, expected } = faultCase;
+    const framing = chunked ? "&chunked=1" : "";
     const { servers, fixture } = await start(["a", "b"], {
-      service: { maxRunMs: 500, ...service },
+      service: { maxRunMs: 250, ...service },
     });
     await servers[0]!.setFaults([fault]);
-    const view = await fixture.send(`renew/x?runMs=5&answerBytes=${answerBytes}`, { method });
+    const view = await fixture.send(`renew/x?runMs=5&answerBytes=${answerBytes}${framing}`, {
+      method,
+    });
     expect(view).toMatchObject(expected);
     if (view.status === 200) expect(JSON.parse(view.text).requestId).toBe(view.requestId);
     if (view.status === 502) expect(JSON.parse(view.text).error.outcome).toBe(view.outcome);
--- a/packages/testing/src/backend_server.ts
+++ b/packages/testing/src/backend_server.ts
@@ -2,7 +2,7 @@
  * A stand-in for a backend server: it runs a request for a given time, echoes who asked, and records
  * what it ran.
  *
- * The query of a request may give `runMs`, `answerBytes` and `status`. Work stops at the deadline
+ * The query of a request may give `runMs`, `answerBytes`, `status` and `chunked`. Work stops at the deadline
  * header or when the connection closes, whichever comes first.
  *
  * @module
@@ -186,11 +186,11 @@
     const body = this.#answerBody(url, run);
     const headers: http.OutgoingHttpHeaders = {
       "content-type": "application/json",
-      "content-length": body.length,
       [jackdawlinkHttp.REQUEST_ID_HEADER]: this.#board.use("crossed") === undefined
         ? run.requestId
         : "another-request",
     };
+    if (!url.searchParams.has("chunked")) headers["content-length"] = body.length;
     const closing = this.#draining || this.#board.use("connectionClose") !== undefined;
     if (closing) headers["connection"] = "close";
     const partial = this.#partialAnswer();
