--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -198,7 +198,10 @@
   readonly #server: requests.callerServer.CallerServer;
   address = "";
 
-  constructor(input: config.ConfigInput) {
+  constructor(
+    input: config.ConfigInput,
+    serverSettings: Omit<requests.callerServer.CallerServerSettings, "callerAddress"> = {},
+  ) {
     this.snapshots = new FakeSnapshots(input);
     const keep = (message: string, fields: ports.log.LogFields = {}) => {
       this.lines.push({ message, fields });
@@ -215,7 +218,7 @@
       seed: 1,
     });
     this.#server = new requests.callerServer.CallerServer(
-      { callerAddress: "127.0.0.1:0" },
+      { callerAddress: "127.0.0.1:0", ...serverSettings },
       this.path,
     );
   }
