Split the service runner, and leave a leaving backend server alone for longer

The runner kept waiting requests, knowledge of backend servers and runs in one class of 430 lines. Waiting requests and the choice of a backend server are now classes of their own, and the configuration's index says whether it still permits a request.

--- a/packages/entry/src/requests/request_index.ts
+++ b/packages/entry/src/requests/request_index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as crypto from "node:crypto";
+import type { requests as policy } from "@jackdawlink/policy";
 import type { config } from "@jackdawlink/schema";
 
 /** Keys are found by the first digits of their digests and then compared in constant time. */
@@ -26,6 +27,15 @@
   readonly indexedService: IndexedService;
 }
 
+/** What the permission of a request depends on. */
+export interface PermittedRequest {
+  readonly queue: { readonly name: string };
+  readonly service: string;
+  readonly team: string;
+  /** The digest of the presented key; null on an open queue without one. */
+  readonly keyDigest: Buffer | null;
+}
+
 /** One key that is not withdrawn. */
 interface IndexedKey {
   readonly digest: Buffer;
@@ -77,6 +87,15 @@
     return team;
   }
 
+  /** Why the configuration no longer permits a request that it once permitted; null where it does. */
+  refusalOf(request: PermittedRequest): policy.outcome.RefusalType | null {
+    const queue = this.#queues.get(request.queue.name);
+    if (queue === undefined || queue.service !== request.service) return "unknownQueue";
+    const team = request.keyDigest === null ? queue.openTeam : this.teamOfDigest(request.keyDigest);
+    if (team !== request.team) return "keyRefused";
+    return this.hasLimit(team) ? null : "teamWithoutLimit";
+  }
+
   /** Whether the team may run requests at all. */
   hasLimit(team: string): boolean {
     return this.#limitedTeams.has(team);
--- a/packages/entry/src/requests/service_runner.ts
+++ b/packages/entry/src/requests/service_runner.ts
@@ -6,18 +6,18 @@
 import type * as ports from "@jackdawlink/ports";
 import { requests as policy } from "@jackdawlink/policy";
 import * as backendAttempt from "./backend_attempt.ts";
+import { BackendChoice, type RoundOrders } from "./backend_choice.ts";
 import * as backendConnections from "./backend_connections.ts";
 import type * as requestIndex from "./request_index.ts";
 import type * as requestJob from "./request_job.ts";
 import type * as requestMetrics from "./request_metrics.ts";
 import { RunningCounts } from "./running_counts.ts";
 import type * as trail from "./trail.ts";
+import { WaitingJobs } from "./waiting_jobs.ts";
 
 /** Added to the told deadline before a run without an answer counts as over. */
 export const RUN_END_MARGIN_MS = 500;
 
-const NONE_TRIED: ReadonlySet<string> = new Set();
-
 /** What all runners of an entry share. */
 export interface RunnerContext {
   readonly availabilityZone: string;
@@ -37,23 +37,25 @@
 export class ServiceRunner {
   readonly #service: string;
   readonly #context: RunnerContext;
-  readonly #dispatcher = new policy.dispatcher.Dispatcher();
+  readonly #waiting = new WaitingJobs();
   readonly #budget = new policy.retry.RetryBudget();
-  readonly #outliers = new policy.outliers.Outliers();
-  readonly #leaving = new policy.leaving.Leaving();
+  readonly #choice: BackendChoice;
   readonly #running = new RunningCounts();
-  readonly #jobs = new Map<string, requestJob.RequestJob>();
-  readonly #waitingByQueue = new Map<string, number>();
   #pumping = false;
   #pumpAgain = false;
 
   constructor(service: string, context: RunnerContext) {
     this.#service = service;
     this.#context = context;
+    this.#choice = new BackendChoice({
+      ...context,
+      backendServers: () => context.index().service(service)?.backendServers ?? [],
+      runningAt: (backendServer) => this.#running.ofBackendServer(backendServer),
+    });
   }
 
   get waiting(): number {
-    return this.#dispatcher.waiting;
+    return this.#waiting.size;
   }
 
   get running(): number {
@@ -61,13 +63,13 @@
   }
 
   waitingInQueue(queue: string): number {
-    return this.#waitingByQueue.get(queue) ?? 0;
+    return this.#waiting.inQueue(queue);
   }
 
   /** Lets an admitted request wait, and starts it at once where it can. */
   enqueue(job: requestJob.RequestJob): void {
     this.#budget.countRequest(this.#context.clock.nowMs());
-    this.#wait(job);
+    this.#waiting.add(job);
     job.answer.onCallerGone(() => this.#onCallerGone(job));
     this.#context.permits.demandChanged();
     this.pump();
@@ -88,10 +90,7 @@
 
   /** Refuses waiting requests whose time is over, then starts others. */
   tick(nowMs: number): void {
-    for (const { requestId } of this.#dispatcher.expire(nowMs)) {
-      const job = this.#jobs.get(requestId);
-      if (job === undefined) continue;
-      this.#forget(job);
+    for (const job of this.#waiting.expire(nowMs)) {
       this.refuse(job, nowMs >= job.request.deadlineAtMs ? "deadlineOver" : "waitedTooLong");
     }
     if (this.waiting > 0) this.pump();
@@ -100,15 +99,12 @@
   /** Refuses the waiting requests that the configuration no longer permits. */
   onConfigChange(): void {
     const service = this.#context.index().service(this.#service);
-    const names = new Set((service?.backendServers ?? []).map(({ name }) => name));
-    this.#outliers.retain(names);
-    this.#leaving.retain(names);
+    this.#choice.onConfigChange();
     for (const { name, draining } of service?.backendServers ?? []) {
       if (draining) this.#context.connections.closeIdle(name);
     }
-    for (const { requestId } of this.#dispatcher.all()) {
-      const job = this.#jobs.get(requestId)!;
-      const refusal = this.#withdrawnReason(job);
+    for (const job of this.#waiting.all()) {
+      const refusal = this.#context.index().refusalOf(job.request);
       if (refusal !== null) this.#giveUp(job, refusal);
     }
     this.pump();
@@ -116,45 +112,28 @@
 
   /** Refuses everything that waits. */
   refuseWaiting(type: policy.outcome.RefusalType): void {
-    for (const { requestId } of this.#dispatcher.all()) {
-      this.#giveUp(this.#jobs.get(requestId)!, type);
-    }
+    for (const job of this.#waiting.all()) this.#giveUp(job, type);
   }
 
   /** Running and waiting requests by team. */
   demand(): readonly ports.permits.TeamDemand[] {
-    const teams = new Set([...this.#dispatcher.teams(), ...this.#running.teams()]);
+    const teams = new Set([...this.#waiting.teams(), ...this.#running.teams()]);
     return [...teams].map((team) => ({
       service: this.#service,
       team,
       running: this.#running.ofTeam(team),
-      ...this.#dispatcher.waitingOf(team),
+      ...this.#waiting.ofTeam(team),
     }));
   }
 
-  #wait(job: requestJob.RequestJob): void {
-    const { request } = job;
-    this.#jobs.set(request.requestId, job);
-    this.#waitingByQueue.set(request.queue.name, this.waitingInQueue(request.queue.name) + 1);
-    this.#dispatcher.add(request);
-  }
-
-  /** Takes a request out of the waiting ones. */
-  #forget(job: requestJob.RequestJob): void {
-    const { request } = job;
-    this.#dispatcher.remove(request.requestId);
-    if (!this.#jobs.delete(request.requestId)) return;
-    this.#waitingByQueue.set(request.queue.name, this.waitingInQueue(request.queue.name) - 1);
-  }
-
   #startOne(): boolean {
-    if (this.#dispatcher.waiting === 0 || !this.#context.membership.isFresh()) return false;
+    if (this.waiting === 0 || !this.#context.membership.isFresh()) return false;
     const nowMs = this.#context.clock.nowMs();
     const standingOf = (team: string) => this.#standingOf(team);
-    const orders = new Map<boolean, readonly string[]>();
-    for (const request of this.#dispatcher.candidates(nowMs, standingOf)) {
-      const job = this.#jobs.get(request.requestId)!;
-      const order = this.#orderFor(job, { nowMs, orders });
+    const orders: RoundOrders = new Map();
+    for (const job of this.#waiting.candidates(nowMs, standingOf)) {
+      const { request } = job;
+      const order = this.#choice.orderFor(job, orders);
       if (order.length === 0) continue;
       const permit = this.#context.permits.take({
         team: request.team,
@@ -163,8 +142,7 @@
       });
       if (permit === null) continue;
       const weight = this.#context.index().weightOf(this.#service, request.team);
-      this.#dispatcher.started(request.requestId, { nowMs, weight });
-      this.#forget(job);
+      this.#waiting.start(job, { nowMs, weight });
       void this.#run(job, permit);
       return true;
     }
@@ -179,63 +157,13 @@
     };
   }
 
-  /**
-   * The order of backend servers for a request; one that failed wherever it could go may go there
-   * again. Worked out once per round for requests that have not failed yet.
-   */
-  #orderFor(
-    job: requestJob.RequestJob,
-    { nowMs, orders }: { nowMs: number; orders: Map<boolean, readonly string[]> },
-  ): readonly string[] {
-    const { repeatable } = job.request;
-    if (job.tried.size > 0) {
-      const untried = this.#order({ nowMs, repeatable, tried: job.tried });
-      if (untried.length > 0) return untried;
-    }
-    let order = orders.get(repeatable);
-    if (order === undefined) {
-      order = this.#order({ nowMs, repeatable, tried: NONE_TRIED });
-      orders.set(repeatable, order);
-    }
-    return order;
-  }
-
-  #order(
-    { nowMs, repeatable, tried }: {
-      nowMs: number;
-      repeatable: boolean;
-      tried: ReadonlySet<string>;
-    },
-  ): readonly string[] {
-    return policy.routing.orderBackendServers(this.#candidates(nowMs), {
-      availabilityZone: this.#context.availabilityZone,
-      repeatable,
-      tried,
-      tieBreak: () => this.#context.random(),
-    });
-  }
-
-  #candidates(nowMs: number): readonly policy.routing.Candidate[] {
-    const service = this.#context.index().service(this.#service);
-    return (service?.backendServers ?? []).map((backendServer) => ({
-      backendServer: backendServer.name,
-      availabilityZone: backendServer.availabilityZone,
-      slots: backendServer.slots,
-      running: this.#running.ofBackendServer(backendServer.name),
-      draining: backendServer.draining,
-      leaving: this.#leaving.isLeaving(backendServer.name, nowMs),
-      health: this.#outliers.health(backendServer.name, nowMs),
-      weight: this.#outliers.weight(backendServer.name, nowMs),
-    }));
-  }
-
   async #run(job: requestJob.RequestJob, permit: ports.permits.Permit): Promise<void> {
     const { clock, connections, trail } = this.#context;
     const service = this.#context.index().service(this.#service)!;
     const backendServer = service.backendServers.find(({ name }) => name === permit.backendServer);
     if (backendServer === undefined) {
       this.#context.permits.release(permit);
-      this.#wait(job);
+      this.#waiting.add(job);
       return;
     }
     this.#running.add(permit);
@@ -264,7 +192,7 @@
     });
     const end = await attempt.run();
     this.#settleConnection(connection, { backendServer, end });
-    this.#learn(backendServer, { end, serviceSize: service.backendServers.length });
+    this.#learn(backendServer.name, end);
     this.#releasePermit(permit, end);
     this.#conclude(job, { end, backendServer, startedAtMs });
   }
@@ -280,19 +208,7 @@
     if (!this.#context.membership.isFresh()) return "notFresh";
     const remainingMs = job.request.deadlineAtMs - this.#context.clock.nowMs();
     if (remainingMs < 1) return "deadlineOver";
-    return this.#withdrawnReason(job);
-  }
-
-  /** Why the configuration no longer permits a request; null where it does. */
-  #withdrawnReason({ request }: requestJob.RequestJob): policy.outcome.RefusalType | null {
-    const index = this.#context.index();
-    const queue = index.queue(request.queue.name);
-    if (queue === undefined || queue.service !== this.#service) return "unknownQueue";
-    const team = request.keyDigest === null
-      ? queue.openTeam
-      : index.teamOfDigest(request.keyDigest);
-    if (team !== request.team) return "keyRefused";
-    return index.hasLimit(team) ? null : "teamWithoutLimit";
+    return this.#context.index().refusalOf(job.request);
   }
 
   #settleConnection(
@@ -314,36 +230,16 @@
   }
 
   /** Updates what is known of the backend server. */
-  #learn(
-    { name }: requestIndex.NamedBackendServer,
-    { end, serviceSize }: { end: backendAttempt.AttemptEnd; serviceSize: number },
-  ): void {
-    if (end.refusal !== null) return;
-    const nowMs = this.#context.clock.nowMs();
-    const failed = end.result === "sent" || end.result === "notSent";
-    if (!failed) this.#outliers.succeeded(name, nowMs);
-    else if (this.#outliers.failed(name, { nowMs, serviceSize })) {
-      this.#context.trail.recordService("Ejected a backend server", {
-        fields: { service: this.#service, backendServer: name, reason: end.reason },
-      });
-    }
-    if (end.closing || end.result === "refused") {
-      this.#noteLeaving(name, policy.leaving.LEAVING_HOLD_MS);
-    } else if (end.result === "notSent") {
-      this.#noteLeaving(name, policy.leaving.REFUSED_HOLD_MS);
-    }
-  }
-
-  #noteLeaving(backendServer: string, holdMs: number): void {
-    const { clock, connections, trail } = this.#context;
-    const nowMs = clock.nowMs();
-    if (!this.#leaving.isLeaving(backendServer, nowMs)) {
-      trail.recordService("Sends nothing to a leaving backend server", {
-        fields: { service: this.#service, backendServer, holdMs },
-      });
-    }
-    this.#leaving.note(backendServer, { nowMs, holdMs });
+  #learn(backendServer: string, end: backendAttempt.AttemptEnd): void {
+    const { connections, trail } = this.#context;
+    const { ejected, leavingForMs } = this.#choice.learn(backendServer, end);
+    const fields = { service: this.#service, backendServer, reason: end.reason };
+    if (ejected) trail.recordService("Ejected a backend server", { fields });
+    if (leavingForMs === null) return;
     connections.closeIdle(backendServer);
+    trail.recordService("Sends nothing to a leaving backend server", {
+      fields: { ...fields, leavingForMs },
+    });
   }
 
   /** Gives the permit back once the run is over for certain. */
@@ -410,14 +306,13 @@
   }
 
   #retry(job: requestJob.RequestJob): void {
-    this.#wait(job);
+    this.#waiting.add(job);
     this.#context.permits.demandChanged();
     this.pump();
   }
 
   #onCallerGone(job: requestJob.RequestJob): void {
-    if (!this.#jobs.has(job.request.requestId)) return;
-    this.#forget(job);
+    if (!this.#waiting.remove(job)) return;
     const outcome = job.outcome.ofRefusal();
     this.#context.trail.record(job.request.requestId, "Caller left while waiting", {
       fields: { team: job.request.team, queue: job.request.queue.name, outcome },
@@ -427,7 +322,7 @@
   }
 
   #giveUp(job: requestJob.RequestJob, type: policy.outcome.RefusalType): void {
-    this.#forget(job);
+    this.#waiting.remove(job);
     this.refuse(job, type);
   }
 
--- /dev/null
+++ b/packages/entry/src/requests/waiting_jobs.ts
@@ -0,0 +1,77 @@
+/**
+ * The requests of one service that wait for permits.
+ *
+ * @module
+ */
+import { requests as policy } from "@jackdawlink/policy";
+import type * as requestJob from "./request_job.ts";
+
+/** Keeps the waiting requests in the dispatcher's order, and counts them by queue. */
+export class WaitingJobs {
+  readonly #dispatcher = new policy.dispatcher.Dispatcher();
+  readonly #jobs = new Map<string, requestJob.RequestJob>();
+  readonly #byQueue = new Map<string, number>();
+
+  get size(): number {
+    return this.#jobs.size;
+  }
+
+  inQueue(queue: string): number {
+    return this.#byQueue.get(queue) ?? 0;
+  }
+
+  add(job: requestJob.RequestJob): void {
+    const { request } = job;
+    this.#jobs.set(request.requestId, job);
+    this.#byQueue.set(request.queue.name, this.inQueue(request.queue.name) + 1);
+    this.#dispatcher.add(request);
+  }
+
+  /** Takes a request out that will not start now; false where it isn't waiting. */
+  remove(job: requestJob.RequestJob): boolean {
+    const { request } = job;
+    this.#dispatcher.remove(request.requestId);
+    if (!this.#jobs.delete(request.requestId)) return false;
+    this.#byQueue.set(request.queue.name, this.inQueue(request.queue.name) - 1);
+    return true;
+  }
+
+  /** Takes a request out that starts, and charges its team. */
+  start(job: requestJob.RequestJob, charge: { nowMs: number; weight: number }): void {
+    this.#dispatcher.started(job.request.requestId, charge);
+    this.remove(job);
+  }
+
+  /** Takes out and returns the requests whose time is over. */
+  expire(nowMs: number): readonly requestJob.RequestJob[] {
+    const expired = this.#dispatcher.expire(nowMs).map(({ requestId }) =>
+      this.#jobs.get(requestId)!
+    );
+    for (const job of expired) this.remove(job);
+    return expired;
+  }
+
+  /** The requests to be tried, best first. */
+  *candidates(
+    nowMs: number,
+    standingOf: (team: string) => policy.dispatcher.TeamStanding,
+  ): Generator<requestJob.RequestJob> {
+    for (const { requestId } of this.#dispatcher.candidates(nowMs, standingOf)) {
+      yield this.#jobs.get(requestId)!;
+    }
+  }
+
+  all(): readonly requestJob.RequestJob[] {
+    return [...this.#jobs.values()];
+  }
+
+  /** The teams that have requests waiting. */
+  teams(): readonly string[] {
+    return this.#dispatcher.teams();
+  }
+
+  /** How many requests of a team wait, and how many of them are urgent. */
+  ofTeam(team: string): { readonly waiting: number; readonly urgentWaiting: number } {
+    return this.#dispatcher.waitingOf(team);
+  }
+}
--- a/packages/policy/src/requests/routing_test.ts
+++ b/packages/policy/src/requests/routing_test.ts
@@ -151,4 +151,14 @@
     state.retain(new Set());
     expect(state.isLeaving("a", 0)).toBe(false);
   });
+
+  it("doubles the time of one that is still leaving, until it has stayed", () => {
+    const state = new leavings.Leaving();
+    state.note("a", { nowMs: 0, holdMs: 100 });
+    state.note("a", { nowMs: 100, holdMs: 100 });
+    expect([299, 300].map((nowMs) => state.isLeaving("a", nowMs))).toEqual([true, false]);
+    state.stayed("a", 300);
+    state.note("a", { nowMs: 300, holdMs: 100 });
+    expect([399, 400].map((nowMs) => state.isLeaving("a", nowMs))).toEqual([true, false]);
+  });
 });
