--- a/packages/testing/src/backend_server.ts
+++ b/packages/testing/src/backend_server.ts
@@ -2,7 +2,7 @@
  * A stand-in for a backend server: it runs a request for a given time, echoes who asked, and records
  * what it ran.
  *
- * The query of a request may give `runMs`, `answerBytes` and `status`. Work stops at the deadline
+ * The query of a request may give `runMs`, `answerBytes`, `status` and `chunked`. Work stops at the deadline
  * header or when the connection closes, whichever comes first.
  *
  * @module
@@ -65,9 +65,18 @@
     });
   }
 
-  /** Finishes what runs, answers with `Connection: close`, and resolves once all connections ended. */
-  stop(): Promise<void> {
+  /**
+   * Answers with `Connection: close` and serves on for the given time, then closes idle connections,
+   * finishes what runs, and resolves once all connections ended. Without that time, a request that is
+   * on its way on an idle connection is lost.
+   */
+  async stop({ lingerMs }: { lingerMs: number }): Promise<void> {
     this.#draining = true;
+    await new Promise((resolve) => setTimeout(resolve, lingerMs));
+    await this.#close();
+  }
+
+  #close(): Promise<void> {
     return new Promise((resolve) => {
       this.#server.close(() => resolve());
       this.#server.closeIdleConnections();
@@ -177,11 +186,11 @@
     const body = this.#answerBody(url, run);
     const headers: http.OutgoingHttpHeaders = {
       "content-type": "application/json",
-      "content-length": body.length,
       [jackdawlinkHttp.REQUEST_ID_HEADER]: this.#board.use("crossed") === undefined
         ? run.requestId
         : "another-request",
     };
+    if (!url.searchParams.has("chunked")) headers["content-length"] = body.length;
     const closing = this.#draining || this.#board.use("connectionClose") !== undefined;
     if (closing) headers["connection"] = "close";
     const partial = this.#partialAnswer();
