Spend less on permits under load, lend more idle slots, log coordinators

Changes of demand while permits are short are now told every 50 ms, a coordinator plans at most every 5 ms, and groups are computed once per configuration.

npx vitest run packages/policy packages/entry: all passed.

--- a/packages/entry/src/permit_manager.ts
+++ b/packages/entry/src/permit_manager.ts
@@ -5,7 +5,7 @@
  */
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
-import type { peer } from "@jackdawlink/schema";
+import type { config as configs, peer } from "@jackdawlink/schema";
 import * as turnTimer from "./turn_timer.ts";
 
 /** What a permit manager works with. */
@@ -25,6 +25,12 @@
 /** The least time between two turns that changes of demand cause. */
 const DEMAND_SPACING_MS = 10;
 
+const EVENT_MESSAGES: Record<policy.permitCoordinators.CoordinatorEvent["kind"], string> = {
+  started: "Asking members for the permits that they hold",
+  tookOver: "Coordinating permits",
+  endedQuarantine: "Permits of a fenced member are free again",
+};
+
 /** A permit with the incarnation that it was taken under. */
 interface TakenPermit extends ports.permits.Permit {
   readonly member: policy.permits.PermitMember;
@@ -41,6 +47,10 @@
   #incarnation: string | null = null;
   #demandSource: () => readonly ports.permits.TeamDemand[] = () => [];
   #isLeaving = false;
+  #groups: {
+    readonly config: configs.Config;
+    readonly groups: policy.permitCoordinators.PermitView["groups"];
+  } | null = null;
 
   constructor(options: PermitManagerOptions) {
     this.#options = options;
@@ -126,11 +136,19 @@
       members: head.members,
       fences: head.fences,
       membersRevision: head.membersRevision,
-      groups: policy.permitGroups.groupsOf(config),
+      groups: this.#groupsOf(config),
     });
     this.#timer.soon(MESSAGE_SPACING_MS);
   }
 
+  /** Most heads change no configuration. */
+  #groupsOf(config: configs.Config): policy.permitCoordinators.PermitView["groups"] {
+    if (this.#groups?.config !== config) {
+      this.#groups = { config, groups: policy.permitGroups.groupsOf(config) };
+    }
+    return this.#groups.groups;
+  }
+
   #turn(): void {
     const member = this.#member;
     if (member === null) return;
@@ -149,9 +167,25 @@
     if (turn.wakeAtMs !== null) {
       this.#timer.at(Math.max(turn.wakeAtMs, clock.nowMs() + MESSAGE_SPACING_MS));
     }
+    this.#logEvents(turn.events);
     this.#tellGranted();
   }
 
+  /** One line for each kind of event, as a change of members concerns many groups at once. */
+  #logEvents(events: policy.permits.Turn["events"]): void {
+    const kinds = new Set(events.map((event) => event.kind));
+    for (const kind of kinds) {
+      const same = events.filter((event) => event.kind === kind);
+      const { group, term, quarantined } = same[0]!;
+      this.#options.log.info(EVENT_MESSAGES[kind], {
+        groups: same.length,
+        firstGroup: group,
+        term,
+        quarantined,
+      });
+    }
+  }
+
   #tellGranted(): void {
     if (this.#member?.takeNews() !== true) return;
     for (const callback of this.#onGranted) callback();
--- a/packages/entry/src/permit_manager_test.ts
+++ b/packages/entry/src/permit_manager_test.ts
@@ -6,6 +6,7 @@
 const FRESH_FOR_MS = 2_500;
 const MAX_RUN_MS = 1_000;
 const LINK_MS = 1;
+const RUN_MS = 20;
 const ASK = { team: "billing", service: "renewals", backendServers: ["b1", "b2"] };
 
 /** A clock that moves only when it is told to. */
@@ -278,6 +279,25 @@
     expect({ early, late: runningOf(others) }).toEqual({ early: 0, late: 4 });
   });
 
+  it("lets every entry have its turn at a limit below their number", () => {
+    const fleet = new Fleet({ entries: 9, limit: 2 });
+    fleet.clock.advance(100);
+    for (const entry of fleet.entries) entry.want(1_000);
+    const started = new Map<string, number>();
+    for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += RUN_MS) {
+      fleet.clock.advance(RUN_MS);
+      expect(runningOf(fleet.entries)).toBeLessThanOrEqual(2);
+      for (const entry of fleet.entries) {
+        const { length } = entry.running;
+        started.set(entry.memberId, (started.get(entry.memberId) ?? 0) + length);
+        entry.finish(length);
+      }
+    }
+    const counts = [...started.values()];
+    const mean = counts.reduce((sum, count) => sum + count, 0) / counts.length;
+    expect(Math.min(...counts)).toBeGreaterThan(mean / 2);
+  });
+
   it("takes back permits when a limit is lowered", () => {
     const fleet = new Fleet({ entries: 3, limit: 6 });
     fleet.clock.advance(100);
--- a/packages/policy/src/permits/allocation.ts
+++ b/packages/policy/src/permits/allocation.ts
@@ -17,7 +17,10 @@
 }
 
 /** The part of the permits nobody needs that members hold ahead of need; the rest stays free. */
-const IDLE_LENT_RATIO = 0.5;
+const IDLE_LENT_RATIO = 0.75;
+
+/** A recent need below this counts as none. */
+const LEAST_RECENT_NEED = 0.05;
 
 /** Idle permits that a member with recent need may hold beyond it. */
 const MIN_IDLE_PERMITS = 2;
@@ -41,18 +44,21 @@
   return counts;
 }
 
-/** Lends idle permits in proportion to recent need, whole numbers, the first members first. */
+/** Lends idle permits in proportion to recent need; broken parts go to the highest need. */
 function lendIdle(
   idle: number,
   plan: { members: readonly MemberNeed[]; counts: Map<string, number> },
 ): void {
-  const weights = plan.members.reduce((sum, member) => sum + member.recentNeed, 0);
-  if (idle <= 0 || weights <= 0) return;
-  for (const member of plan.members) {
-    if (member.recentNeed <= 0) continue;
-    const share = Math.floor(idle * member.recentNeed / weights);
+  const needy = plan.members.filter((member) => member.recentNeed >= LEAST_RECENT_NEED);
+  needy.sort((a, b) => b.recentNeed - a.recentNeed || (a.incarnation < b.incarnation ? -1 : 1));
+  const weights = needy.reduce((sum, member) => sum + member.recentNeed, 0);
+  let left = Math.max(0, idle);
+  for (const member of needy) {
+    const share = Math.ceil(idle * member.recentNeed / weights);
     const most = Math.ceil(member.recentNeed) + MIN_IDLE_PERMITS;
-    plan.counts.set(member.incarnation, member.need + Math.min(share, most));
+    const lent = Math.max(0, Math.min(share, most, left));
+    plan.counts.set(member.incarnation, member.need + lent);
+    left -= lent;
   }
 }
 
--- a/packages/policy/src/permits/coordinator.ts
+++ b/packages/policy/src/permits/coordinator.ts
@@ -114,7 +114,7 @@
   readonly #highestTotals = new Map<string, number>();
   readonly #ledgers = new Map<string, ledgers.Ledger>();
   readonly #ownRecords = new Map<string, witnesses.OwnRecords>();
-  readonly #loads = new Map<string, groupPlan.MemberLoad>();
+  readonly #loads = new Map<string, Omit<groupPlan.MemberLoad, "held">>();
   readonly #recentNeeds = new Map<string, number>();
   readonly #reports = new Map<string, GroupReport>();
   readonly #requestedAtMs = new Map<string, number>();
@@ -368,7 +368,11 @@
       free: ledger.unheld(),
     }));
     const available = resources.reduce((sum, resource) => sum + resource.available, 0);
-    const planned = this.#planner.plan(available, { loads: [...this.#loads.values()], nowMs });
+    const loads = [...this.#loads.values()].map((load) => ({
+      ...load,
+      held: this.#boundOf(load.incarnation),
+    }));
+    const planned = this.#planner.plan(available, { loads, nowMs });
     const needs = [...this.#members.keys()].map((incarnation) =>
       this.#memberNeed(incarnation, { need: planned.needs.get(incarnation) ?? 0, elapsedMs })
     );
@@ -381,6 +385,12 @@
     return planned;
   }
 
+  #boundOf(incarnation: string): number {
+    let bound = 0;
+    for (const ledger of this.#ledgers.values()) bound += ledger.accountOf(incarnation)?.bound ?? 0;
+    return bound;
+  }
+
   #memberNeed(
     incarnation: string,
     options: { need: number; elapsedMs: number },
--- a/packages/policy/src/permits/coordinator_set.ts
+++ b/packages/policy/src/permits/coordinator_set.ts
@@ -26,13 +26,27 @@
   readonly acceptedAtMs: (incarnation: string) => number | null;
 }
 
+/** A step of a coordinator that people may want to know of. */
+export interface CoordinatorEvent {
+  readonly kind: "started" | "tookOver" | "endedQuarantine";
+  readonly group: string;
+  readonly term: number;
+  /** Fenced incarnations whose permits still count as in use. */
+  readonly quarantined: number;
+}
+
 /** Fences that are not accepted yet are looked at in this interval. */
 const FENCE_POLL_MS = 500;
 
+/** The least time between two plans of one coordinator. */
+const ADVANCE_SPACING_MS = 5;
+
 interface Running {
   readonly coordinator: coordinators.Coordinator;
   maxRunMs: number;
   wakeAtMs: number | null;
+  advancedAtMs: number;
+  hasTakenOver: boolean;
 }
 
 /** Starts, keeps and drops coordinators as the head moves. */
@@ -41,6 +55,7 @@
   readonly #holder: holders.Holder;
   readonly #variant: coordinators.CoordinatorVariant;
   readonly #running = new Map<string, Running>();
+  #events: CoordinatorEvent[] = [];
   /** When a quarantined incarnation was first seen without a fence in the head. */
   readonly #missingSinceMs = new Map<string, number>();
   #view: PermitView | null = null;
@@ -112,8 +127,15 @@
       planner,
       variant: this.#variant,
     });
-    const running = { coordinator, maxRunMs: 0, wakeAtMs: 0 };
+    const running = {
+      coordinator,
+      maxRunMs: 0,
+      wakeAtMs: 0,
+      advancedAtMs: -Infinity,
+      hasTakenOver: false,
+    };
     this.#running.set(name, running);
+    this.#note("started", coordinator);
     this.#update(running, name, view);
   }
 
@@ -129,10 +151,12 @@
     });
   }
 
-  /** Has a group's coordinator advanced at the next turn. */
+  /** Has a group's coordinator advanced soon, as something has come in for it. */
   touch(group: string): void {
     const running = this.#running.get(group);
-    if (running !== undefined) running.wakeAtMs = 0;
+    if (running === undefined) return;
+    const soonMs = running.advancedAtMs + ADVANCE_SPACING_MS;
+    running.wakeAtMs = Math.min(running.wakeAtMs ?? Infinity, soonMs);
   }
 
   /** Starts anew where a member has promised a higher term than that of the running coordinator. */
@@ -141,6 +165,18 @@
     this.#startNew(group, this.#view);
   }
 
+  /** Takes out what has happened since the last call. */
+  drainEvents(): readonly CoordinatorEvent[] {
+    const events = this.#events;
+    this.#events = [];
+    return events;
+  }
+
+  #note(kind: CoordinatorEvent["kind"], coordinator: coordinators.Coordinator): void {
+    const { group, term, quarantined } = coordinator;
+    this.#events.push({ kind, group, term, quarantined: quarantined.size });
+  }
+
   /** When the next coordinator has to be advanced; null for never. */
   wakeAtMs(): number | null {
     let earliest: number | null = null;
@@ -161,7 +197,12 @@
     for (const running of this.#running.values()) {
       if (running.wakeAtMs === null || running.wakeAtMs > nowMs) continue;
       const fenceWakeAtMs = this.#endQuarantines(running, { nowMs, timing: options.timing });
+      if (!running.hasTakenOver && running.coordinator.isActive) {
+        running.hasTakenOver = true;
+        this.#note("tookOver", running.coordinator);
+      }
       const effects = running.coordinator.advance(nowMs);
+      running.advancedAtMs = nowMs;
       running.wakeAtMs = earlier(effects.wakeAtMs, fenceWakeAtMs);
       options.onEffects(running.coordinator, effects);
     }
@@ -179,8 +220,10 @@
         this.#missingAtMs(incarnation, nowMs);
       const waitMs = timing.freshForMs + timing.marginMs + running.maxRunMs;
       const endAtMs = acceptedAtMs === null ? nowMs + FENCE_POLL_MS : acceptedAtMs + waitMs;
-      if (endAtMs <= nowMs) running.coordinator.endQuarantine(incarnation);
-      else wakeAtMs = earlier(wakeAtMs, endAtMs);
+      if (endAtMs <= nowMs) {
+        running.coordinator.endQuarantine(incarnation);
+        this.#note("endedQuarantine", running.coordinator);
+      } else wakeAtMs = earlier(wakeAtMs, endAtMs);
     }
     return wakeAtMs;
   }
--- a/packages/policy/src/permits/demand_reporter.ts
+++ b/packages/policy/src/permits/demand_reporter.ts
@@ -11,12 +11,14 @@
 
 /** Shortage is told again after this time until it is over. */
 export const SHORTAGE_REPEAT_MS = 200;
+/** While permits stay short, changes of demand are told with this spacing. */
+export const SHORTAGE_SPACING_MS = 50;
 /** Changes that hurry nobody, and repeats after a change, are told in this interval. */
 export const REFRESH_MS = 500;
 /** Reports without any change are repeated in this interval while anything is held or needed. */
-export const SETTLED_REFRESH_MS = 10_000;
+export const SETTLED_REFRESH_MS = 60_000;
 /** How often a report without change is repeated quickly, in case messages are lost. */
-const QUICK_REPEATS = 3;
+const QUICK_REPEATS = 2;
 
 interface ToldDemand {
   readonly demand: GroupDemand;
@@ -76,7 +78,9 @@
     if (told === undefined) return isZero(now.demand) ? null : 0;
     if (told.coordinator !== now.coordinator || told.demand.term !== now.demand.term) return 0;
     const isSame = isSameDemand(told.demand, now.demand);
-    if (!isSame && (now.isShort || told.isShort || isAnswer(told.demand, now.demand))) return 0;
+    if (!isSame && isAnswer(told.demand, now.demand)) return 0;
+    if (!isSame && told.isShort) return told.atMs + SHORTAGE_SPACING_MS;
+    if (!isSame && now.isShort) return 0;
     if (now.isShort) return told.atMs + SHORTAGE_REPEAT_MS;
     if (!isSame || told.repeats < QUICK_REPEATS) return told.atMs + REFRESH_MS;
     return isZero(now.demand) ? null : told.atMs + SETTLED_REFRESH_MS;
--- a/packages/policy/src/permits/group_plan.ts
+++ b/packages/policy/src/permits/group_plan.ts
@@ -10,6 +10,8 @@
 export interface MemberLoad {
   readonly incarnation: string;
   readonly inUse: number;
+  /** The most that it may hold now. */
+  readonly held: number;
   readonly teams: readonly targets.TeamLoad[];
 }
 
@@ -32,7 +34,8 @@
 
   plan(available: number, options: { loads: readonly MemberLoad[]; nowMs: number }): GroupNeeds {
     const claims = options.loads.map(memberClaim).filter((claim) => claim.demand > 0);
-    const needs = this.#divider.divide(available, claims, options);
+    const held = new Map(options.loads.map((load) => [load.incarnation, load.held]));
+    const needs = this.#divider.divide(available, claims, { nowMs: options.nowMs, held });
     const demand = claims.reduce((sum, claim) => sum + claim.demand, 0);
     return { needs, targets: null, isContended: demand > available };
   }
--- a/packages/policy/src/permits/member.ts
+++ b/packages/policy/src/permits/member.ts
@@ -40,6 +40,7 @@
 /** What one turn of a member brought about. */
 export interface Turn {
   readonly messages: readonly outboxes.Outgoing[];
+  readonly events: readonly coordinatorSets.CoordinatorEvent[];
   /** When the next turn is due without any event; null for never. */
   readonly wakeAtMs: number | null;
 }
@@ -184,7 +185,11 @@
       const isSettled = this.#sortOut(messages);
       if (isSettled) break;
     }
-    return { messages, wakeAtMs: earliest([reportAtMs, this.#coordinators.wakeAtMs()]) };
+    return {
+      messages,
+      events: this.#coordinators.drainEvents(),
+      wakeAtMs: earliest([reportAtMs, this.#coordinators.wakeAtMs()]),
+    };
   }
 
   /** Messages to this member itself are taken in at once; true if there were none. */
--- a/packages/policy/src/sharing/max_min.ts
+++ b/packages/policy/src/sharing/max_min.ts
@@ -53,20 +53,27 @@
   #counts = new Map<string, number>();
   #atMs = 0;
 
-  /** Divides anew; the credit since the last division decides who gets a broken slot. */
-  divide(slots: number, claims: readonly Claim[], options: { nowMs: number }): Map<string, number> {
-    this.#accrue(options.nowMs);
+  /**
+   * Divides anew; the credit since the last division decides who gets a broken slot. `held` is what the
+   * parties had since then, where that is not what the last division gave them.
+   */
+  divide(
+    slots: number,
+    claims: readonly Claim[],
+    options: { nowMs: number; held?: ReadonlyMap<string, number> },
+  ): Map<string, number> {
+    this.#accrue(options.nowMs, options.held ?? this.#counts);
     this.#shares = maxMinShares(slots, claims);
     this.#credits = new Map(claims.map((claim) => [claim.id, this.#credits.get(claim.id) ?? 0]));
     this.#counts = this.#roundShares(slots, claims);
     return this.#counts;
   }
 
-  #accrue(nowMs: number): void {
+  #accrue(nowMs: number, held: ReadonlyMap<string, number>): void {
     const elapsedMs = Math.max(0, nowMs - this.#atMs);
     this.#atMs = nowMs;
     for (const [id, share] of this.#shares) {
-      const gained = (share - (this.#counts.get(id) ?? 0)) * elapsedMs;
+      const gained = (share - (held.get(id) ?? 0)) * elapsedMs;
       const credit = (this.#credits.get(id) ?? 0) + gained;
       this.#credits.set(
         id,
