Come nearer to shares, and tell promptly of needs that have gone

Cause: in a trial of five teams with weights 5:3:2:1:1 on 64 slots, 9 entries, skewed callers and runs of 100 ms, one team got 15.08% of the slots in place of 16.67%, as broken slots moved between entries faster than requests end. Entries now keep them for 1,000 slot-ms and teams for 200.

A limit of 2 over 9 entries left one entry waiting beyond 4.3 s: an entry that had lost its permit told so only after 500 ms, and its old need kept slots from the next holder. A need that has gone is now told after 50 ms, and a permit stays 250 slot-ms with an entry. The test 'lets every entry start in time' failed before ('entry-8: expected 4300 to be less than 4300') and passes now.

--- a/packages/policy/src/permits/demand_reporter.ts
+++ b/packages/policy/src/permits/demand_reporter.ts
@@ -11,7 +11,7 @@
 
 /** Shortage is told again after this time until it is over. */
 export const SHORTAGE_REPEAT_MS = 200;
-/** While permits stay short, changes of demand are told with this spacing. */
+/** While permits stay short, or needs go away, changes of demand are told with this spacing. */
 export const SHORTAGE_SPACING_MS = 50;
 /** Changes that hurry nobody, and repeats after a change, are told in this interval. */
 export const REFRESH_MS = 500;
@@ -79,7 +79,9 @@
     if (told.coordinator !== now.coordinator || told.demand.term !== now.demand.term) return 0;
     const isSame = isSameDemand(told.demand, now.demand);
     if (!isSame && isAnswer(told.demand, now.demand)) return 0;
-    if (!isSame && told.isShort) return told.atMs + SHORTAGE_SPACING_MS;
+    if (!isSame && (told.isShort || isLess(told.demand, now.demand))) {
+      return told.atMs + SHORTAGE_SPACING_MS;
+    }
     if (!isSame && now.isShort) return 0;
     if (now.isShort) return told.atMs + SHORTAGE_REPEAT_MS;
     if (!isSame || told.repeats < QUICK_REPEATS) return told.atMs + REFRESH_MS;
@@ -101,6 +103,15 @@
   });
 }
 
+/** Whether a need has gone that keeps permits from others until it is told. */
+function isLess(told: GroupDemand, demand: GroupDemand): boolean {
+  return told.teams.length > demand.teams.length || waitingOf(told) > 0;
+}
+
+function waitingOf(demand: GroupDemand): number {
+  return demand.teams.reduce((sum, team) => sum + team.waiting, 0);
+}
+
 function isSameDemand(told: GroupDemand, demand: GroupDemand): boolean {
   if (isAnswer(told, demand) || told.teams.length !== demand.teams.length) return false;
   const isSameUse = demand.holdings.every((holding, index) =>
--- a/packages/policy/src/permits/group_plan.ts
+++ b/packages/policy/src/permits/group_plan.ts
@@ -28,9 +28,12 @@
   plan(available: number, options: { loads: readonly MemberLoad[]; nowMs: number }): GroupNeeds;
 }
 
+/** How long an entry keeps a broken permit of a limit that is below the entries' need. */
+const HOLD_CREDIT_SLOT_MS = 250;
+
 /** Divides a team's limit by max-min over the entries' needs. */
 export class TeamNeedPlanner implements NeedPlanner {
-  readonly #divider = new maxMin.FairDivider();
+  readonly #divider = new maxMin.FairDivider(HOLD_CREDIT_SLOT_MS);
 
   plan(available: number, options: { loads: readonly MemberLoad[]; nowMs: number }): GroupNeeds {
     const claims = options.loads.map(memberClaim).filter((claim) => claim.demand > 0);
--- a/packages/policy/src/sharing/max_min.ts
+++ b/packages/policy/src/sharing/max_min.ts
@@ -52,6 +52,12 @@
   #shares = new Map<string, number>();
   #counts = new Map<string, number>();
   #atMs = 0;
+  readonly #holdCreditSlotMs: number;
+
+  /** A broken slot moves once another's credit is ahead by `holdCreditSlotMs`. */
+  constructor(holdCreditSlotMs: number = HOLD_CREDIT_SLOT_MS) {
+    this.#holdCreditSlotMs = holdCreditSlotMs;
+  }
 
   /**
    * Divides anew; the credit since the last division decides who gets a broken slot. `held` is what the
@@ -107,7 +113,8 @@
   #urgeOf(claim: Claim): number {
     const share = this.#shares.get(claim.id) ?? 0;
     const holds = (this.#counts.get(claim.id) ?? 0) > wholePart(share);
-    const bonus = (holds ? HOLD_CREDIT_SLOT_MS : 0) + (claim.isUrgent ? URGENT_CREDIT_SLOT_MS : 0);
+    const bonus = (holds ? this.#holdCreditSlotMs : 0) +
+      (claim.isUrgent ? URGENT_CREDIT_SLOT_MS : 0);
     return (this.#credits.get(claim.id) ?? 0) + bonus + (share - wholePart(share));
   }
 }
--- a/packages/policy/src/sharing/targets.ts
+++ b/packages/policy/src/sharing/targets.ts
@@ -23,6 +23,12 @@
 /** The weight of a team without a share in the pool. */
 const DEFAULT_WEIGHT = 1;
 
+/** How long a team keeps a broken slot, at most. */
+const TEAM_HOLD_CREDIT_SLOT_MS = 200;
+
+/** Entries keep a team's broken slots for longer, as a moved slot is only there when a request ends. */
+const ENTRY_HOLD_CREDIT_SLOT_MS = 1_000;
+
 interface TeamTotal {
   demand: number;
   isUrgent: boolean;
@@ -34,7 +40,7 @@
 
 /** Divides the slots of one service; keeps the credit that makes shares exact over time. */
 export class TargetPlanner {
-  readonly #teams = new maxMin.FairDivider();
+  readonly #teams = new maxMin.FairDivider(TEAM_HOLD_CREDIT_SLOT_MS);
   readonly #entries = new Map<string, maxMin.FairDivider>();
   #isContended = false;
 
@@ -73,7 +79,7 @@
   #entriesOf(team: string): maxMin.FairDivider {
     let divider = this.#entries.get(team);
     if (divider === undefined) {
-      divider = new maxMin.FairDivider();
+      divider = new maxMin.FairDivider(ENTRY_HOLD_CREDIT_SLOT_MS);
       this.#entries.set(team, divider);
     }
     return divider;
