Show that an outdated coordinator must not get answers

A member that stays coordinator over a change of the member list refuses report requests of the terms in between.

--- a/packages/policy/src/permits/coordinator.ts
+++ b/packages/policy/src/permits/coordinator.ts
@@ -74,6 +74,7 @@
   readonly skipsQuarantine?: boolean;
   readonly skipsReports?: boolean;
   readonly ignoresUnreported?: boolean;
+  readonly answersOutdated?: boolean;
 }
 
 /** What a coordinator is made for. */
--- a/packages/policy/src/permits/coordinator_set.ts
+++ b/packages/policy/src/permits/coordinator_set.ts
@@ -99,7 +99,7 @@
       this.#startNew(name, view);
       return;
     }
-    this.#holder.refuseBelow(name, view.membersRevision);
+    if (!this.#variant.answersOutdated) this.#holder.refuseBelow(name, view.membersRevision);
     this.#update(running, name, view);
   }
 
--- a/packages/policy/src/permits/model_test.ts
+++ b/packages/policy/src/permits/model_test.ts
@@ -76,6 +76,8 @@
 /** Processes, the head's history, a network that keeps every message, and the requests that run. */
 class World {
   nowMs = 1;
+  /** What every request asks for. */
+  ask = ASK;
   readonly processes: Process[] = [];
   letters: Letter[] = [];
   /** Messages that are held up until an action delivers them. */
@@ -235,7 +237,7 @@
   turn(process: Process) {
     if (process.isFrozen || process.isDead || process.revision === 0) return;
     const { waiting, running } = process;
-    const { team, service } = ASK;
+    const { team, service } = this.ask;
     const turn = process.member.advance(this.nowMs, {
       loads: [{ team, service, running, waiting, urgentWaiting: 0 }],
       timing: {
@@ -280,7 +282,7 @@
 
   startRequests(process: Process) {
     while (process.waiting > 0 && this.#isFresh(process)) {
-      const permit = process.member.take(ASK);
+      const permit = process.member.take(this.ask);
       if (permit === null) break;
       process.waiting -= 1;
       process.running += 1;
@@ -555,6 +557,30 @@
   world.run(20);
 }
 
+/**
+ * A member that was listed for a while, and has not seen that it is fenced, takes itself for the
+ * coordinator; it knows nothing of a member that joined after it.
+ */
+function coordinateOutdated(variant: permits.MemberVariant) {
+  const world = new World(variant, ["entry-d"]);
+  world.ask = { ...ASK, team: "unlimited" };
+  world.run(3);
+  world.join(MEMBER_IDS.indexOf("entry-a"));
+  const outdated = world.processes.at(-1)!;
+  world.learn(outdated, world.latest.head.revision);
+  outdated.isFrozen = true;
+  world.fence(1);
+  world.join(MEMBER_IDS.indexOf("entry-c"));
+  world.learnAll();
+  const newcomer = world.processes.at(-1)!;
+  newcomer.waiting = 2 * SLOTS;
+  world.run(10);
+  expect(newcomer.running).toBe(2 * SLOTS);
+  outdated.isFrozen = false;
+  outdated.waiting = 2 * SLOTS;
+  world.run(20);
+}
+
 describe("permits under faults", () => {
   it.each([{ seed: 11 }, { seed: 12 }, { seed: 13 }, { seed: 14 }])(
     "hold with seed $seed",
@@ -576,6 +602,7 @@
   it.each<{ scenario: (variant: permits.MemberVariant) => void; variant: permits.MemberVariant }>([
     { scenario: raiseWithoutWitness, variant: { skipsWitness: true } },
     { scenario: deliverOldTerm, variant: { ignoresTerms: true } },
+    { scenario: coordinateOutdated, variant: { answersOutdated: true } },
     { scenario: deliverGrantTwice, variant: { ignoresGrantSeq: true } },
     { scenario: deliverReportTwice, variant: { ignoresAnsweredSeq: true } },
   ])("hold in $scenario.name and break with $variant", ({ scenario, variant }) => {
