--- a/packages/policy/src/permits/coordinator.ts
+++ b/packages/policy/src/permits/coordinator.ts
@@ -7,6 +7,8 @@
 import type * as groupPlan from "./group_plan.ts";
 import type * as holders from "./holder.ts";
 import * as ledgers from "./ledger.ts";
+import * as takeovers from "./takeover.ts";
+import * as targetSenders from "./target_sender.ts";
 import * as witnesses from "./witness.ts";
 import type * as targets from "../sharing/targets.ts";
 
@@ -30,20 +32,6 @@
   readonly witness: string | null;
 }
 
-/** What a member answered to a report request. */
-export interface GroupReport {
-  readonly holdings: readonly {
-    readonly resource: string;
-    readonly held: number;
-    readonly total: number;
-  }[];
-  readonly records: readonly {
-    readonly resource: string;
-    readonly incarnation: string;
-    readonly allotment: number;
-  }[];
-}
-
 /** What a member tells of its demand. */
 export interface GroupDemand {
   readonly term: number;
@@ -93,16 +81,6 @@
 /** Recent need falls by half in this time. */
 const NEED_HALF_LIFE_MS = 1_000;
 
-/** Targets are sent again after this time, in case they were lost. */
-const TARGET_REFRESH_MS = 1_000;
-
-interface SentTargets {
-  readonly teams: ReadonlyMap<string, number>;
-  readonly atMs: number;
-  /** Whether the entry has told its demand since. */
-  isHeard: boolean;
-}
-
 /** One coordinator. Drive it by events, then call {@link Coordinator.advance}. */
 export class Coordinator {
   readonly group: string;
@@ -117,24 +95,19 @@
   readonly #ownRecords = new Map<string, witnesses.OwnRecords>();
   readonly #loads = new Map<string, Omit<groupPlan.MemberLoad, "held">>();
   readonly #recentNeeds = new Map<string, number>();
-  readonly #reports = new Map<string, GroupReport>();
-  readonly #requestedAtMs = new Map<string, number>();
   readonly #quarantined = new Set<string>();
   /** Those of the quarantined that were fenced before this coordinator granted anything. */
   readonly #inherited = new Set<string>();
   /** Resources whose reports have been taken over. */
   readonly #takenOver = new Set<string>();
-  /** What members reported that were fenced before all had reported. */
-  readonly #departedReports = new Map<string, GroupReport>();
   #members = new Map<string, MemberRef>();
-  #awaited = new Set<string>();
+  #takeover: takeovers.Takeover | null = null;
   #witness: string | null = null;
-  #isStarted = false;
   #isActive = false;
   /** Numbers the grants of all resources, so that a resource that returns goes on counting. */
   #grantSeq = 0;
   #advancedAtMs = 0;
-  readonly #sentTargets = new Map<string, SentTargets>();
+  readonly #targetSender = new targetSenders.TargetSender();
 
   constructor(options: CoordinatorOptions) {
     this.group = options.group;
@@ -173,9 +146,9 @@
       this.#highestTotals.set(resource, Math.max(highest, total));
     }
     for (const [resource, ledger] of this.#ledgers) ledger.setTotal(totals.get(resource) ?? 0);
-    if (!this.#isActive) return;
+    if (!this.#isActive || this.#takeover === null) return;
     for (const resource of totals.keys()) {
-      if (!this.#ledgers.has(resource)) this.#openLedger(resource);
+      if (!this.#ledgers.has(resource)) this.#openLedger(resource, this.#takeover);
     }
   }
 
@@ -184,7 +157,7 @@
     const listed = new Map(view.members.map((member) => [member.incarnation, member]));
     this.#witness = view.witness;
     for (const records of this.#ownRecords.values()) records.keepOnly(new Set(listed.keys()));
-    if (!this.#isStarted) this.#start(listed, view.fences);
+    if (this.#takeover === null) this.#start(listed, view.fences);
     const gone = [...this.#members.values()].filter((member) => !listed.has(member.incarnation));
     this.#members = listed;
     for (const member of gone) this.#leave(member.incarnation, view.fences);
@@ -193,9 +166,8 @@
   }
 
   #start(listed: Map<string, MemberRef>, fences: readonly FenceRef[]): void {
-    this.#isStarted = true;
     this.#members = listed;
-    this.#awaited = new Set(this.#variant.skipsReports ? [] : listed.keys());
+    this.#takeover = new takeovers.Takeover(this.#variant.skipsReports ? [] : listed.keys());
     for (const fence of fences) {
       if (!fence.clean && !listed.has(fence.incarnation)) this.#quarantine(fence.incarnation);
     }
@@ -210,13 +182,10 @@
   /** A member is gone: clean leavers hold nothing, others up to what the ledger says. */
   #leave(incarnation: string, fences: readonly FenceRef[]): void {
     const isClean = fences.some((fence) => fence.incarnation === incarnation && fence.clean);
-    const report = this.#reports.get(incarnation);
-    if (report !== undefined && !this.#isActive) this.#departedReports.set(incarnation, report);
-    this.#awaited.delete(incarnation);
-    this.#reports.delete(incarnation);
+    this.#takeover?.leave(incarnation);
     this.#recentNeeds.delete(incarnation);
     this.#loads.delete(incarnation);
-    this.#sentTargets.delete(incarnation);
+    this.#targetSender.forget(incarnation);
     for (const ledger of this.#ledgers.values()) {
       const bound = ledger.close(incarnation);
       if (!isClean && !this.#variant.skipsQuarantine) {
@@ -234,59 +203,38 @@
   }
 
   /** Takes over a member's answer to the report request of this term; the first one counts. */
-  onReport(incarnation: string, report: GroupReport): void {
-    if (!this.#awaited.delete(incarnation)) return;
-    this.#reports.set(incarnation, report);
+  onReport(incarnation: string, report: takeovers.GroupReport): void {
+    this.#takeover?.onReport(incarnation, report);
     this.#activateIfReported();
   }
 
   #activateIfReported(): void {
-    if (this.#isActive || !this.#isStarted || this.#awaited.size > 0) return;
+    if (this.#isActive || this.#takeover?.isComplete !== true) return;
     this.#isActive = true;
-    const resources = new Set(this.#totals.keys());
-    for (const report of this.#reports.values()) {
-      for (const holding of report.holdings) resources.add(holding.resource);
-    }
-    for (const resource of resources) this.#openLedger(resource);
+    const resources = new Set([...this.#totals.keys(), ...this.#takeover.resources()]);
+    for (const resource of resources) this.#openLedger(resource, this.#takeover);
   }
 
   /** Permits that nobody reports may be held by those who were fenced before. */
-  #openLedger(resource: string): void {
+  #openLedger(resource: string, takeover: takeovers.Takeover): void {
     const ledger = this.#ledgerOf(resource);
+    const { held, highestTotal } = takeover.heldOf(resource);
+    const total = Math.max(this.#highestTotals.get(resource) ?? 0, highestTotal);
     let reported = 0;
-    let total = this.#highestTotals.get(resource) ?? 0;
-    for (const [incarnation, report] of this.#reports) {
-      const holding = report.holdings.find((item) => item.resource === resource);
+    for (const [incarnation, count] of this.#takenOver.has(resource) ? [] : held) {
       const account = ledger.accountOf(incarnation);
-      const held = this.#takenOver.has(resource) ? 0 : (holding?.held ?? 0);
       if (account === undefined) continue;
-      account.bound = held;
-      account.allotment = held;
-      reported += held;
-      total = Math.max(total, holding?.total ?? 0);
+      account.bound = count;
+      account.allotment = count;
+      reported += count;
     }
     this.#takenOver.add(resource);
     for (const incarnation of this.#inherited) {
-      ledger.quarantine.addInherited(incarnation, this.#recordOf(incarnation, resource));
+      ledger.quarantine.addInherited(incarnation, takeover.boundOf(incarnation, resource));
     }
     ledger.quarantine.setUnreported(this.#variant.ignoresUnreported ? 0 : total - reported);
   }
 
-  #recordOf(incarnation: string, resource: string): number | null {
-    const departed = this.#departedReports.get(incarnation);
-    if (departed !== undefined) {
-      return departed.holdings.find((item) => item.resource === resource)?.held ?? 0;
-    }
-    let bound: number | null = null;
-    for (const report of this.#reports.values()) {
-      for (const record of report.records) {
-        if (record.incarnation !== incarnation || record.resource !== resource) continue;
-        bound = Math.min(bound ?? Infinity, record.allotment);
-      }
-    }
-    return bound;
-  }
-
   #ledgerOf(resource: string): ledgers.Ledger {
     let ledger = this.#ledgers.get(resource);
     if (ledger === undefined) {
@@ -325,8 +273,7 @@
       if (demand.term === this.term) this.#ledgers.get(holding.resource)!.answer(account, holding);
     }
     this.#loads.set(incarnation, { incarnation, inUse, teams: demand.teams });
-    const sent = this.#sentTargets.get(incarnation);
-    if (sent !== undefined) sent.isHeard = true;
+    this.#targetSender.heard(incarnation);
   }
 
   /** A witness has kept a record. */
@@ -348,16 +295,13 @@
       reportRequestsTo: [],
       grants,
       records,
-      targets: this.#changedTargets(planned.targets, nowMs),
+      targets: this.#targetSender.due(planned.targets ?? new Map(), nowMs),
       wakeAtMs: this.#wakeAtMs(nowMs, planned.isContended),
     };
   }
 
   #requestReports(nowMs: number): Effects {
-    const due = [...this.#awaited].filter((incarnation) =>
-      nowMs - (this.#requestedAtMs.get(incarnation) ?? -Infinity) >= RESEND_MS
-    );
-    for (const incarnation of due) this.#requestedAtMs.set(incarnation, nowMs);
+    const due = this.#takeover?.dueRequests(nowMs, RESEND_MS) ?? [];
     const wakeAtMs = nowMs + RESEND_MS;
     return { reportRequestsTo: due, grants: [], records: [], targets: new Map(), wakeAtMs };
   }
@@ -470,19 +414,6 @@
     return account.allotment <= (this.#ownRecords.get(resource)?.usable() ?? 0);
   }
 
-  /** Targets that changed, or that were sent long ago to an entry that has told its demand since. */
-  #changedTargets(planned: targets.Targets | null, nowMs: number): targets.Targets {
-    const changed: targets.Targets = new Map();
-    for (const [incarnation, teams] of planned ?? []) {
-      const sent = this.#sentTargets.get(incarnation);
-      const isOld = sent === undefined || (sent.isHeard && nowMs - sent.atMs >= TARGET_REFRESH_MS);
-      if (!isOld && isSameCount(sent.teams, teams)) continue;
-      changed.set(incarnation, teams);
-      this.#sentTargets.set(incarnation, { teams, atMs: nowMs, isHeard: false });
-    }
-    return changed;
-  }
-
   #wakeAtMs(nowMs: number, isContended: boolean): number | null {
     if (isContended) return nowMs + ROTATION_MS;
     return this.#hasUnanswered() ? nowMs + RESEND_MS : null;
@@ -500,9 +431,3 @@
     return false;
   }
 }
-
-function isSameCount(a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean {
-  if (a.size !== b.size) return false;
-  for (const [key, count] of a) if (b.get(key) !== count) return false;
-  return true;
-}
