--- a/packages/policy/src/permits/member.ts
+++ b/packages/policy/src/permits/member.ts
@@ -7,7 +7,7 @@
 import type { peer } from "@jackdawlink/schema";
 import type * as coordinators from "./coordinator.ts";
 import * as coordinatorSets from "./coordinator_set.ts";
-import * as demandReporters from "./demand_reporter.ts";
+import * as demandSides from "./demand_side.ts";
 import * as groups from "./groups.ts";
 import * as holders from "./holder.ts";
 import * as outboxes from "./outbox.ts";
@@ -19,14 +19,7 @@
   readonly incarnation: string;
 }
 
-/** The demand of one team at one service in this entry. */
-export interface ServiceLoad {
-  readonly service: string;
-  readonly team: string;
-  readonly running: number;
-  readonly waiting: number;
-  readonly urgentWaiting: number;
-}
+export type { ServiceLoad } from "./demand_side.ts";
 
 /** A held permit of a running request. */
 export interface HeldPermit {
@@ -79,18 +72,18 @@
   readonly #holder: holders.Holder;
   readonly #coordinators: coordinatorSets.CoordinatorSet;
   readonly #records = new witnesses.RecordBook();
-  readonly #reporter = new demandReporters.DemandReporter();
+  readonly #demand: demandSides.DemandSide;
   readonly #outbox = new outboxes.Outbox();
   readonly #targets = new Map<string, ServiceTargets>();
   readonly #handlers: Handlers;
   #view: coordinatorSets.PermitView | null = null;
   #memberIds = new Map<string, string>();
-  #loads: ReadonlyMap<string, readonly ServiceLoad[]> = new Map();
   #hasNews = false;
 
   constructor(self: Sender, variant: MemberVariant = {}) {
     this.#self = self;
     this.#holder = new holders.Holder(variant);
+    this.#demand = new demandSides.DemandSide(this.#holder);
     const options = { holder: this.#holder, variant };
     this.#coordinators = new coordinatorSets.CoordinatorSet(self.incarnation, options);
     this.#handlers = {
@@ -172,7 +165,7 @@
   /** Reports demand, advances coordinators, and hands over what is to be sent to others. */
   advance(
     nowMs: number,
-    options: { loads: readonly ServiceLoad[]; timing: coordinatorSets.FenceTiming },
+    options: { loads: readonly demandSides.ServiceLoad[]; timing: coordinatorSets.FenceTiming },
   ): Turn {
     const messages: outboxes.Outgoing[] = [];
     let reportAtMs: number | null = null;
@@ -209,77 +202,15 @@
     return isSettled;
   }
 
-  /** Tells coordinators what they have to know; returns when the next report is due. */
-  #reportDemand(nowMs: number, loads: readonly ServiceLoad[]): number | null {
-    this.#loads = this.#loadsByGroup(loads);
-    const names = new Set([
-      ...this.#loads.keys(),
-      ...this.#reporter.groups(),
-      ...this.#holder.groups(),
-    ]);
-    let nextAtMs: number | null = null;
-    for (const name of names) {
-      if (!this.#isCoordinated(name)) continue;
-      const coordinator = this.#coordinators.memberOf(name);
-      if (coordinator === null) continue;
-      const demand = this.#demandOf(name);
-      const isShort = this.#isShort(demand);
-      const options = { coordinator: coordinator.incarnation, isShort, nowMs };
-      const { isDue, dueAtMs } = this.#reporter.consider(demand, options);
-      if (isDue) this.#outbox.demand(coordinator.memberId, demand);
-      nextAtMs = earliest([nextAtMs, dueAtMs]);
-    }
-    return nextAtMs;
-  }
-
-  /** The loads of each service's group, and of each team's group over all services. */
-  #loadsByGroup(loads: readonly ServiceLoad[]): ReadonlyMap<string, readonly ServiceLoad[]> {
-    const byGroup = new Map<string, ServiceLoad[]>();
-    for (const load of loads) {
-      push(byGroup, groups.teamGroup(load.team), load);
-      push(byGroup, groups.serviceGroup(load.service), this.#startableOf(load));
-    }
-    return byGroup;
-  }
-
-  /** Slots are needed only for what the team's limit lets this entry start. */
-  #startableOf(load: ServiceLoad): ServiceLoad {
-    const team = groups.teamGroup(load.team);
-    if (this.#view?.groups.has(team) !== true) return load;
-    const waiting = Math.min(load.waiting, this.#holder.freeOf(team));
-    return { ...load, waiting, urgentWaiting: Math.min(load.urgentWaiting, waiting) };
-  }
-
-  /** A team without a limit is only counted, in case it gets one. */
-  #isCoordinated(group: string): boolean {
-    return this.#view?.groups.has(group) === true || this.#holder.promisedTermOf(group) > 0;
-  }
-
-  #demandOf(group: string): demandReporters.GroupDemand {
-    const holdings = [];
-    for (const resource of this.#holder.resourcesOf(group)) {
-      const { held, inUse, grantSeq } = this.#holder.holdingOf(resource);
-      holdings.push({ resource, held, inUse, grantSeq });
-    }
-    const teams = (this.#loads.get(group) ?? []).map((
-      { team, running, waiting, urgentWaiting },
-    ) => ({
-      team,
-      running,
-      waiting,
-      urgentWaiting,
-    }));
-    return { group, term: this.#holder.promisedTermOf(group), holdings, teams };
-  }
-
-  /** Whether requests wait for which no permit of the group is free. */
-  #isShort(demand: demandReporters.GroupDemand): boolean {
-    let waiting = 0;
-    for (const team of demand.teams) waiting += team.waiting;
-    if (waiting === 0) return false;
-    let free = 0;
-    for (const holding of demand.holdings) free += this.#holder.freeOf(holding.resource);
-    return waiting > free;
+  #reportDemand(nowMs: number, loads: readonly demandSides.ServiceLoad[]): number | null {
+    if (this.#view === null) return null;
+    const routes = {
+      groups: this.#view.groups,
+      memberOf: (group: string) => this.#coordinators.memberOf(group),
+    };
+    const send = (memberId: string, demand: peer.PermitDemand["groups"][number]) =>
+      this.#outbox.demand(memberId, demand);
+    return this.#demand.report(loads, { routes, nowMs, send });
   }
 
   #post(coordinator: coordinators.Coordinator, effects: coordinators.Effects): void {
@@ -338,7 +269,7 @@
     if (message.incarnation !== this.#self.incarnation) return;
     for (const grant of message.grants) {
       if (this.#holder.accept(grant)) this.#hasNews = true;
-      this.#reporter.force(grant.group);
+      this.#demand.force(grant.group);
     }
   }
 
@@ -397,13 +328,6 @@
   return { resource, held, inUse, total };
 }
 
-function push(byGroup: Map<string, ServiceLoad[]>, group: string, load: ServiceLoad): void {
-  if (load.running + load.waiting === 0) return;
-  const known = byGroup.get(group);
-  if (known === undefined) byGroup.set(group, [load]);
-  else known.push(load);
-}
-
 function earliest(times: readonly (number | null)[]): number | null {
   let first: number | null = null;
   for (const time of times) {
