Grant again what a member no longer holds after a takeover

Cause: a new coordinator took what a member reported for its allotment, although part of it was requests above a lowered allotment; once they ended, the ledger's bound fell, the allotment didn't, and the permit was never granted again. The answer now lowers the allotment as well. ledger_test.ts failed before ('expected false to be true').

A member that leaves reports no demand any more, so that nothing is granted to it. The directed case for the answered sequence now has the other entry wait before the old report arrives; as it stood, the re-grant hid the fault.

--- a/packages/policy/src/permits/ledger.ts
+++ b/packages/policy/src/permits/ledger.ts
@@ -126,11 +126,15 @@
     return true;
   }
 
-  /** Takes over what a member says that it holds after a grant. Only the latest grant's answer counts. */
+  /**
+   * Takes over what a member says that it holds after a grant. Only the latest grant's answer counts. What
+   * a new coordinator took for an allotment may have been requests above a lower one, which have ended.
+   */
   answer(account: Account, report: { held: number; grantSeq: number }): void {
     if (report.grantSeq !== account.grantSeq && !this.#variant.ignoresAnsweredSeq) return;
     account.answeredSeq = report.grantSeq;
     account.bound = this.#variant.debitsLate ? report.held : Math.min(account.bound, report.held);
+    account.allotment = Math.min(account.allotment, account.bound);
   }
 
   #boundSum(): number {
--- /dev/null
+++ b/packages/policy/src/permits/ledger_test.ts
@@ -0,0 +1,14 @@
+import { describe, expect, it } from "vitest";
+import * as ledgers from "./ledger.ts";
+
+describe("Ledger", () => {
+  it("grants again what a member reported and no longer holds", () => {
+    let seq = 0;
+    const ledger = new ledgers.Ledger("team:billing", { total: 1, nextSeq: () => seq += 1 });
+    const account = ledger.open("entry-a", { incarnation: "entry-a-1", held: 1 });
+    ledger.answer(account, { held: 0, grantSeq: 0 });
+    expect(ledger.unheld()).toBe(1);
+    expect(ledger.grant(account, 1)).toBe(true);
+    expect([account.bound, ledger.unheld()]).toEqual([1, 0]);
+  });
+});
--- a/packages/policy/src/permits/member.ts
+++ b/packages/policy/src/permits/member.ts
@@ -79,6 +79,7 @@
   #view: coordinatorSets.PermitView | null = null;
   #memberIds = new Map<string, string>();
   #hasNews = false;
+  #isLeaving = false;
 
   constructor(self: Sender, variant: MemberVariant = {}) {
     this.#self = self;
@@ -153,6 +154,7 @@
 
   /** Gives up idle permits for good, before the member leaves. */
   giveUp(): void {
+    this.#isLeaving = true;
     this.#holder.giveUp();
   }
 
@@ -170,7 +172,7 @@
     const messages: outboxes.Outgoing[] = [];
     let reportAtMs: number | null = null;
     for (let round = 0; round < MAX_LOCAL_ROUNDS; round += 1) {
-      reportAtMs = this.#reportDemand(nowMs, options.loads);
+      reportAtMs = this.#reportDemand(nowMs, this.#isLeaving ? [] : options.loads);
       this.#coordinators.advance(nowMs, {
         timing: options.timing,
         onEffects: (coordinator, effects) => this.#post(coordinator, effects),
--- a/packages/policy/src/permits/model_test.ts
+++ b/packages/policy/src/permits/model_test.ts
@@ -552,8 +552,9 @@
   busy.waiting = Math.max(busy.waiting, LIMIT - busy.running);
   world.run(20);
   expect(busy.running).toBe(LIMIT);
+  other.waiting = LIMIT;
+  world.run(12);
   for (const letter of world.late) world.deliver(letter);
-  other.waiting = 3;
   world.run(20);
 }
 
