--- a/packages/policy/src/permits/allocation.ts
+++ b/packages/policy/src/permits/allocation.ts
@@ -17,7 +17,10 @@
 }
 
 /** The part of the permits nobody needs that members hold ahead of need; the rest stays free. */
-const IDLE_LENT_RATIO = 0.5;
+const IDLE_LENT_RATIO = 0.75;
+
+/** A recent need below this counts as none. */
+const LEAST_RECENT_NEED = 0.05;
 
 /** Idle permits that a member with recent need may hold beyond it. */
 const MIN_IDLE_PERMITS = 2;
@@ -41,18 +44,21 @@
   return counts;
 }
 
-/** Lends idle permits in proportion to recent need, whole numbers, the first members first. */
+/** Lends idle permits in proportion to recent need; broken parts go to the highest need. */
 function lendIdle(
   idle: number,
   plan: { members: readonly MemberNeed[]; counts: Map<string, number> },
 ): void {
-  const weights = plan.members.reduce((sum, member) => sum + member.recentNeed, 0);
-  if (idle <= 0 || weights <= 0) return;
-  for (const member of plan.members) {
-    if (member.recentNeed <= 0) continue;
-    const share = Math.floor(idle * member.recentNeed / weights);
+  const needy = plan.members.filter((member) => member.recentNeed >= LEAST_RECENT_NEED);
+  needy.sort((a, b) => b.recentNeed - a.recentNeed || (a.incarnation < b.incarnation ? -1 : 1));
+  const weights = needy.reduce((sum, member) => sum + member.recentNeed, 0);
+  let left = Math.max(0, idle);
+  for (const member of needy) {
+    const share = Math.ceil(idle * member.recentNeed / weights);
     const most = Math.ceil(member.recentNeed) + MIN_IDLE_PERMITS;
-    plan.counts.set(member.incarnation, member.need + Math.min(share, most));
+    const lent = Math.max(0, Math.min(share, most, left));
+    plan.counts.set(member.incarnation, member.need + lent);
+    left -= lent;
   }
 }
 
@@ -60,6 +66,8 @@
 export interface ResourceCapacity {
   readonly resource: string;
   readonly available: number;
+  /** Those that nobody holds now; others come back only as members answer. */
+  readonly free: number;
 }
 
 /** What a member was last granted of one resource, and how much of it runs. */
@@ -100,6 +108,7 @@
 class SpreadPlan {
   readonly rows = new Map<string, Map<string, number>>();
   readonly #left = new Map<string, number>();
+  readonly #free = new Map<string, number>();
   readonly #counts: ReadonlyMap<string, number>;
   readonly #resources: readonly ResourceCapacity[];
   readonly #cellOf: CellReader;
@@ -111,15 +120,20 @@
     this.#counts = counts;
     this.#resources = options.resources;
     this.#cellOf = options.cellOf;
-    for (const resource of options.resources) this.#left.set(resource.resource, resource.available);
+    for (const { resource, available, free } of options.resources) {
+      this.#left.set(resource, available);
+      this.#free.set(resource, free);
+    }
     for (const incarnation of counts.keys()) this.#copyRow(incarnation);
   }
 
+  /** What runs above an allotment counts as well, so that idle permits elsewhere are taken back first. */
   #copyRow(incarnation: string): void {
     const row = new Map<string, number>();
     this.rows.set(incarnation, row);
     for (const { resource } of this.#resources) {
-      this.#move(row, resource, this.#cellOf(incarnation, resource).allotment);
+      const cell = this.#cellOf(incarnation, resource);
+      this.#move(row, resource, Math.max(cell.allotment, cell.inUse));
     }
   }
 
@@ -170,11 +184,17 @@
     }
   }
 
+  /** Adds where a permit is free at once, or else where one is being taken back. */
   #addOne(row: Map<string, number>): boolean {
     const open = [...this.#left].filter(([, left]) => left > 0);
-    const chosen = best(open, ([resource, left]) => left - (row.get(resource) ?? 0) * TIE_WEIGHT);
+    const ready = open.filter(([resource]) => (this.#free.get(resource) ?? 0) > 0);
+    const chosen = best(
+      ready.length > 0 ? ready : open,
+      ([resource, left]) => left - (row.get(resource) ?? 0) * TIE_WEIGHT,
+    );
     if (chosen === undefined) return false;
     this.#move(row, chosen[0], 1);
+    this.#free.set(chosen[0], (this.#free.get(chosen[0]) ?? 0) - 1);
     return true;
   }
 
--- a/packages/policy/src/sharing/max_min.ts
+++ b/packages/policy/src/sharing/max_min.ts
@@ -52,21 +52,34 @@
   #shares = new Map<string, number>();
   #counts = new Map<string, number>();
   #atMs = 0;
+  readonly #holdCreditSlotMs: number;
 
-  /** Divides anew; the credit since the last division decides who gets a broken slot. */
-  divide(slots: number, claims: readonly Claim[], options: { nowMs: number }): Map<string, number> {
-    this.#accrue(options.nowMs);
+  /** A broken slot moves once another's credit is ahead by `holdCreditSlotMs`. */
+  constructor(holdCreditSlotMs: number = HOLD_CREDIT_SLOT_MS) {
+    this.#holdCreditSlotMs = holdCreditSlotMs;
+  }
+
+  /**
+   * Divides anew; the credit since the last division decides who gets a broken slot. `held` is what the
+   * parties had since then, where that is not what the last division gave them.
+   */
+  divide(
+    slots: number,
+    claims: readonly Claim[],
+    options: { nowMs: number; held?: ReadonlyMap<string, number> },
+  ): Map<string, number> {
+    this.#accrue(options.nowMs, options.held ?? this.#counts);
     this.#shares = maxMinShares(slots, claims);
     this.#credits = new Map(claims.map((claim) => [claim.id, this.#credits.get(claim.id) ?? 0]));
     this.#counts = this.#roundShares(slots, claims);
     return this.#counts;
   }
 
-  #accrue(nowMs: number): void {
+  #accrue(nowMs: number, held: ReadonlyMap<string, number>): void {
     const elapsedMs = Math.max(0, nowMs - this.#atMs);
     this.#atMs = nowMs;
     for (const [id, share] of this.#shares) {
-      const gained = (share - (this.#counts.get(id) ?? 0)) * elapsedMs;
+      const gained = (share - (held.get(id) ?? 0)) * elapsedMs;
       const credit = (this.#credits.get(id) ?? 0) + gained;
       this.#credits.set(
         id,
@@ -100,7 +113,8 @@
   #urgeOf(claim: Claim): number {
     const share = this.#shares.get(claim.id) ?? 0;
     const holds = (this.#counts.get(claim.id) ?? 0) > wholePart(share);
-    const bonus = (holds ? HOLD_CREDIT_SLOT_MS : 0) + (claim.isUrgent ? URGENT_CREDIT_SLOT_MS : 0);
+    const bonus = (holds ? this.#holdCreditSlotMs : 0) +
+      (claim.isUrgent ? URGENT_CREDIT_SLOT_MS : 0);
     return (this.#credits.get(claim.id) ?? 0) + bonus + (share - wholePart(share));
   }
 }
