--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -143,7 +143,7 @@
 /** The secret of the one key. */
 export const SECRET = "secret-of-billing";
 
-/** The configuration in front of some backend servers. */
+/** The configuration in front of some backend servers; `a` is in the zone of the entry. */
 export function configFor(
   backendServers: readonly testing.backendServerClient.BackendServerClient[],
   { service = {}, queue = {}, withdrawn = false, draining = [] }: {
@@ -165,7 +165,7 @@
         service: "renewals",
         address,
         vm: `vm-${name}`,
-        availabilityZone: "zone-a",
+        availabilityZone: name === "a" ? "zone-a" : "zone-b",
         draining: draining.includes(name),
       }]),
     ),
@@ -198,7 +198,10 @@
   readonly #server: requests.callerServer.CallerServer;
   address = "";
 
-  constructor(input: config.ConfigInput) {
+  constructor(
+    input: config.ConfigInput,
+    serverSettings: Omit<requests.callerServer.CallerServerSettings, "callerAddress"> = {},
+  ) {
     this.snapshots = new FakeSnapshots(input);
     const keep = (message: string, fields: ports.log.LogFields = {}) => {
       this.lines.push({ message, fields });
@@ -215,7 +218,7 @@
       seed: 1,
     });
     this.#server = new requests.callerServer.CallerServer(
-      { callerAddress: "127.0.0.1:0" },
+      { callerAddress: "127.0.0.1:0", ...serverSettings },
       this.path,
     );
   }
@@ -235,7 +238,7 @@
     { method = "GET", headers = {}, body, key = SECRET }: {
       method?: string;
       headers?: Record<string, string>;
-      body?: string;
+      body?: string | ReadableStream;
       key?: string | null;
     } = {},
   ): Promise<CallerView> {
@@ -247,6 +250,7 @@
         method,
         headers: { ...authorization, ...headers },
         body,
+        duplex: "half",
       });
       const text = await answer.text();
       return {
