Move targets by the slot time that teams lack

Cause: targets are not what runs. A slot moves only when a request ends, so each move costs the team that waits for it; a team with one slot that is spread over three entries lost most. The credit of the division followed the targets and never saw that, and where shares are whole numbers it had nothing to divide.

Now the coordinator compares what full teams run, as entries tell it, with their shares of what all full teams run, and moves shares by the difference, at most by half a share. Teams below their share keep their targets, and what is moved sums up to nothing.

What is left at teams with a single slot has no bias: a run of 100 ms is 1% of their slot time in a window.

--- a/packages/policy/src/sharing/max_min.ts
+++ b/packages/policy/src/sharing/max_min.ts
@@ -66,10 +66,15 @@
   divide(
     slots: number,
     claims: readonly Claim[],
-    options: { nowMs: number; held?: ReadonlyMap<string, number> },
+    options: {
+      nowMs: number;
+      held?: ReadonlyMap<string, number>;
+      correct?: (shares: ReadonlyMap<string, number>) => Map<string, number>;
+    },
   ): Map<string, number> {
     this.#accrue(options.nowMs, options.held ?? this.#counts);
-    this.#shares = maxMinShares(slots, claims);
+    const shares = maxMinShares(slots, claims);
+    this.#shares = options.correct?.(shares) ?? shares;
     this.#credits = new Map(claims.map((claim) => [claim.id, this.#credits.get(claim.id) ?? 0]));
     this.#counts = this.#roundShares(slots, claims);
     return this.#counts;
--- a/packages/policy/src/sharing/targets.ts
+++ b/packages/policy/src/sharing/targets.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import * as lags from "./lags.ts";
 import * as maxMin from "./max_min.ts";
 
 /** The demand of one team at one entry. */
@@ -30,6 +31,7 @@
 const ENTRY_HOLD_CREDIT_SLOT_MS = 1_000;
 
 interface TeamTotal {
+  running: number;
   demand: number;
   isUrgent: boolean;
   readonly claims: maxMin.Claim[];
@@ -42,6 +44,7 @@
 export class TargetPlanner {
   readonly #teams = new maxMin.FairDivider(TEAM_HOLD_CREDIT_SLOT_MS);
   readonly #entries = new Map<string, maxMin.FairDivider>();
+  readonly #lags = new lags.Lags();
   #isContended = false;
 
   /** Whether the demand exceeded the slots when they were last divided. */
@@ -60,7 +63,11 @@
   ): Targets {
     const totals = totalByTeam(options.loads);
     const claims = [...totals].map(([team, total]) => teamClaim(team, total, options.ruleOf(team)));
-    const shares = this.#teams.divide(slots, claims, options);
+    const running = new Map([...totals].map(([team, total]) => [team, total.running]));
+    const shares = this.#teams.divide(slots, claims, {
+      nowMs: options.nowMs,
+      correct: (plain) => this.#lags.correct(plain, { claims, running, nowMs: options.nowMs }),
+    });
     this.#isContended = claims.reduce((sum, claim) => sum + claim.demand, 0) > slots;
     const targets: Targets = new Map();
     for (const entry of options.loads.keys()) targets.set(entry, new Map());
@@ -97,8 +104,9 @@
 function addLoad(totals: Map<string, TeamTotal>, entry: string, load: TeamLoad): void {
   const demand = load.running + load.waiting;
   if (demand === 0) return;
-  const total = totals.get(load.team) ?? { demand: 0, isUrgent: false, claims: [] };
+  const total = totals.get(load.team) ?? { running: 0, demand: 0, isUrgent: false, claims: [] };
   const isUrgent = load.urgentWaiting > 0;
+  total.running += load.running;
   total.demand += demand;
   total.isUrgent ||= isUrgent;
   total.claims.push({ id: entry, weight: 1, demand, isUrgent });
