--- /dev/null
+++ b/packages/bench/src/experiments/overload.ts
@@ -0,0 +1,187 @@
+/**
+ * Goodput under five times the load that the slots can serve, against queues that shed nothing, and
+ * with failing backend servers against retries without a budget.
+ *
+ * @module
+ */
+import * as schema from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import type * as experiment from "../experiment.ts";
+import * as experimentSystem from "../experiment_system.ts";
+import * as loadProcess from "../load/load_process.ts";
+import type * as loadSpec from "../load/load_spec.ts";
+
+const TEAM = "renewals";
+const BACKEND_SERVERS = 2;
+const SLOTS = BACKEND_SERVERS * 8;
+const RUN_MS = 100;
+const MS_PER_SECOND = 1_000;
+const PERCENT = 100;
+const CAPACITY_PER_SECOND = SLOTS * MS_PER_SECOND / RUN_MS;
+const OVERLOAD_FACTOR = 5;
+/** Callers have no use for an answer that comes later. */
+const DEADLINE_MS = 1_000;
+const WARM_UP_MS = 2_000;
+const LOAD_MS = 10_000;
+const MIN_GOODPUT: experiment.Target = { kind: "atLeast", value: 95 };
+
+/** Of each 10 requests of a failing backend server, so many break. */
+const BROKEN_PER_TENTH_SECOND = 2;
+const FAULT_INTERVAL_MS = 100;
+
+type System = testing.testSystem.TestSystem;
+
+/** One way of meeting the overload; each has a service of its own. */
+interface Way {
+  readonly service: string;
+  readonly isFailing: boolean;
+  /** Whether entries are told until when the caller waits. */
+  readonly tellsDeadline: boolean;
+  readonly queue: Partial<schema.config.Queue>;
+  readonly retryBudgetRatio: number;
+}
+
+const DEFAULT_RETRY_BUDGET = 0.1;
+const SHEDDING_QUEUE = { maxWaiting: 50, maxWaitMs: 2_000 };
+const UNBOUNDED_QUEUE = { maxWaiting: 1_000_000, maxWaitMs: 600_000 };
+
+const WAYS: readonly Way[] = [
+  {
+    service: "shedding",
+    isFailing: false,
+    tellsDeadline: true,
+    queue: SHEDDING_QUEUE,
+    retryBudgetRatio: DEFAULT_RETRY_BUDGET,
+  },
+  {
+    service: "unbounded",
+    isFailing: false,
+    tellsDeadline: false,
+    queue: UNBOUNDED_QUEUE,
+    retryBudgetRatio: DEFAULT_RETRY_BUDGET,
+  },
+  {
+    service: "budgeted",
+    isFailing: true,
+    tellsDeadline: true,
+    queue: SHEDDING_QUEUE,
+    retryBudgetRatio: DEFAULT_RETRY_BUDGET,
+  },
+  {
+    service: "unbudgeted",
+    isFailing: true,
+    tellsDeadline: true,
+    queue: SHEDDING_QUEUE,
+    retryBudgetRatio: 1,
+  },
+];
+
+export const overloadExperiment: experiment.Experiment = {
+  description: "Goodput under five times the load, without shedding and without a retry budget",
+  runSeed: ({ seed, progress }) =>
+    experimentSystem.withSystem({ seed }, async (system) => {
+      await publish(system);
+      progress("capacity of the slots by direct connections");
+      const capacity = await measureCapacity(system);
+      const goodputs = new Map<string, number>();
+      for (const way of WAYS) {
+        progress(way.service);
+        goodputs.set(way.service, await measureGoodput(way, { system, seed }));
+      }
+      const ratioOf = (service: string) => goodputs.get(service)! / capacity * PERCENT;
+      return {
+        figures: [
+          { name: "capacity by direct connections", unit: "/s", value: capacity },
+          {
+            name: "goodput of capacity",
+            unit: "%",
+            value: ratioOf("shedding"),
+            baseline: { name: "no shedding", value: ratioOf("unbounded") },
+            target: MIN_GOODPUT,
+          },
+          {
+            name: "goodput of capacity, failing backend servers",
+            unit: "%",
+            value: ratioOf("budgeted"),
+            baseline: { name: "no retry budget", value: ratioOf("unbudgeted") },
+          },
+        ],
+      };
+    }),
+};
+
+async function publish(system: System): Promise<void> {
+  const services = WAYS.map(({ service }) => service);
+  const config = testing.exampleConfig.exampleConfig({
+    availabilityZones: experimentSystem.AVAILABILITY_ZONES,
+    services,
+    backendServersPerService: BACKEND_SERVERS,
+    teams: { [TEAM]: { weight: 1 } },
+  });
+  const started = await system.startBackendServers({
+    ...config,
+    services: Object.fromEntries(
+      WAYS.map(({ service, retryBudgetRatio }) => [service, { pool: service, retryBudgetRatio }]),
+    ),
+    queues: Object.fromEntries(
+      WAYS.map(({ service, queue }) => [service, { service, ...queue }]),
+    ),
+  });
+  await experimentSystem.applyEverywhere(system, started);
+}
+
+function backendServersOf(system: System, service: string) {
+  return [...system.backendServers.values()].filter(({ name }) => name.startsWith(`${service}-`));
+}
+
+/** Answers a second, with one connection for each slot. */
+async function measureCapacity(system: System): Promise<number> {
+  const urls = backendServersOf(system, WAYS[0]!.service)
+    .map(({ address }) => `http://${address}/work?runMs=${RUN_MS}`);
+  const loop = { name: "capacity", urls, concurrency: SLOTS, startMs: 0, endMs: LOAD_MS };
+  const { requests } = await loadProcess.runLoad(system, { loops: [loop] });
+  return goodPerSecond(requests);
+}
+
+async function measureGoodput(
+  way: Way,
+  { system, seed }: { system: System; seed: number },
+): Promise<number> {
+  const faults = way.isFailing ? breakSome(system, way.service) : null;
+  const deadline: Record<string, string> = way.tellsDeadline
+    ? { [schema.http.DEADLINE_HEADER]: String(DEADLINE_MS) }
+    : {};
+  const ratePerSecond = CAPACITY_PER_SECOND * OVERLOAD_FACTOR;
+  const stream = {
+    name: way.service,
+    seed,
+    urls: experimentSystem.queueUrls(system.entries, {
+      queue: way.service,
+      path: `/work?runMs=${RUN_MS}`,
+    }),
+    headers: { ...experimentSystem.keyHeader(TEAM), ...deadline },
+    phases: [{ startMs: 0, endMs: LOAD_MS, ratePerSecond }],
+  };
+  const { requests } = await loadProcess.runLoad(system, { streams: [stream] });
+  if (faults !== null) clearInterval(faults);
+  return goodPerSecond(requests);
+}
+
+/** Lets some answers of each backend server break off, after the work has been done. */
+function breakSome(system: System, service: string): NodeJS.Timeout {
+  return setInterval(() => {
+    for (const backendServer of backendServersOf(system, service)) {
+      const faults = [{ kind: "resetMidAnswer" as const, count: BROKEN_PER_TENTH_SECOND }];
+      void backendServer.setFaults(faults).catch(() => undefined);
+    }
+  }, FAULT_INTERVAL_MS);
+}
+
+/** Answers a second that came in time, by when they came. */
+function goodPerSecond(requests: readonly loadSpec.LoadedRequest[]): number {
+  const good = requests.filter(({ intendedAtMs, latencyMs, status }) => {
+    const endMs = intendedAtMs + latencyMs;
+    return status === 200 && latencyMs <= DEADLINE_MS && endMs >= WARM_UP_MS && endMs < LOAD_MS;
+  });
+  return good.length * MS_PER_SECOND / (LOAD_MS - WARM_UP_MS);
+}
--- /dev/null
+++ b/packages/bench/src/report/report_test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, it } from "vitest";
+import { Latencies } from "../load/latencies.ts";
+import { writeCsv } from "./csv.ts";
+import * as summary from "./summary.ts";
+import { drawPlot } from "./svg_plot.ts";
+
+const TARGET = { kind: "atMost", value: 3 } as const;
+
+describe("the summary of several seeds", () => {
+  it.each([
+    { name: "all seeds keep it", values: [1, 2, 3], median: 2, isMet: true },
+    { name: "the worst seed misses it", values: [1, 2, 4], median: 2, isMet: false },
+    { name: "a seed gave no number", values: [1, Number.NaN], median: Number.NaN, isMet: false },
+  ])("takes a target as it is where $name", ({ values, median, isMet }) => {
+    const seeds = values.map((value, seed) => ({
+      seed,
+      figures: [{ name: "figure", unit: "ms", value, target: TARGET }],
+    }));
+    const [summarized] = summary.summarize(seeds);
+    expect(summarized).toMatchObject({ median, isMet });
+  });
+});
+
+it("gives percentiles in milliseconds", () => {
+  const latencies = new Latencies(Array.from({ length: 1_000 }, (_, index) => index + 1));
+  expect(latencies.percentileMs(50)).toBeCloseTo(500, -1);
+  expect(latencies.percentileMs(99)).toBeCloseTo(990, -1);
+  expect(new Latencies().percentileMs(50)).toBeNaN();
+});
+
+it("quotes cells of CSV and escapes texts of SVG", () => {
+  expect(writeCsv(["a", "b"], [['x,"y"', 1]])).toBe('a,b\n"x,""y""",1\n');
+  const plot = { name: "p", title: "a < b", xLabel: "x", yLabel: "y", series: [] };
+  expect(drawPlot(plot)).toContain("a &lt; b");
+});
