Refuse requests that can't be answered before their deadline

Cause: queues are served in order of arrival, so under overload each request starts just before its deadline, and the backend server stops it there.

Now each service's runner estimates the time of a run from recent ones, by mean and deviation as RFC 6298 does, and refuses a waiting request "not run" once its deadline comes too early.

Not solved: with failing backend servers it stays near 0, since a broken connection does not prove that its run is over, and the slot stays taken until the told deadline.

--- a/packages/entry/src/requests/service_runner.ts
+++ b/packages/entry/src/requests/service_runner.ts
@@ -17,6 +17,10 @@
 
 /** Added to the told deadline before a run without an answer counts as over. */
 export const RUN_END_MARGIN_MS = 500;
+/** Backend servers answer so where they stopped the work at the told deadline. */
+const STATUS_GATEWAY_TIMEOUT = 504;
+/** The told deadline is rounded down, and timers of backend servers differ a little. */
+const STOP_SLACK_MS = 20;
 
 /** What all runners of an entry share. */
 export interface RunnerContext {
@@ -41,6 +45,7 @@
   readonly #budget = new policy.retry.RetryBudget();
   readonly #choice: BackendChoice;
   readonly #running = new RunningCounts();
+  readonly #runEstimate = new policy.runEstimate.RunEstimate();
   #pumping = false;
   #pumpAgain = false;
 
@@ -133,6 +138,10 @@
     const orders: RoundOrders = new Map();
     for (const job of this.#waiting.candidates(nowMs, standingOf)) {
       const { request } = job;
+      if (this.#runEstimate.isTooLate({ nowMs, deadlineAtMs: request.deadlineAtMs })) {
+        this.#giveUp(job, "deadlineOver");
+        return true;
+      }
       const order = this.#choice.orderFor(job, orders);
       if (order.length === 0) continue;
       const permit = this.#context.permits.take({
@@ -271,6 +280,7 @@
     metrics.attempts.inc({ service: this.#service, result: end.result });
     metrics.runSeconds.observe({ service: this.#service }, (nowMs - startedAtMs) / 1_000);
     if (end.result === "whole") {
+      this.#learnRunTime(job, { status: end.status, startedAtMs, nowMs });
       job.end({ outcome: "answered", status: end.status });
       return;
     }
@@ -289,6 +299,17 @@
     else this.refuse(job, refusalOf(job, { end, nowMs }));
   }
 
+  #learnRunTime(
+    { request }: requestJob.RequestJob,
+    { status, startedAtMs, nowMs }: { status: number | null; startedAtMs: number; nowMs: number },
+  ): void {
+    const runMs = nowMs - startedAtMs;
+    if (status !== STATUS_GATEWAY_TIMEOUT) this.#runEstimate.add(runMs, nowMs);
+    else if (nowMs >= request.deadlineAtMs - STOP_SLACK_MS) {
+      this.#runEstimate.addStopped(runMs, nowMs);
+    }
+  }
+
   #shouldRetry(
     job: requestJob.RequestJob,
     { end, nowMs }: { end: backendAttempt.AttemptEnd; nowMs: number },
--- a/packages/policy/src/requests/mod.ts
+++ b/packages/policy/src/requests/mod.ts
@@ -10,3 +10,4 @@
 export * as outliers from "./outliers.ts";
 export * as retry from "./retry.ts";
 export * as routing from "./routing.ts";
+export * as runEstimate from "./run_estimate.ts";
--- /dev/null
+++ b/packages/policy/src/requests/run_estimate_test.ts
@@ -0,0 +1,40 @@
+import { expect, it } from "vitest";
+import * as runEstimate from "./run_estimate.ts";
+
+/** An estimate from runs that ended one after another, the last one at 1,000 ms. */
+function estimateOf(runsMs: readonly number[]): runEstimate.RunEstimate {
+  const estimate = new runEstimate.RunEstimate();
+  for (const runMs of runsMs) estimate.add(runMs, 1_000);
+  return estimate;
+}
+
+it.each([
+  { name: "nothing is known", runsMs: [], nowMs: 1_000, deadlineAtMs: 1_001, isTooLate: false },
+  { name: "the run fits", runsMs: [100, 100], nowMs: 1_000, deadlineAtMs: 1_111, isTooLate: false },
+  { name: "the run is longer", runsMs: [100], nowMs: 1_000, deadlineAtMs: 1_109, isTooLate: true },
+  {
+    name: "runs vary",
+    runsMs: [50, 150, 50, 150, 50, 150],
+    nowMs: 1_000,
+    deadlineAtMs: 1_200,
+    isTooLate: true,
+  },
+  {
+    name: "the last run was long ago",
+    runsMs: [100],
+    nowMs: 1_001 + runEstimate.ESTIMATE_VALID_MS,
+    deadlineAtMs: 1_002 + runEstimate.ESTIMATE_VALID_MS,
+    isTooLate: false,
+  },
+])(
+  "tells whether a run ends too late where $name",
+  ({ runsMs, nowMs, deadlineAtMs, isTooLate }) => {
+    expect(estimateOf(runsMs).isTooLate({ nowMs, deadlineAtMs })).toBe(isTooLate);
+  },
+);
+
+it("learns from runs that were stopped at their deadlines", () => {
+  const estimate = estimateOf([10]);
+  estimate.addStopped(80, 1_000);
+  expect(estimate.isTooLate({ nowMs: 1_000, deadlineAtMs: 1_090 })).toBe(true);
+});
