--- a/packages/bench/src/load/load_generator.ts
+++ b/packages/bench/src/load/load_generator.ts
@@ -12,6 +12,8 @@
 /** More than any experiment keeps open; an open loop must not wait for connections. */
 const MAX_CONNECTIONS_PER_ADDRESS = 2_048;
 const START_DELAY_MS = 100;
+/** Requests without an answer so long after the last was sent count as broken. */
+const GIVE_UP_MS = 5_000;
 
 /** One request with the time at which it should be sent. */
 interface DueRequest {
@@ -40,15 +42,16 @@
     this.#spec = spec;
   }
 
-  /** Sends everything, and resolves once everything is answered. */
+  /** Sends everything, and resolves once everything is answered or given up. */
   async run(): Promise<loadSpec.LoadResult> {
     const due = this.#spec.streams.flatMap(dueRequestsOf);
     due.sort((left, right) => left.atMs - right.atMs);
     this.#startMs = performance.now() + START_DELAY_MS;
     const startedAtWallMs = Date.now() + START_DELAY_MS;
     await Promise.all([this.#sendDue(due), ...this.#spec.loops.map((loop) => this.#loop(loop))]);
-    await Promise.all(this.#open);
+    await Promise.race([Promise.all(this.#open), sleep(GIVE_UP_MS)]);
     await this.#agent.destroy();
+    await Promise.all(this.#open);
     return { startedAtWallMs, requests: this.#requests };
   }
 
@@ -106,10 +109,14 @@
   async #sleepUntil(atMs: number): Promise<void> {
     const delayMs = atMs - this.#nowMs();
     if (delayMs <= 0) return;
-    await new Promise((resolve) => setTimeout(resolve, delayMs));
+    await sleep(delayMs);
   }
 }
 
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
 function dueRequestsOf(stream: loadSpec.Stream): DueRequest[] {
   return arrivals.arrivalsOf(stream).map(({ atMs, urlIndex, runMs }) => ({
     name: stream.name,
