Measure slopes of control for the capacity page

Purpose: docs/CAPACITY.md has to work out state, messages, processor time and memory at the planned size from slopes. Pure policy is measured in process by processor time; whole entries as processes by what Linux accounts to them. A planned size that was measured itself is not worked out from the line.

Weighed: wall time was ruled out, since the machine is shared. The prom-client figures of the entries were ruled out, since they don't count bytes.

--- a/packages/adapters/src/mod.ts
+++ b/packages/adapters/src/mod.ts
@@ -9,6 +9,7 @@
 export * as headRepository from "./head_repository.ts";
 export * as history from "./history.ts";
 export * as log from "./log.ts";
+export * as peerCodec from "./peer_codec.ts";
 export * as peerLinks from "./peer_links.ts";
 export * as peerListener from "./peer_listener.ts";
 export * as peerTls from "./peer_tls.ts";
--- /dev/null
+++ b/packages/bench/src/capacity/claim_slopes.ts
@@ -0,0 +1,77 @@
+/**
+ * What kept idempotency keys cost their shard's owner.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import type * as schema from "@jackdawlink/schema";
+import { cpuMsOf } from "./cpu_time.ts";
+import { heapBytesOf } from "./heap_use.ts";
+import type { Slope } from "./slope.ts";
+
+const CLAIM_COUNTS = [1_000, 10_000, 100_000];
+/** 500 keyed requests a second over 16 shards, kept for 600 s. */
+const PLANNED_CLAIMS = 18_750;
+const WINDOW = { windowMs: 600_000, clockSkewMs: 5_000 };
+const NOW_MS = 1_800_000_000_000;
+const US_PER_MS = 1_000;
+
+/** Measures all figures at each number of kept keys. */
+export function run(): Promise<readonly Slope[]> {
+  const figures: Readonly<Record<string, (claims: number) => number>> = {
+    "heap of one shard, bytes": (claims) => heapBytesOf(() => shardOf(claims)),
+    "stored records of one shard, bytes": storedBytes,
+    "decision on one claim, µs": decideUs,
+    "forgetting pass, ms": (claims) => {
+      const shard = shardOf(claims);
+      return cpuMsOf(() => shard.forgetExpired(NOW_MS));
+    },
+  };
+  return Promise.resolve(
+    Object.entries(figures).map(([figure, measure]) => ({
+      figure,
+      size: "kept keys of one shard",
+      points: CLAIM_COUNTS.map((claims) => ({ x: claims, y: measure(claims) })),
+      plannedSize: PLANNED_CLAIMS,
+    })),
+  );
+}
+
+function shardOf(claims: number): policy.claimShard.ClaimShard {
+  const shard = new policy.claimShard.ClaimShard(WINDOW);
+  for (let index = 0; index < claims; index += 1) {
+    shard.apply(claimOf(index));
+    shard.apply(endOf(index));
+  }
+  return shard;
+}
+
+function claimOf(index: number): schema.claims.Claimed {
+  return {
+    kind: "claimed",
+    keyDigest: policy.claimIds.digestOfKey("team-1", String(index)),
+    requestId: `00000000-0000-7000-8000-${String(index).padStart(12, "0")}`,
+    fingerprint: policy.claimIds.digestOfKey("body", String(index)),
+    idTimeMs: NOW_MS,
+    claimedAtMs: NOW_MS,
+  };
+}
+
+function endOf(index: number): schema.claims.Ended {
+  const { keyDigest, requestId, idTimeMs } = claimOf(index);
+  return { kind: "ended", keyDigest, requestId, idTimeMs, outcome: "answered", status: 200 };
+}
+
+function storedBytes(claims: number): number {
+  let bytes = 0;
+  for (let index = 0; index < claims; index += 1) {
+    bytes += JSON.stringify(claimOf(index)).length + JSON.stringify(endOf(index)).length + 2;
+  }
+  return bytes;
+}
+
+function decideUs(claims: number): number {
+  const shard = shardOf(claims);
+  const fresh = claimOf(claims);
+  return cpuMsOf(() => shard.decide(fresh, NOW_MS)) * US_PER_MS;
+}
--- /dev/null
+++ b/packages/bench/src/capacity/command_slopes.ts
@@ -0,0 +1,102 @@
+/**
+ * What one command of the command line costs, against the number of teams.
+ *
+ * @module
+ */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as schema from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import * as toml from "smol-toml";
+import * as plannedSize from "./planned_size.ts";
+import * as processUsage from "./process_usage.ts";
+import { pause } from "./running_system.ts";
+import type { Slope } from "./slope.ts";
+
+interface CommandUse {
+  readonly cpuMs: number;
+  readonly peakBytes: number;
+}
+
+const SAMPLE_MS = 5;
+const COMMANDS: Readonly<Record<string, (file: string) => readonly string[]>> = {
+  "apply the whole set": (file) => ["apply", file],
+  "withdraw one key": () => ["key", "withdraw", "team-1-key-1"],
+};
+
+/** Publishes sets of different sizes, and then one change, by separate processes. */
+export async function run(): Promise<readonly Slope[]> {
+  const uses = new Map<string, { teams: number; use: CommandUse }[]>();
+  for (const teams of plannedSize.TEAM_COUNTS) {
+    for (const [name, use] of await usesAt(teams)) {
+      uses.set(name, [...uses.get(name) ?? [], { teams, use }]);
+    }
+  }
+  return [...uses].flatMap(([name, measured]) => {
+    const common = { size: "teams", plannedSize: plannedSize.PLANNED.teams };
+    return [
+      {
+        figure: `${name}: processor time, ms`,
+        points: measured.map(({ teams, use }) => ({ x: teams, y: use.cpuMs })),
+        ...common,
+      },
+      {
+        figure: `${name}: peak memory, bytes`,
+        points: measured.map(({ teams, use }) => ({ x: teams, y: use.peakBytes })),
+        ...common,
+      },
+    ];
+  });
+}
+
+async function usesAt(teams: number): Promise<[string, CommandUse][]> {
+  const processes = new testing.processes.Processes();
+  const directory = fs.mkdtempSync(path.join(os.tmpdir(), "jackdawlink-capacity-"));
+  try {
+    const platform = await processes.start("stand-in-platform");
+    const settings = path.join(directory, "cli.toml");
+    const url = `http://${String(platform.ready?.["address"])}`;
+    fs.writeFileSync(settings, toml.stringify({ store: { url } }));
+    const file = path.join(directory, "config.toml");
+    fs.writeFileSync(file, toml.stringify(plannedSize.configOf(teams)));
+    const uses: [string, CommandUse][] = [];
+    for (const [name, args] of Object.entries(COMMANDS)) {
+      uses.push([name, await useOf(processes, [...args(file), "--settings", settings])]);
+    }
+    return uses;
+  } finally {
+    await processes.stopAll();
+    fs.rmSync(directory, { recursive: true, force: true });
+  }
+}
+
+/** Samples a command until it ends, since nothing can be read of it afterwards. */
+async function useOf(
+  processes: testing.processes.Processes,
+  args: readonly string[],
+): Promise<CommandUse> {
+  const program = await processes.start("jackdawlink", { args, awaitReady: false });
+  let cpuMs = 0;
+  let peakBytes = 0;
+  while (program.running) {
+    const usage = sampleOf(program);
+    cpuMs = Math.max(cpuMs, usage?.cpuMs ?? 0);
+    peakBytes = Math.max(peakBytes, usage?.residentBytes ?? 0);
+    await pause(SAMPLE_MS);
+  }
+  const { code } = await program.exited;
+  if (code !== 0) {
+    throw new schema.errors.JackdawlinkError(`A command failed: ${program.lines.join("; ")}`);
+  }
+  return { cpuMs, peakBytes };
+}
+
+function sampleOf(program: testing.processes.ChildProgram): processUsage.ProcessUsage | null {
+  try {
+    const usage = processUsage.usageOf(program);
+    return Number.isNaN(usage.residentBytes) ? null : usage;
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/capacity/config_slopes.ts
@@ -0,0 +1,128 @@
+/**
+ * What the configuration costs against the number of teams: bytes, and the processor time of a check
+ * and of taking over a change.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import * as schema from "@jackdawlink/schema";
+import { cpuMsOf } from "./cpu_time.ts";
+import { heapBytesOf } from "./heap_use.ts";
+import * as plannedSize from "./planned_size.ts";
+import type { Slope } from "./slope.ts";
+
+interface ConfigFigures {
+  readonly textBytes: number;
+  readonly headBytes: number;
+  readonly changedBytes: number;
+  readonly checkMs: number;
+  readonly publishMs: number;
+  readonly takeOverMs: number;
+  readonly groupsMs: number;
+  readonly heapBytes: number;
+}
+
+const LABELS: Readonly<Record<keyof ConfigFigures, string>> = {
+  textBytes: "text of all chunks, bytes",
+  headBytes: "head with 9 members, bytes",
+  changedBytes: "chunks rewritten by one withdrawn key, bytes",
+  checkMs: "check of the whole set, ms",
+  publishMs: "split and difference of a change, ms",
+  takeOverMs: "member takes over one changed chunk, ms",
+  groupsMs: "groups of permits from the set, ms",
+  heapBytes: "heap of one parsed set, bytes",
+};
+const MEMBER_COUNT = 9;
+
+/** Measures all figures at each number of teams. */
+export function run(): Promise<readonly Slope[]> {
+  const measured = plannedSize.TEAM_COUNTS.map((teams) => ({ teams, figures: figuresAt(teams) }));
+  const keys = Object.keys(LABELS) as (keyof ConfigFigures)[];
+  return Promise.resolve(keys.map((key) => ({
+    figure: LABELS[key],
+    size: "teams",
+    points: measured.map(({ teams, figures }) => ({ x: teams, y: figures[key] })),
+    plannedSize: plannedSize.PLANNED.teams,
+  })));
+}
+
+function figuresAt(teams: number): ConfigFigures {
+  const config = plannedSize.configOf(teams);
+  assertPublishable(config);
+  const changed = plannedSize.withKeyWithdrawn(config, 1);
+  const chunks = policy.configChunks.splitConfig(config);
+  const changedChunks = policy.configChunks.splitConfig(changed);
+  const held = new Set(chunks.map(({ digest }) => digest));
+  const rewritten = changedChunks.filter(({ digest }) => !held.has(digest));
+  return {
+    textBytes: sumBytes(chunks),
+    headBytes: Buffer.byteLength(JSON.stringify(headOf(chunks))),
+    changedBytes: sumBytes(rewritten),
+    checkMs: cpuMsOf(() => policy.configCheck.checkConfig(config)),
+    publishMs: cpuMsOf(() => {
+      policy.configChunks.splitConfig(changed);
+      policy.configDiff.diffConfigs(config, changed);
+    }),
+    takeOverMs: takeOverMs(chunks, { changedChunks, rewritten }),
+    groupsMs: cpuMsOf(() => policy.permitGroups.groupsOf(config)),
+    heapBytes: parsedHeapBytes(teams),
+  };
+}
+
+function takeOverMs(
+  chunks: readonly policy.configChunks.Chunk[],
+  { changedChunks, rewritten }: {
+    changedChunks: readonly policy.configChunks.Chunk[];
+    rewritten: readonly policy.configChunks.Chunk[];
+  },
+): number {
+  const assembler = new policy.configAssembler.ConfigAssembler();
+  for (const { digest, text } of chunks) assembler.add(digest, text);
+  return cpuMsOf(() => {
+    for (const { digest, text } of rewritten) assembler.add(digest, text);
+    assembler.assemble(changedChunks);
+  });
+}
+
+function headOf(chunks: readonly policy.configChunks.Chunk[]): schema.head.Head {
+  return {
+    ...schema.head.EMPTY_HEAD,
+    chunks: chunks.map(({ digest, bytes }) => ({ digest, bytes })),
+    members: Array.from({ length: MEMBER_COUNT }, (_, index) => memberOf(index)),
+  };
+}
+
+/** A listed member as the entries write it. */
+export function memberOf(index: number): schema.head.Member {
+  return {
+    memberId: `entry-${index + 1}`,
+    incarnation: `00000000-0000-4000-8000-${String(index + 1).padStart(12, "0")}`,
+    availabilityZone: `zone-${index % 8 + 1}`,
+    peerAddress: `10.1.0.${index + 1}:7100`,
+    operatorAddress: `10.1.0.${index + 1}:7200`,
+    leaving: false,
+  };
+}
+
+/** Parsed sets are kept side by side, so that the noise of the heap is small against them. */
+function parsedHeapBytes(teams: number): number {
+  const texts = policy.configChunks.splitConfig(plannedSize.configOf(teams)).map(({ text }) =>
+    text
+  );
+  const copies = Math.max(2, Math.ceil(2_000 / teams));
+  const bytes = heapBytesOf(() =>
+    Array.from({ length: copies }, () => policy.configChunks.joinChunks(texts))
+  );
+  return bytes / copies;
+}
+
+function sumBytes(chunks: readonly policy.configChunks.Chunk[]): number {
+  return chunks.reduce((sum, { bytes }) => sum + bytes, 0);
+}
+
+function assertPublishable(config: schema.config.Config): void {
+  const errors = policy.configCheck.checkConfig(config).filter(policy.configCheck.isError);
+  if (errors.length > 0) {
+    throw new schema.errors.InvalidInputError(`The made-up set has errors: ${errors[0]!.message}`);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/capacity/cpu_time.ts
@@ -0,0 +1,38 @@
+/**
+ * Processor time of pure code, which a busy machine distorts less than elapsed time.
+ *
+ * @module
+ */
+import { median } from "./least_squares.ts";
+
+/** How often and how long a piece of code is measured. */
+export interface CpuTimeOptions {
+  readonly repeats?: number;
+  /** The least processor time of one repeat. */
+  readonly minRepeatMs?: number;
+}
+
+const US_PER_MS = 1_000;
+/** The compiler has optimized the code after this many repeats. */
+const WARM_UP_REPEATS = 4;
+
+/** The processor time of one call in milliseconds: the median over several repeats. */
+export function cpuMsOf(
+  call: () => unknown,
+  { repeats = 5, minRepeatMs = 60 }: CpuTimeOptions = {},
+): number {
+  runFor(call, WARM_UP_REPEATS * minRepeatMs);
+  return median(Array.from({ length: repeats }, () => runFor(call, minRepeatMs)));
+}
+
+function runFor(call: () => unknown, minRepeatMs: number): number {
+  const start = process.cpuUsage();
+  let calls = 0;
+  for (;;) {
+    call();
+    calls += 1;
+    const { user, system } = process.cpuUsage(start);
+    const usedMs = (user + system) / US_PER_MS;
+    if (usedMs >= minRepeatMs) return usedMs / calls;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/capacity/heap_use.ts
@@ -0,0 +1,24 @@
+/**
+ * Heap that a value keeps.
+ *
+ * @module
+ */
+import * as v8 from "node:v8";
+import * as vm from "node:vm";
+
+/** The heap that the value made by `make` keeps, in bytes. */
+export function heapBytesOf(make: () => unknown): number {
+  const collect = garbageCollector();
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const kept = [make()];
+  collect();
+  const bytes = process.memoryUsage().heapUsed - before;
+  kept.length = 0;
+  return bytes;
+}
+
+function garbageCollector(): () => void {
+  v8.setFlagsFromString("--expose-gc");
+  return vm.runInNewContext("gc") as () => void;
+}
--- /dev/null
+++ b/packages/bench/src/capacity/member_slopes.ts
@@ -0,0 +1,107 @@
+/**
+ * What one member spends on the member list against the number of members: heartbeats, the decision on
+ * the list, and the freshness check of each request.
+ *
+ * @module
+ */
+import * as adapters from "@jackdawlink/adapters";
+import * as policy from "@jackdawlink/policy";
+import * as schema from "@jackdawlink/schema";
+import * as v from "valibot";
+import { memberOf } from "./config_slopes.ts";
+import { cpuMsOf } from "./cpu_time.ts";
+import type { Slope } from "./slope.ts";
+
+/** Numbers of members that slopes are measured at. */
+export const MEMBER_COUNTS: readonly number[] = [9, 18, 36, 72];
+/** The number of entries that the plan is worked out for. */
+export const PLANNED_MEMBERS = 36;
+
+const MS_PER_SECOND = 1_000;
+const TIMING = v.parse(schema.settings.timingSchema, {});
+
+interface MemberFigures {
+  readonly heartbeatCpuPercent: number;
+  readonly heartbeatBytesPerSecond: number;
+  readonly decideMs: number;
+  readonly freshCheckUs: number;
+}
+
+const LABELS: Readonly<Record<keyof MemberFigures, string>> = {
+  heartbeatCpuPercent: "heartbeats and decisions without sockets, % of a core",
+  heartbeatBytesPerSecond: "heartbeats both ways without framing, bytes/s",
+  decideMs: "one decision on the list, ms",
+  freshCheckUs: "one freshness check, µs",
+};
+
+/** One member with heartbeats of all others, at a time that the caller moves on. */
+class Ring {
+  readonly state: policy.memberState.MemberState;
+  readonly #peers: readonly schema.head.Member[];
+  nowMs = 0;
+
+  constructor(count: number) {
+    const members = Array.from({ length: count }, (_, index) => memberOf(index));
+    const self = members[0]!;
+    this.#peers = members.slice(1);
+    this.state = new policy.memberState.MemberState({
+      identity: self,
+      incarnation: self.incarnation,
+      rules: policy.memberState.rulesOf(TIMING),
+    });
+    this.state.holdHead({ ...schema.head.EMPTY_HEAD, revision: 1, members }, 0);
+  }
+
+  /** One heartbeat interval: encodes one for each peer, decodes one of each, decides. */
+  beat(): number {
+    this.nowMs += TIMING.heartbeatMs;
+    let bytes = 0;
+    for (const peer of this.#peers) bytes += this.#exchange(peer);
+    this.decide();
+    return bytes;
+  }
+
+  decide(): void {
+    this.state.decide({ nowMs: this.nowMs, draining: false, mayLeave: false, fenceWaitMs: 13_000 });
+  }
+
+  #exchange({ memberId, incarnation }: schema.head.Member): number {
+    const { nowMs, state } = this;
+    const sent = state.heartbeatFor(memberId, { nowMs, draining: false });
+    const outgoing = adapters.peerCodec.encode(sent);
+    const incoming = adapters.peerCodec.encode({
+      ...sent,
+      incarnation,
+      storeReadAgeMs: 512.25,
+      echoSentAtMs: nowMs - 1.5,
+      echoIncarnation: state.incarnation(),
+    });
+    const decoded = adapters.peerCodec.decode(incoming)._unsafeUnwrap();
+    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, nowMs });
+    return outgoing.byteLength + incoming.byteLength;
+  }
+}
+
+/** Measures all figures at each number of members. */
+export function run(): Promise<readonly Slope[]> {
+  const measured = MEMBER_COUNTS.map((members) => ({ members, figures: figuresAt(members) }));
+  const keys = Object.keys(LABELS) as (keyof MemberFigures)[];
+  return Promise.resolve(keys.map((key) => ({
+    figure: LABELS[key],
+    size: "members",
+    points: measured.map(({ members, figures }) => ({ x: members, y: figures[key] })),
+    plannedSize: PLANNED_MEMBERS,
+  })));
+}
+
+function figuresAt(count: number): MemberFigures {
+  const ring = new Ring(count);
+  const beatsPerSecond = MS_PER_SECOND / TIMING.heartbeatMs;
+  const beatMs = cpuMsOf(() => ring.beat());
+  return {
+    heartbeatCpuPercent: beatMs * beatsPerSecond / MS_PER_SECOND * 100,
+    heartbeatBytesPerSecond: ring.beat() * beatsPerSecond,
+    decideMs: cpuMsOf(() => ring.decide()),
+    freshCheckUs: cpuMsOf(() => ring.state.freshnessSource(ring.nowMs)) * 1_000,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/capacity/planned_size.ts
@@ -0,0 +1,108 @@
+/**
+ * The size that the operators plan for, and a configuration of that make at any number of teams.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import * as schema from "@jackdawlink/schema";
+import * as v from "valibot";
+
+/** The plan, and what is assumed where it is silent. */
+export const PLANNED = {
+  workers: 7_400,
+  teams: 370,
+  pools: 79,
+  configChangesPerDay: 19_000,
+  vmRestartsPerDay: 2_300,
+  /** As many for each pool as the first users have for each service. */
+  backendServersPerPool: 8,
+  sharesPerTeam: 4,
+  keysPerTeam: 5,
+} as const;
+
+/** The bounds for control on one node. */
+export const NODE_BOUNDS = {
+  cpuFraction: 0.015,
+  memoryBytes: 64 * 1_024 * 1_024,
+  bytesPerSecond: 10_000,
+} as const;
+
+/** Numbers of teams that slopes are measured at. */
+export const TEAM_COUNTS: readonly number[] = [10, 100, 370, 1_000];
+
+const AVAILABILITY_ZONES = 8;
+const SLOTS = 8;
+const LIMIT = 64;
+
+/** A configuration with `teams` teams, and pools and services in the planned proportion. */
+export function configOf(teams: number): schema.config.Config {
+  const pools = Math.max(1, Math.round(PLANNED.pools * teams / PLANNED.teams));
+  const teamNames = numbered("team", teams);
+  const poolNames = numbered("pool", pools);
+  return v.parse(schema.config.configSchema, {
+    workspaces: { planned: {} },
+    teams: tableOf(teamNames, () => ({ workspace: "planned" })),
+    keys: Object.fromEntries(teamNames.flatMap(keysOf)),
+    pools: { ...tableOf(poolNames, () => ({})), spare: { spare: true } },
+    services: tableOf(poolNames, (pool) => ({ pool })),
+    queues: tableOf(poolNames, (service) => ({ service })),
+    shares: Object.fromEntries(
+      teamNames.flatMap((team, index) => sharesOf(team, { index, poolNames })),
+    ),
+    limits: tableOf(teamNames, (team) => ({ team, maxRunningRequests: LIMIT })),
+    availabilityBudgets: tableOf(poolNames, (pool) => ({ pool, maxUnavailable: 1 })),
+    backendServers: Object.fromEntries(
+      poolNames.flatMap((service, index) => backendServersOf(service, index)),
+    ),
+  });
+}
+
+/** The configuration with one key withdrawn, as the most frequent change does. */
+export function withKeyWithdrawn(
+  config: schema.config.Config,
+  index: number,
+): schema.config.Config {
+  const names = Object.keys(config.keys);
+  const name = names[index % names.length]!;
+  const key = config.keys[name]!;
+  return { ...config, keys: { ...config.keys, [name]: { ...key, withdrawn: !key.withdrawn } } };
+}
+
+function numbered(prefix: string, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}-${index + 1}`);
+}
+
+function keysOf(team: string): [string, object][] {
+  return numbered(`${team}-key`, PLANNED.keysPerTeam).map((name) => {
+    const secretSha256 = createHash("sha256").update(name).digest("hex");
+    return [name, { team, secretSha256 }];
+  });
+}
+
+function sharesOf(
+  team: string,
+  { index, poolNames }: { index: number; poolNames: readonly string[] },
+): [string, object][] {
+  const count = Math.min(PLANNED.sharesPerTeam, poolNames.length);
+  return Array.from({ length: count }, (_, offset) => {
+    const pool = poolNames[(index * count + offset) % poolNames.length]!;
+    return [`${team}-${pool}`, { team, pool, weight: 1 + index % 3 }];
+  });
+}
+
+function backendServersOf(service: string, poolIndex: number): [string, object][] {
+  return numbered(service, PLANNED.backendServersPerPool).map((name, index) => {
+    const port = 20_000 + index;
+    const host = `10.0.${poolIndex % 256}.${Math.floor(poolIndex / 256) + 1}`;
+    const availabilityZone = `zone-${index % AVAILABILITY_ZONES + 1}`;
+    const address = `${host}:${port}`;
+    return [name, { service, address, vm: `vm-${name}`, availabilityZone, slots: SLOTS }];
+  });
+}
+
+function tableOf<TValue>(
+  names: readonly string[],
+  make: (name: string) => TValue,
+): Record<string, TValue> {
+  return Object.fromEntries(names.map((name) => [name, make(name)]));
+}
--- /dev/null
+++ b/packages/bench/src/capacity/slope.ts
@@ -0,0 +1,62 @@
+/**
+ * Slopes: a figure measured at several sizes, the line through it, and its value at the planned size.
+ *
+ * @module
+ */
+import * as leastSquares from "./least_squares.ts";
+
+/** One figure against one size. */
+export interface Slope {
+  /** What is measured, with its unit. */
+  readonly figure: string;
+  /** What the sizes count. */
+  readonly size: string;
+  readonly points: readonly leastSquares.Point[];
+  /** The size for which the figure is worked out. */
+  readonly plannedSize: number;
+}
+
+/** Measures some slopes of one role. */
+export type CapacityExperiment = () => Promise<readonly Slope[]>;
+
+const TABLE_HEAD = [
+  "| figure | against | measured | slope | intercept | r² | exponent | at the planned size |",
+  "| --- | --- | --- | --- | --- | --- | --- | --- |",
+];
+
+/** The slopes as rows of a Markdown table. A planned size that was measured is not worked out. */
+export function tableOf(slopes: readonly Slope[]): string {
+  return [...TABLE_HEAD, ...slopes.map(rowOf)].join("\n");
+}
+
+function rowOf({ figure, size, points, plannedSize }: Slope): string {
+  const line = leastSquares.fitLine(points);
+  const measured = points.map(({ x, y }) => `${x}: ${short(y)}`).join(", ");
+  const planned = points.find(({ x }) => x === plannedSize)?.y ??
+    leastSquares.valueAt(line, plannedSize);
+  const cells = [
+    figure,
+    size,
+    measured,
+    short(line.slope),
+    short(line.intercept),
+    line.rSquared.toFixed(3),
+    exponentOf(points),
+    `${short(planned)} at ${plannedSize}`,
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
+
+/** The power by which the figure grows with the size: 1 is linear, 2 quadratic. */
+function exponentOf(points: readonly leastSquares.Point[]): string {
+  if (points.some(({ x, y }) => x <= 0 || y <= 0)) return "";
+  const logarithms = points.map(({ x, y }) => ({ x: Math.log(x), y: Math.log(y) }));
+  return leastSquares.fitLine(logarithms).slope.toFixed(1);
+}
+
+/** Three significant digits, without an exponent. */
+function short(value: number): string {
+  if (value === 0) return "0";
+  const digits = Math.max(0, 2 - Math.floor(Math.log10(Math.abs(value))));
+  return value.toLocaleString("en-US", { maximumFractionDigits: Math.min(digits, 9) });
+}
