--- a/packages/bench/src/capacity/mod.ts
+++ b/packages/bench/src/capacity/experiments.ts
@@ -11,7 +11,6 @@
 import * as permitSlopes from "./permit_slopes.ts";
 import * as requestSlopes from "./request_slopes.ts";
 import type { CapacityExperiment } from "./slope.ts";
-import * as slopes from "./slope.ts";
 
 /** All experiments, by name. */
 export const EXPERIMENTS: Readonly<Record<string, CapacityExperiment>> = {
@@ -25,15 +24,3 @@
   changes: entrySlopes.runChanges,
   commands: commandSlopes.run,
 };
-
-/** Runs the experiments, or the named one, and prints a table for each. */
-export async function run(
-  print: (line: string) => void,
-  { only = null }: { only?: string | null } = {},
-): Promise<void> {
-  for (const [name, measure] of Object.entries(EXPERIMENTS)) {
-    if (only !== null && only !== name) continue;
-    print(`## ${name}`);
-    print(slopes.tableOf(await measure()));
-  }
-}
