--- a/packages/entry/src/permit_manager.ts
+++ b/packages/entry/src/permit_manager.ts
@@ -18,8 +18,6 @@
   readonly freshForMs: number;
 }
 
-/** Added to the wait for a fenced incarnation, for timers that run late. */
-export const FENCE_MARGIN_MS = 500;
 /** The least time between two turns that messages cause. */
 const MESSAGE_SPACING_MS = 5;
 /** The least time between two turns that changes of demand cause. */
@@ -157,7 +155,7 @@
       loads: this.#demandSource(),
       timing: {
         freshForMs,
-        marginMs: FENCE_MARGIN_MS,
+        marginMs: policy.memberState.FENCE_MARGIN_MS,
         acceptedAtMs: (incarnation) => membership.acceptedFenceAtMs(incarnation),
       },
     });
--- a/packages/entry/src/permit_manager_test.ts
+++ b/packages/entry/src/permit_manager_test.ts
@@ -1,3 +1,4 @@
+import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import { config as configs, head as heads, type peer } from "@jackdawlink/schema";
 import { describe, expect, it } from "vitest";
@@ -275,7 +276,7 @@
     dead.isDead = true;
     fleet.publish({ fenced: dead });
     for (const entry of others) entry.want(4);
-    const waitMs = FRESH_FOR_MS + permitManager.FENCE_MARGIN_MS + MAX_RUN_MS;
+    const waitMs = FRESH_FOR_MS + policy.memberState.FENCE_MARGIN_MS + MAX_RUN_MS;
     fleet.clock.advance(waitMs - 10);
     const early = runningOf(others);
     fleet.clock.advance(1_000);
--- a/packages/entry/test/request_path_test.ts
+++ b/packages/entry/test/request_path_test.ts
@@ -235,7 +235,7 @@
     { result: "answered" as const, status: 409, outcome: "answered" },
     { result: "mayHaveRun" as const, status: 409, outcome: "unknown" },
     { result: "mismatch" as const, status: 422, outcome: "not-run" },
-    { result: "tooOld" as const, status: 409, outcome: "unknown" },
+    { result: "outsideWindow" as const, status: 409, outcome: "unknown" },
   ])("runs nothing for a claim that is $result", async ({ result, status, outcome }) => {
     const { servers, fixture } = await start(["a"]);
     fixture.claims.next = result;
--- a/packages/policy/src/permits/model_test.ts
+++ b/packages/policy/src/permits/model_test.ts
@@ -115,6 +115,7 @@
       incarnation,
       revision,
       clean: false,
+      withoutMajority: false,
     }));
     const isSameList = gone.length === 0 && change.members.length === head.members.length;
     const next = {
