--- /dev/null
+++ b/packages/policy/src/fleet/budgets.ts
@@ -0,0 +1,95 @@
+/**
+ * Availability budgets: whether one more VM of a pool may become unavailable.
+ *
+ * @module
+ */
+import type * as schema from "@jackdawlink/schema";
+
+/** Where a VM stands. */
+export interface VmPlace {
+  readonly vm: string;
+  readonly availabilityZone: string;
+  readonly rack: string;
+}
+
+/** The part of a budget that a refusal names. */
+export type BudgetLimit = "pool" | "availabilityZone" | "rack";
+
+/** Whether the VM may become unavailable, and otherwise which limit is used up. */
+export type BudgetVerdict =
+  | { readonly allowed: true }
+  | {
+    readonly allowed: false;
+    readonly limit: BudgetLimit;
+    readonly used: number;
+    readonly max: number;
+  };
+
+/** The limits of one pool. */
+export type BudgetLimits = Pick<
+  schema.config.AvailabilityBudget,
+  "maxUnavailable" | "maxUnavailablePerAvailabilityZone" | "maxUnavailablePerRack"
+>;
+
+/** Holds for a pool without an availability budget. */
+export const DEFAULT_LIMITS: BudgetLimits = { maxUnavailable: 1 };
+
+/** The limits of a pool; with several budgets the smallest of each limit holds. */
+export function limitsOfPool(config: schema.config.Config, pool: string): BudgetLimits {
+  const budgets = Object.values(config.availabilityBudgets).filter((each) => each.pool === pool);
+  if (budgets.length === 0) {
+    return DEFAULT_LIMITS;
+  }
+  return {
+    maxUnavailable: Math.min(...budgets.map((each) => each.maxUnavailable)),
+    maxUnavailablePerAvailabilityZone: smallest(
+      budgets.map((each) => each.maxUnavailablePerAvailabilityZone),
+    ),
+    maxUnavailablePerRack: smallest(budgets.map((each) => each.maxUnavailablePerRack)),
+  };
+}
+
+/**
+ * The VMs of a pool that count as unavailable: those with a token, and unplanned losses, which are the
+ * VMs that the platform doesn't list as live.
+ */
+export function unavailableVms(
+  tokens: readonly VmPlace[],
+  losses: readonly VmPlace[],
+): readonly VmPlace[] {
+  const byVm = new Map<string, VmPlace>();
+  for (const place of [...losses, ...tokens]) {
+    byVm.set(place.vm, place);
+  }
+  return [...byVm.values()];
+}
+
+/** Whether `candidate` may join the unavailable VMs of its pool. */
+export function mayBecomeUnavailable(
+  limits: BudgetLimits,
+  { candidate, unavailable }: {
+    readonly candidate: VmPlace;
+    readonly unavailable: readonly VmPlace[];
+  },
+): BudgetVerdict {
+  const others = unavailable.filter((each) => each.vm !== candidate.vm);
+  const sameZone = others.filter((each) => each.availabilityZone === candidate.availabilityZone);
+  const sameRack = sameZone.filter((each) => each.rack === candidate.rack);
+  const checks: readonly [BudgetLimit, number, number | undefined][] = [
+    ["pool", others.length, limits.maxUnavailable],
+    ["availabilityZone", sameZone.length, limits.maxUnavailablePerAvailabilityZone],
+    ["rack", sameRack.length, limits.maxUnavailablePerRack],
+  ];
+  for (const [limit, used, max] of checks) {
+    if (max !== undefined && used >= max) {
+      return { allowed: false, limit, used, max };
+    }
+  }
+  return { allowed: true };
+}
+
+/** The smallest defined number, or undefined without any. */
+function smallest(values: readonly (number | undefined)[]): number | undefined {
+  const defined = values.filter((value) => value !== undefined);
+  return defined.length === 0 ? undefined : Math.min(...defined);
+}
--- /dev/null
+++ b/packages/policy/src/fleet/placement/place.ts
@@ -0,0 +1,183 @@
+/**
+ * One round of placement: which waiting jobs start on which workers.
+ *
+ * @module
+ */
+import type * as schema from "@jackdawlink/schema";
+import * as workersIndex from "./workers_index.ts";
+
+/** A waiting job with its corrected size. */
+export interface WaitingJob {
+  readonly jobId: string;
+  readonly team: string;
+  readonly urgency: schema.config.Urgency;
+  readonly size: workersIndex.TaskSize;
+  readonly runMs: number;
+  readonly submittedAtMs: number;
+  readonly deadlineAtMs?: number;
+}
+
+/** A worker as placement sees it; `usable` is false for draining and quarantined ones. */
+export interface PlacementWorker extends workersIndex.FreeWorker {
+  readonly total: workersIndex.TaskSize;
+  readonly usable: boolean;
+}
+
+/** A team's weight, limit and running tasks. */
+export interface PlacementTeam {
+  readonly weight: number;
+  readonly maxRunningTasks?: number;
+  readonly running: number;
+}
+
+/** One placement. */
+export interface Placement {
+  readonly jobId: string;
+  readonly worker: string;
+}
+
+/** A job that no worker could ever run. */
+export interface Refusal {
+  readonly jobId: string;
+  readonly reason: string;
+}
+
+/** What one round decides. */
+export interface PlacementRound {
+  readonly placements: readonly Placement[];
+  readonly refusals: readonly Refusal[];
+}
+
+/** Background work that has waited this long counts as normal. */
+const BACKGROUND_AGING_MS = 600_000;
+
+const URGENCY_RANK: Readonly<Record<schema.config.Urgency, number>> = {
+  urgent: 0,
+  normal: 1,
+  background: 2,
+};
+
+/**
+ * Places jobs: urgent ones first, then the team furthest below its weight, within a team by the
+ * latest possible start. A team at its limit places nothing.
+ */
+export function placeRound(input: {
+  readonly jobs: readonly WaitingJob[];
+  readonly workers: readonly PlacementWorker[];
+  readonly teams: ReadonlyMap<string, PlacementTeam>;
+  readonly nowMs: number;
+  readonly maxPlacements: number;
+}): PlacementRound {
+  const { possible, refusals } = splitPossible(input.jobs, input.workers);
+  const index = new workersIndex.WorkersIndex(
+    input.workers.filter((worker) => worker.usable).map(copyFree),
+  );
+  const running = new Map<string, number>();
+  const loads = new Map<string, number>();
+  const placements: Placement[] = [];
+  for (const queues of byRank(possible, input.nowMs)) {
+    const open = new Set(queues.keys());
+    while (open.size > 0 && placements.length < input.maxPlacements) {
+      const team = furthestBelowWeight(open, { teams: input.teams, running });
+      const job = queues.get(team)?.shift();
+      if (job === undefined || isAtLimit(team, { teams: input.teams, running })) {
+        open.delete(team);
+        continue;
+      }
+      const worker = index.take(job.size, (each) => loads.get(loadKey(team, each)) ?? 0);
+      if (worker === undefined) {
+        continue;
+      }
+      placements.push({ jobId: job.jobId, worker: worker.worker });
+      running.set(team, (running.get(team) ?? 0) + 1);
+      loads.set(loadKey(team, worker), (loads.get(loadKey(team, worker)) ?? 0) + 1);
+    }
+  }
+  return { placements, refusals };
+}
+
+/** Jobs that some worker could run when empty, and the others with the reason. */
+function splitPossible(
+  jobs: readonly WaitingJob[],
+  workers: readonly PlacementWorker[],
+): { possible: readonly WaitingJob[]; refusals: readonly Refusal[] } {
+  const totals = new Map(workers.map(({ total }) => [JSON.stringify(total), total]));
+  const possible: WaitingJob[] = [];
+  const refusals: Refusal[] = [];
+  for (const job of jobs) {
+    const isPossible = totals.size === 0 ||
+      [...totals.values()].some((total) => workersIndex.fits(job.size, total));
+    if (isPossible) {
+      possible.push(job);
+    } else {
+      const { cores, memoryMb, accelerators } = job.size;
+      const reason =
+        `No worker has ${cores} cores, ${memoryMb} MB and ${accelerators} accelerators together`;
+      refusals.push({ jobId: job.jobId, reason });
+    }
+  }
+  return { possible, refusals };
+}
+
+/** For each urgency the queues of the teams, in the order of the latest possible start. */
+function byRank(
+  jobs: readonly WaitingJob[],
+  nowMs: number,
+): readonly Map<string, WaitingJob[]>[] {
+  const ranks: Map<string, WaitingJob[]>[] = [new Map(), new Map(), new Map()];
+  for (const job of [...jobs].sort(compareJobs)) {
+    const isAged = nowMs - job.submittedAtMs > BACKGROUND_AGING_MS;
+    const rank = URGENCY_RANK[job.urgency] - Number(isAged && job.urgency === "background");
+    const queues = ranks[rank] ?? new Map<string, WaitingJob[]>();
+    const queue = queues.get(job.team) ?? [];
+    queue.push(job);
+    queues.set(job.team, queue);
+  }
+  return ranks;
+}
+
+/** The latest possible start first, then the longest wait. */
+function compareJobs(left: WaitingJob, right: WaitingJob): number {
+  const leftStartMs = (left.deadlineAtMs ?? Number.MAX_SAFE_INTEGER) - left.runMs;
+  const rightStartMs = (right.deadlineAtMs ?? Number.MAX_SAFE_INTEGER) - right.runMs;
+  const hasDeadline = left.deadlineAtMs !== undefined || right.deadlineAtMs !== undefined;
+  return (hasDeadline ? leftStartMs - rightStartMs : 0) || left.submittedAtMs - right.submittedAtMs;
+}
+
+interface TeamCounts {
+  readonly teams: ReadonlyMap<string, PlacementTeam>;
+  /** Placements of this round. */
+  readonly running: ReadonlyMap<string, number>;
+}
+
+/** How many tasks of a team run, with those of this round. */
+function runningOf(team: string, { teams, running }: TeamCounts): number {
+  return (teams.get(team)?.running ?? 0) + (running.get(team) ?? 0);
+}
+
+function isAtLimit(team: string, counts: TeamCounts): boolean {
+  const max = counts.teams.get(team)?.maxRunningTasks;
+  return max !== undefined && runningOf(team, counts) >= max;
+}
+
+function furthestBelowWeight(open: ReadonlySet<string>, counts: TeamCounts): string {
+  let best = "";
+  let bestRatio = Number.POSITIVE_INFINITY;
+  for (const team of open) {
+    const ratio = runningOf(team, counts) / (counts.teams.get(team)?.weight ?? 1);
+    if (ratio < bestRatio) {
+      best = team;
+      bestRatio = ratio;
+    }
+  }
+  return best;
+}
+
+function loadKey(team: string, worker: workersIndex.FreeWorker): string {
+  return `${team}/${worker.availabilityZone}/${worker.rack}`;
+}
+
+function copyFree(worker: PlacementWorker): workersIndex.FreeWorker {
+  const { total: _total, usable: _usable, ...free } = worker;
+  return free;
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,6 +1,6 @@
 /**
- * Placeholder.
+ * Pure decisions: state, event and time in; new state and effects out.
  *
  * @module
  */
-export {};
+export * as fleet from "./fleet/mod.ts";
--- a/packages/schema/src/errors.ts
+++ b/packages/schema/src/errors.ts
@@ -26,4 +26,10 @@
 /** A peer could not be reached. */
 export const PeerUnavailableError = JackdawlinkError.subclass("PeerUnavailableError");
 
+/** The platform could not be reached or answered with an error; the action may have happened. */
+export const PlatformUnavailableError = JackdawlinkError.subclass("PlatformUnavailableError");
+
+/** The platform refused an operation that is over or older than the VM's latest one. */
+export const StaleOperationError = JackdawlinkError.subclass("StaleOperationError");
+
 export type JackdawlinkError = InstanceType<typeof JackdawlinkError>;
--- a/packages/schema/src/mod.ts
+++ b/packages/schema/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * as config from "./config.ts";
+export * as fleet from "./fleet.ts";
 export * as head from "./head.ts";
 export * as http from "./http.ts";
 export * as errors from "./errors.ts";
--- a/packages/schema/src/store_keys.ts
+++ b/packages/schema/src/store_keys.ts
@@ -16,16 +16,24 @@
 export const ALIVE_PREFIX = `${ROOT}alive/`;
 /** Claims of idempotency keys, by shard. */
 export const CLAIM_PREFIX = `${ROOT}claims/`;
+/** The records of VMs, pools, waves and workers; one list below it is a consistent snapshot. */
+export const FLEET_PREFIX = `${ROOT}fleet/`;
 /** One record for each VM; it names the VM's one pool. */
-export const VM_PREFIX = `${ROOT}vms/`;
+export const VM_PREFIX = `${FLEET_PREFIX}vms/`;
 /** One record for each pool: its budget tokens. */
-export const POOL_PREFIX = `${ROOT}pools/`;
-/** One record for each maintenance wave: its progress. */
-export const WAVE_PREFIX = `${ROOT}waves/`;
+export const POOL_PREFIX = `${FLEET_PREFIX}pools/`;
+/** One record for each maintenance wave: its state. */
+export const WAVE_PREFIX = `${FLEET_PREFIX}waves/`;
 /** Segments of job records. */
 export const JOB_PREFIX = `${ROOT}jobs/`;
+/** Names the steward that places jobs; each placement compares it. */
+export const JOB_PLACER = `${ROOT}job-placer`;
 /** One record for each worker: its health and quarantine. */
-export const WORKER_PREFIX = `${ROOT}workers/`;
+export const WORKER_PREFIX = `${FLEET_PREFIX}workers/`;
+/** The VMs to which entries send nothing; one record, written together with the VM's own. */
+export const DRAINING = `${FLEET_PREFIX}draining`;
+/** Keys attached to the leases of live stewards. */
+export const STEWARD_PREFIX = `${ROOT}stewards/`;
 
 /** The digits of a revision in a key, so that keys sort by revision. */
 const REVISION_DIGITS = 12;
@@ -64,3 +72,13 @@
 export function workerKey(worker: string): string {
   return `${WORKER_PREFIX}${worker}`;
 }
+
+/** The key of a segment of jobs. */
+export function jobSegmentKey(segment: number): string {
+  return `${JOB_PREFIX}${String(segment).padStart(4, "0")}`;
+}
+
+/** The key that exists while the lease of a steward runs. */
+export function stewardKey(stewardId: string): string {
+  return `${STEWARD_PREFIX}${stewardId}`;
+}
--- /dev/null
+++ b/packages/steward/src/job_segments.ts
@@ -0,0 +1,264 @@
+/**
+ * Job records in segments of the store. Updates of a segment that come in while a write is under way
+ * go into the next write together (group commit).
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+
+/** How many segments there are; a job's id decides its segment. */
+export const JOB_SEGMENTS = 16;
+/** A segment above this size takes no new jobs; the store's values end at a megabyte. */
+const MAX_SEGMENT_BYTES = 900_000;
+/** Ended jobs are kept this long, so that a repeated submission finds them. */
+const KEEP_ENDED_MS = 86_400_000;
+const MAX_TRIES = 8;
+/** About the size of one stored job. */
+const JOB_BYTES = 400;
+
+/** No room for another job; nothing was stored. */
+export const SegmentFullError = schema.errors.JackdawlinkError.subclass("SegmentFullError");
+
+type JobResult = Result<schema.fleet.JobRecord, schema.errors.JackdawlinkError>;
+
+/** A change of one job. It may be computed again after a conflict, on what is then stored. */
+export interface JobUpdate {
+  readonly jobId: string;
+  /** The new record, or an error that leaves the old one. */
+  readonly apply: (job: schema.fleet.JobRecord | undefined) => JobResult;
+  /** The version of the placer record that must still hold. */
+  readonly placerRevision?: number;
+}
+
+interface Segment {
+  modRevision: number;
+  bytes: number;
+  jobs: Readonly<Record<string, schema.fleet.JobRecord>>;
+  isStale: boolean;
+  isCorrupt: boolean;
+  queue: { update: JobUpdate; done: (result: JobResult) => void }[];
+  isWriting: boolean;
+}
+
+/** The segments, with the versions at which they were read. */
+export class JobSegments {
+  readonly #store: ports.store.Store;
+  readonly #clock: ports.clock.Clock;
+  readonly #segments: readonly Segment[];
+
+  constructor(store: ports.store.Store, clock: ports.clock.Clock) {
+    this.#store = store;
+    this.#clock = clock;
+    this.#segments = Array.from({ length: JOB_SEGMENTS }, newSegment);
+  }
+
+  /** All jobs as last read or written. */
+  *jobs(): Iterable<schema.fleet.JobRecord> {
+    for (const segment of this.#segments) {
+      yield* Object.values(segment.jobs);
+    }
+  }
+
+  /** Reads all segments in one call. */
+  async readAll(): Promise<Result<void, schema.errors.JackdawlinkError>> {
+    const values = await this.#store.list(schema.storeKeys.JOB_PREFIX);
+    return values.map((list) => {
+      const byKey = new Map(list.map((stored) => [stored.key, stored]));
+      this.#segments.forEach((segment, index) => {
+        take(segment, byKey.get(schema.storeKeys.jobSegmentKey(index)) ?? null);
+      });
+    });
+  }
+
+  /** Reads one job from the store. */
+  async get(
+    jobId: string,
+  ): Promise<Result<schema.fleet.JobRecord | undefined, schema.errors.JackdawlinkError>> {
+    const index = policy.fleet.assignments.segmentOf(jobId, JOB_SEGMENTS);
+    const stored = await this.#store.get(schema.storeKeys.jobSegmentKey(index));
+    return stored.map((value) => {
+      const segment = this.#segmentAt(index);
+      take(segment, value);
+      return segment.jobs[jobId];
+    });
+  }
+
+  /** Changes a job; the result comes once the change is in the store. */
+  update(update: JobUpdate): Promise<JobResult> {
+    const index = policy.fleet.assignments.segmentOf(update.jobId, JOB_SEGMENTS);
+    const segment = this.#segmentAt(index);
+    return new Promise((resolve) => {
+      segment.queue.push({ update, done: resolve });
+      void this.#writeQueued(index, segment);
+    });
+  }
+
+  async #writeQueued(index: number, segment: Segment): Promise<void> {
+    if (segment.isWriting) {
+      return;
+    }
+    segment.isWriting = true;
+    // Updates of the same turn join the first write.
+    await Promise.resolve();
+    while (segment.queue.length > 0) {
+      const batch = segment.queue;
+      segment.queue = [];
+      await this.#writeBatch(index, { segment, batch });
+    }
+    segment.isWriting = false;
+  }
+
+  async #writeBatch(
+    index: number,
+    { segment, batch }: { segment: Segment; batch: Segment["queue"] },
+  ): Promise<void> {
+    let error: schema.errors.JackdawlinkError = new schema.errors.ConflictError(
+      "The segment kept changing",
+    );
+    let open = batch;
+    for (let tries = 0; tries < MAX_TRIES && open.length > 0; tries += 1) {
+      const fresh = await this.#refresh(index, segment);
+      if (fresh.isErr()) {
+        error = fresh.error;
+        continue;
+      }
+      open = await this.#dropOutdated(open);
+      const written = await this.#tryWrite(index, { segment, batch: open });
+      if (written.isOk() && written.value) {
+        return;
+      }
+      error = written.isErr() ? written.error : error;
+      segment.isStale = true;
+    }
+    open.forEach(({ done }) => done(err(error)));
+  }
+
+  /** Refuses the placements of a steward that is not the placer any more. */
+  async #dropOutdated(batch: Segment["queue"]): Promise<Segment["queue"]> {
+    if (batch.every(({ update }) => update.placerRevision === undefined)) {
+      return batch;
+    }
+    const placer = await this.#store.get(schema.storeKeys.JOB_PLACER);
+    const revision = placer.map((stored) => stored?.modRevision).unwrapOr(undefined);
+    return batch.filter(({ update, done }) => {
+      const isCurrent = update.placerRevision === undefined || update.placerRevision === revision;
+      if (!isCurrent) {
+        done(err(new schema.errors.ConflictError("Another steward places jobs now")));
+      }
+      return isCurrent;
+    });
+  }
+
+  async #tryWrite(
+    index: number,
+    { segment, batch }: { segment: Segment; batch: Segment["queue"] },
+  ): Promise<Result<boolean, schema.errors.JackdawlinkError>> {
+    const key = schema.storeKeys.jobSegmentKey(index);
+    const jobs: Record<string, schema.fleet.JobRecord> = withoutOld(
+      segment.jobs,
+      this.#clock.wallMs() - KEEP_ENDED_MS,
+    );
+    let bytes = segment.bytes;
+    const results = batch.map(({ update }) => {
+      const isNew = jobs[update.jobId] === undefined;
+      const result = update.apply(jobs[update.jobId])
+        .andThen((job) => isNew ? checkRoom(job, bytes) : ok(job));
+      bytes += isNew ? JOB_BYTES : 0;
+      if (result.isOk()) {
+        jobs[update.jobId] = result.value;
+      }
+      return result;
+    });
+    const revisions = batch.flatMap(({ update }) => update.placerRevision ?? []);
+    const guards = [...new Set(revisions)].map((modRevision) => ({
+      key: schema.storeKeys.JOB_PLACER,
+      modRevision,
+    }));
+    const value = JSON.stringify({ jobs });
+    const compares = [{ key, modRevision: segment.modRevision }, ...guards];
+    const hasChanges = results.some((result) => result.isOk());
+    const outcome = hasChanges
+      ? await this.#store.transact(compares, [{ kind: "put", key, value }])
+      : ok({ succeeded: true, storeRevision: segment.modRevision });
+    return outcome.map(({ succeeded, storeRevision }) => {
+      if (succeeded) {
+        segment.jobs = hasChanges ? jobs : segment.jobs;
+        segment.modRevision = storeRevision;
+        segment.bytes = value.length;
+        batch.forEach(({ done }, position) => done(results[position] ?? err(noResult())));
+      }
+      return succeeded;
+    });
+  }
+
+  async #refresh(
+    index: number,
+    segment: Segment,
+  ): Promise<Result<void, schema.errors.JackdawlinkError>> {
+    if (segment.isStale) {
+      const stored = await this.#store.get(schema.storeKeys.jobSegmentKey(index));
+      if (stored.isErr()) {
+        return err(stored.error);
+      }
+      take(segment, stored.value);
+    }
+    return segment.isCorrupt
+      ? err(new schema.fleet.CorruptRecordError(`Segment ${index} does not fit its schema`))
+      : ok(undefined);
+  }
+
+  #segmentAt(index: number): Segment {
+    return this.#segments[index] ?? newSegment();
+  }
+}
+
+/** Takes over what was read, unless a later version is known. */
+function take(segment: Segment, stored: ports.store.StoredValue | null): void {
+  if (stored === null || stored.modRevision < segment.modRevision) {
+    segment.isStale = segment.isStale && stored !== null;
+    return;
+  }
+  segment.isStale = false;
+  segment.modRevision = stored.modRevision;
+  segment.bytes = stored.value.length;
+  const parsed = schema.fleet.parseRecord(schema.fleet.jobSegmentSchema, stored);
+  segment.isCorrupt = parsed.isErr();
+  segment.jobs = parsed.map(({ jobs }) => jobs).unwrapOr({});
+}
+
+function newSegment(): Segment {
+  return {
+    modRevision: 0,
+    bytes: 0,
+    jobs: {},
+    isStale: true,
+    isCorrupt: false,
+    queue: [],
+    isWriting: false,
+  };
+}
+
+/** The jobs without those that ended before a time. */
+function withoutOld(
+  jobs: Readonly<Record<string, schema.fleet.JobRecord>>,
+  endedBeforeMs: number,
+): Record<string, schema.fleet.JobRecord> {
+  const kept = Object.entries(jobs).filter(([, job]) =>
+    job.endedAtMs === undefined || job.endedAtMs >= endedBeforeMs
+  );
+  return Object.fromEntries(kept);
+}
+
+/** Only a new job needs room; a known one may always change. */
+function checkRoom(job: schema.fleet.JobRecord, bytes: number): JobResult {
+  return bytes < MAX_SEGMENT_BYTES
+    ? ok(job)
+    : err(new SegmentFullError("The segment of the job is full"));
+}
+
+function noResult(): schema.errors.JackdawlinkError {
+  return new schema.errors.ConflictError("The update has no result");
+}
--- /dev/null
+++ b/packages/steward/src/steward.ts
@@ -0,0 +1,164 @@
+/**
+ * One steward: rounds of decisions over the fleet's records, each part in a manager of its own.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import { DecisionLog } from "./decision_log.ts";
+import { FleetState } from "./fleet_state.ts";
+import { JobManager } from "./job_manager.ts";
+import { JobPlacer } from "./job_placer.ts";
+import { JobSegments } from "./job_segments.ts";
+import { Membership } from "./membership.ts";
+import type { Round } from "./round.ts";
+import { VmManager } from "./vm_manager.ts";
+import { WaveManager } from "./wave_manager.ts";
+import { WorkerManager } from "./worker_manager.ts";
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+
+/** Where a steward gets the configuration in force. */
+export interface ConfigSource {
+  /** The newest configuration; an error while the store is out. */
+  read(): Promise<Result<schema.config.Config, JackdawlinkError>>;
+}
+
+/** What a steward works with. */
+export interface StewardOptions {
+  readonly stewardId: string;
+  /** Unique for each start of the process. */
+  readonly incarnation: string;
+  readonly store: ports.store.Store;
+  readonly platform: ports.platform.Platform;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly configSource: ConfigSource;
+  readonly leaseSeconds: number;
+  readonly maxPlacementsPerRound: number;
+  readonly markSettleMs: number;
+  /** The longest time between two reads of all records. */
+  readonly resyncMs?: number;
+}
+
+const DEFAULT_RESYNC_MS = 10_000;
+
+/** The central object; it delegates to managers and decides nothing itself. */
+export class Steward {
+  readonly decisions: DecisionLog;
+  readonly state: FleetState;
+  readonly vms: VmManager;
+  readonly waves: WaveManager;
+  readonly workers: WorkerManager;
+  readonly jobs: JobManager;
+  readonly #options: StewardOptions;
+  readonly #membership: Membership;
+  readonly #stopWatches: readonly (() => void)[];
+  #round: Round | undefined;
+  #readAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: StewardOptions) {
+    const { store, clock, log, platform, stewardId, incarnation } = options;
+    this.#options = options;
+    this.#membership = new Membership(options);
+    const decisions = new DecisionLog(clock, log);
+    const state = new FleetState(store, log);
+    this.decisions = decisions;
+    this.state = state;
+    this.vms = new VmManager({
+      state,
+      platform,
+      clock,
+      decisions,
+      markSettleMs: options.markSettleMs,
+    });
+    this.waves = new WaveManager({ state, vms: this.vms, clock, decisions });
+    this.workers = new WorkerManager({ state, clock, decisions });
+    this.jobs = new JobManager({
+      segments: new JobSegments(store, clock),
+      placer: new JobPlacer(store, { stewardId, incarnation }),
+      workers: this.workers,
+      platform,
+      clock,
+      decisions,
+      maxPlacementsPerRound: options.maxPlacementsPerRound,
+    });
+    this.#stopWatches = [
+      store.watch(schema.storeKeys.FLEET_PREFIX, () => state.markStale()),
+      store.watch(schema.storeKeys.JOB_PREFIX, () => this.jobs.markStale()),
+    ];
+  }
+
+  /** The last whole round, for operators' requests; an error while the store is out. */
+  get round(): Round | undefined {
+    return this.#round;
+  }
+
+  get stewards(): readonly string[] {
+    return this.#membership.stewards;
+  }
+
+  /** One round. Without the store nothing is decided; what runs goes on. */
+  async runRound(): Promise<Result<void, JackdawlinkError>> {
+    const round = await this.#startRound();
+    if (round.isErr()) {
+      this.#round = undefined;
+      this.decisions.add("Round put off", ["steward"], { reason: round.error.message });
+      return err(round.error);
+    }
+    this.#round = round.value;
+    await this.vms.adopt(round.value);
+    await this.vms.step(round.value);
+    await this.waves.step(round.value);
+    await this.jobs.step(round.value);
+    return round.map(() => undefined);
+  }
+
+  /** Stops the watches and leaves the list of stewards. */
+  async stop(): Promise<void> {
+    this.#stopWatches.forEach((stop) => stop());
+    await this.#membership.leave();
+  }
+
+  async #startRound(): Promise<Result<Round, JackdawlinkError>> {
+    const { clock, platform, configSource, stewardId } = this.#options;
+    const joined = await this.#membership.refresh();
+    if (joined.isErr()) {
+      return err(joined.error);
+    }
+    const config = await configSource.read();
+    if (config.isErr()) {
+      return err(config.error);
+    }
+    const read = await this.#readState();
+    if (read.isErr()) {
+      return err(read.error);
+    }
+    const listedAtMs = clock.nowMs();
+    const listed = await platform.listVms();
+    return listed.map((vms) => ({
+      config: config.value,
+      listedVms: new Map(vms.map((vm) => [vm.vm, vm])),
+      listedAtMs,
+      actsFor: (subject) =>
+        policy.fleet.assignments.stewardFor(subject, this.#membership.stewards) === stewardId,
+    }));
+  }
+
+  async #readState(): Promise<Result<void, JackdawlinkError>> {
+    const { clock, resyncMs = DEFAULT_RESYNC_MS } = this.#options;
+    if (clock.nowMs() - this.#readAtMs > resyncMs) {
+      this.state.markStale();
+      this.jobs.markStale();
+    }
+    if (!this.state.isStale) {
+      return ok(undefined);
+    }
+    const nowMs = clock.nowMs();
+    const read = await this.state.read();
+    this.#readAtMs = read.isOk() ? nowMs : this.#readAtMs;
+    return read;
+  }
+}
--- /dev/null
+++ b/packages/steward/src/vm_manager.ts
@@ -0,0 +1,272 @@
+/**
+ * Moves, reboots and drains of VMs: starts them under the availability budgets and takes their steps.
+ *
+ * @module
+ */
+import { errAsync, okAsync, type Result, type ResultAsync } from "neverthrow";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import type { DecisionLog } from "./decision_log.ts";
+import type { FleetState } from "./fleet_state.ts";
+import { lossesOf, type Round } from "./round.ts";
+
+/** An operation that can't start now; nothing was changed. */
+export const OperationRefusedError = schema.errors.JackdawlinkError.subclass(
+  "OperationRefusedError",
+);
+
+type Outcome<T> = ResultAsync<T, schema.errors.JackdawlinkError>;
+type Step = policy.fleet.vmSteps.VmStep;
+
+/** A list of VMs older than this decides no start. */
+const MAX_LIST_AGE_MS = 3_000;
+
+/** What the manager works with. */
+export interface VmManagerOptions {
+  readonly state: FleetState;
+  readonly platform: ports.platform.Platform;
+  readonly clock: ports.clock.Clock;
+  readonly decisions: DecisionLog;
+  readonly markSettleMs: number;
+}
+
+/** Owns the operations on VMs. */
+export class VmManager {
+  readonly #options: VmManagerOptions;
+  /** When this steward first saw each operation in its phase. */
+  readonly #phaseSeenAtMs = new Map<string, number>();
+
+  constructor(options: VmManagerOptions) {
+    this.#options = options;
+  }
+
+  /** Gives VMs that the platform lists for the first time a record, in the pool of their servers. */
+  async adopt(round: Round): Promise<void> {
+    const { state, decisions } = this.#options;
+    for (const listed of round.listedVms.values()) {
+      const pool = firstPoolOf(listed.vm, round.config);
+      if (state.vms.has(listed.vm) || pool === undefined || !round.actsFor(pool)) {
+        continue;
+      }
+      const { vm, availabilityZone, rack } = listed;
+      const place = { vm, pool, availabilityZone, rack };
+      const record = { ...place, operationCount: 0, waveResults: {}, history: [] };
+      const written = await state.commit({ vms: [record] });
+      if (written.isOk() && written.value) {
+        decisions.add("VM adopted", [vm, pool], { pool, availabilityZone, rack });
+      }
+    }
+  }
+
+  /** Takes the next step of each operation that this steward acts for. */
+  async step(round: Round): Promise<void> {
+    const { state } = this.#options;
+    const active = [...state.vms.values()].filter((record) => record.operation !== undefined);
+    this.#forgetOthers(active);
+    for (const { vm } of active.filter((record) => round.actsFor(record.pool))) {
+      const record = state.vms.get(vm);
+      if (record?.operation !== undefined) {
+        await this.#stepOne(record, record.operation, round);
+      }
+    }
+  }
+
+  /** Starts an operation: an `OperationRefusedError` names the budget that is used up. */
+  start(request: policy.fleet.vmTransitions.OperationRequest, round: Round): Outcome<string> {
+    const { state, clock, decisions } = this.#options;
+    const record = state.vms.get(request.vm);
+    const refusal = this.#refusalOf(request, round);
+    if (record === undefined || refusal !== undefined) {
+      const reason = refusal ?? `VM ${request.vm} is not known`;
+      decisions.add("Operation refused", [request.vm], { kind: request.kind, reason });
+      return errAsync(new OperationRefusedError(reason));
+    }
+    const context = {
+      record,
+      pool: state.pool(record.pool),
+      draining: state.draining,
+      wallMs: clock.wallMs(),
+    };
+    const change = policy.fleet.vmTransitions.start(context, request);
+    const unchangedWaves = request.wave === undefined ? [] : [request.wave.name];
+    return state.commit({ ...change, unchangedWaves }).andThen((written) => {
+      const operationId = change.vms[0]?.operation?.operationId ?? "";
+      if (!written) {
+        return errAsync(new schema.errors.ConflictError("Another steward changed a record first"));
+      }
+      const { kind, reason, toPool } = request;
+      const subjects = [record.vm, record.pool, ...unchangedWaves];
+      decisions.add("Operation started", subjects, { operationId, kind, reason, toPool });
+      return okAsync(operationId);
+    });
+  }
+
+  /** Ends the drain that an operator asked for. */
+  release(vm: string): Outcome<boolean> {
+    const { state } = this.#options;
+    const record = state.vms.get(vm);
+    if (record?.operation?.kind !== "drain") {
+      return errAsync(new OperationRefusedError(`VM ${vm} is not being drained by an operator`));
+    }
+    return state.commit(policy.fleet.vmTransitions.release({ record }));
+  }
+
+  /** Whether the budget of a VM's pool lets it go out of service now. */
+  verdict(record: schema.fleet.VmRecord, round: Round): policy.fleet.budgets.BudgetVerdict {
+    return this.#verdictIn(record.pool, record, round);
+  }
+
+  /** The VMs of a pool that count as unavailable. */
+  unavailableIn(pool: string, round: Round): readonly policy.fleet.budgets.VmPlace[] {
+    const { state } = this.#options;
+    const losses = lossesOf(state.vmsOfPool(pool), round.listedVms);
+    return policy.fleet.budgets.unavailableVms(state.pool(pool).tokens, losses);
+  }
+
+  #verdictIn(
+    pool: string,
+    candidate: schema.fleet.VmRecord,
+    round: Round,
+  ): policy.fleet.budgets.BudgetVerdict {
+    const limits = policy.fleet.budgets.limitsOfPool(round.config, pool);
+    const unavailable = this.unavailableIn(pool, round);
+    return policy.fleet.budgets.mayBecomeUnavailable(limits, { candidate, unavailable });
+  }
+
+  #refusalOf(
+    request: policy.fleet.vmTransitions.OperationRequest,
+    round: Round,
+  ): string | undefined {
+    const { state, clock } = this.#options;
+    const record = state.vms.get(request.vm);
+    if (record === undefined) {
+      return `VM ${request.vm} is not known`;
+    }
+    if (record.operation !== undefined) {
+      return `Operation ${record.operation.operationId} is in progress`;
+    }
+    if (request.toPool !== undefined && round.config.pools[request.toPool] === undefined) {
+      return `Pool ${request.toPool} does not exist`;
+    }
+    if (request.toPool === record.pool) {
+      return `VM ${record.vm} belongs to pool ${record.pool} already`;
+    }
+    if (clock.nowMs() - round.listedAtMs > MAX_LIST_AGE_MS) {
+      return "The list of VMs is too old";
+    }
+    const verdict = this.verdict(record, round);
+    return verdict.allowed ? undefined : budgetRefusal(record.pool, verdict);
+  }
+
+  async #stepOne(
+    record: schema.fleet.VmRecord,
+    operation: schema.fleet.Operation,
+    round: Round,
+  ): Promise<void> {
+    const { clock, decisions, markSettleMs } = this.#options;
+    const step = policy.fleet.vmSteps.nextStep({
+      operation,
+      observed: round.listedVms.get(record.vm),
+      wallMs: clock.wallMs(),
+      seenForMs: this.#seenForMs(operation),
+      markSettleMs,
+    });
+    const result = await this.#take(step, { record, operation, round });
+    const { operationId, kind } = operation;
+    const subjects = [record.vm, record.pool, ...(operation.wave ? [operation.wave.name] : [])];
+    const outcome = result.match((text) => text, (error) => error.message);
+    decisions.add("VM step", subjects, { operationId, kind, step: step.kind, outcome });
+  }
+
+  /** Carries out a step; the text says how it went. */
+  async #take(
+    step: Step,
+    { record, operation, round }: {
+      record: schema.fleet.VmRecord;
+      operation: schema.fleet.Operation;
+      round: Round;
+    },
+  ): Promise<Result<string, schema.errors.JackdawlinkError>> {
+    const { state, platform, clock } = this.#options;
+    const { vm } = record;
+    const { operationId } = operation;
+    const transitions = policy.fleet.vmTransitions;
+    const context = {
+      record,
+      pool: state.pool(record.pool),
+      draining: state.draining,
+      wallMs: clock.wallMs(),
+    };
+    const handlers: {
+      readonly [TKind in Step["kind"]]: (
+        step: Extract<Step, { kind: TKind }>,
+      ) => Outcome<string>;
+    } = {
+      wait: ({ reason }) => okAsync(reason),
+      advance: ({ phase }) => this.#commit(transitions.advance(context, phase), phase),
+      fail: ({ reason }) => this.#commit(transitions.fail(context, reason), reason),
+      drain: () => platform.drainVm(vm, operationId).map(() => "asked"),
+      reboot: () => platform.rebootVm(vm, operationId).map(() => "asked"),
+      return: () => platform.returnVm(vm, operationId).map(() => "asked"),
+      swap: ({ toPool }) => this.#swap(context, { toPool, round }),
+      finish: () => this.#commit(transitions.finish(context), operation.failure ?? "done"),
+    };
+    const handler = handlers[step.kind] as (step: Step) => Outcome<string>;
+    return await handler(step);
+  }
+
+  /** The VM may enter the new pool only under that pool's budget, since it is not live yet. */
+  #swap(
+    context: policy.fleet.vmTransitions.VmContext,
+    { toPool, round }: { toPool: string; round: Round },
+  ): Outcome<string> {
+    const verdict = this.#verdictIn(toPool, context.record, round);
+    if (!verdict.allowed) {
+      return okAsync(budgetRefusal(toPool, verdict));
+    }
+    const target = this.#options.state.pool(toPool);
+    return this.#commit(policy.fleet.vmTransitions.swap(context, target), `moved to ${toPool}`);
+  }
+
+  #commit(change: policy.fleet.vmTransitions.FleetChange, done: string): Outcome<string> {
+    return this.#options.state.commit(change).map((written) =>
+      written ? done : "another steward changed a record first"
+    );
+  }
+
+  #seenForMs({ operationId, phase }: schema.fleet.Operation): number {
+    const key = `${operationId}/${phase}`;
+    const nowMs = this.#options.clock.nowMs();
+    const seenAtMs = this.#phaseSeenAtMs.get(key) ?? nowMs;
+    this.#phaseSeenAtMs.set(key, seenAtMs);
+    return nowMs - seenAtMs;
+  }
+
+  #forgetOthers(active: readonly schema.fleet.VmRecord[]): void {
+    const keys = new Set(
+      active.map(({ operation }) => `${operation?.operationId}/${operation?.phase}`),
+    );
+    for (const key of this.#phaseSeenAtMs.keys()) {
+      if (!keys.has(key)) {
+        this.#phaseSeenAtMs.delete(key);
+      }
+    }
+  }
+}
+
+/** Names the budget that is used up. */
+function budgetRefusal(
+  pool: string,
+  { limit, used, max }: { limit: string; used: number; max: number },
+): string {
+  return `The availability budget of pool ${pool} is used up for the ${limit}: ${used} of ${max}`;
+}
+
+/** The pool of the backend servers on a VM, else the first spare pool. */
+function firstPoolOf(vm: string, config: schema.config.Config): string | undefined {
+  const server = Object.values(config.backendServers).find((each) => each.vm === vm);
+  const service = server && config.services[server.service];
+  const spare = Object.entries(config.pools).find(([, pool]) => pool.spare)?.[0];
+  return service?.pool ?? spare;
+}
--- /dev/null
+++ b/packages/steward/src/wave_manager.ts
@@ -0,0 +1,174 @@
+/**
+ * Maintenance waves: opens, pauses, resumes and ends them, and starts their next VMs.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+import type { DecisionLog } from "./decision_log.ts";
+import type { FleetState } from "./fleet_state.ts";
+import { isLost, type Round } from "./round.ts";
+import type { VmManager } from "./vm_manager.ts";
+
+const URGENCY_RANK: Readonly<Record<schema.config.Urgency, number>> = {
+  urgent: 0,
+  normal: 1,
+  background: 2,
+};
+
+/** What the manager works with. */
+export interface WaveManagerOptions {
+  readonly state: FleetState;
+  readonly vms: VmManager;
+  readonly clock: ports.clock.Clock;
+  readonly decisions: DecisionLog;
+}
+
+type NamedWave = readonly [string, schema.config.MaintenanceWave];
+
+/** Owns the states of waves. */
+export class WaveManager {
+  readonly #options: WaveManagerOptions;
+
+  constructor(options: WaveManagerOptions) {
+    this.#options = options;
+  }
+
+  /** Takes the next step of each wave that this steward acts for, urgent waves first. */
+  async step(round: Round): Promise<void> {
+    const waves = Object.entries(round.config.maintenanceWaves)
+      .filter(([name]) => round.actsFor(name))
+      .sort(([, left], [, right]) => URGENCY_RANK[left.urgency] - URGENCY_RANK[right.urgency]);
+    for (const wave of waves) {
+      await this.#stepOne(wave, round);
+    }
+  }
+
+  async #stepOne([name, wave]: NamedWave, round: Round): Promise<void> {
+    const record = this.#options.state.waves.get(name);
+    if (record === undefined || (record.state === "finished" && wave.state === "planned")) {
+      await this.#open([name, wave], record);
+      return;
+    }
+    const vms = this.#vmsOf([name, wave], { record, round });
+    const change = policy.fleet.waveProgress.nextChange({
+      wave,
+      record,
+      vms,
+      limitsOf: (pool) => policy.fleet.budgets.limitsOfPool(round.config, pool),
+    });
+    if (change.kind !== "none") {
+      await this.#write(this.#changed(record, { change, vms }));
+    } else if (record.state === "running") {
+      await this.#startNext([name, wave], { record, round });
+    }
+  }
+
+  /** A finished wave that is planned again gets a new run; it starts once it is set to running. */
+  async #open(
+    [name, wave]: NamedWave,
+    previous: schema.fleet.WaveRecord | undefined,
+  ): Promise<void> {
+    if (previous === undefined && wave.state !== "running") {
+      return;
+    }
+    const isPlanned = wave.state === "planned";
+    await this.#write({
+      wave: name,
+      run: (previous?.run ?? 0) + 1,
+      state: isPlanned ? "paused" : "running",
+      pausedBy: isPlanned ? "operator" : undefined,
+      reason: isPlanned ? "The wave is planned" : undefined,
+      acknowledgedFailures: 0,
+      startedAtMs: this.#options.clock.wallMs(),
+    });
+  }
+
+  #changed(
+    record: schema.fleet.WaveRecord,
+    { change, vms }: {
+      change: Exclude<policy.fleet.waveProgress.WaveChange, { kind: "none" }>;
+      vms: readonly policy.fleet.waveProgress.WaveVm[];
+    },
+  ): schema.fleet.WaveRecord {
+    const failures = policy.fleet.waveProgress.failuresOf(vms).length;
+    const handlers = {
+      pause: () => ({
+        state: "paused" as const,
+        pausedBy: change.kind === "pause" ? change.by : undefined,
+        reason: change.kind === "pause" ? change.reason : undefined,
+      }),
+      resume: () => ({
+        state: "running" as const,
+        pausedBy: undefined,
+        reason: undefined,
+        acknowledgedFailures: failures,
+      }),
+      finish: () => ({
+        state: "finished" as const,
+        finishedAtMs: this.#options.clock.wallMs(),
+        reason: `${failures} of ${vms.length} VMs failed`,
+      }),
+    };
+    return { ...record, ...handlers[change.kind]() };
+  }
+
+  async #write(record: schema.fleet.WaveRecord): Promise<void> {
+    const written = await this.#options.state.commit({ waves: [record] });
+    if (written.isOk() && written.value) {
+      const { wave, run, state, reason } = record;
+      this.#options.decisions.add("Wave changed", [wave], { run, state, reason });
+    }
+  }
+
+  async #startNext(
+    [name, wave]: NamedWave,
+    { record, round }: { record: schema.fleet.WaveRecord; round: Round },
+  ): Promise<void> {
+    const { state, vms, decisions } = this.#options;
+    const candidates = this.#recordsOf(wave)
+      .filter((vm) => vm.operation === undefined && vm.waveResults[name]?.run !== record.run)
+      .filter((vm) => round.listedVms.get(vm.vm)?.state === "live")
+      .map((vm) => ({ ...vm, expectedDrainMs: round.listedVms.get(vm.vm)?.running ?? 0 }));
+    const pools = new Map(wave.pools.map((pool) => [pool, {
+      limits: policy.fleet.budgets.limitsOfPool(round.config, pool),
+      unavailable: vms.unavailableIn(pool, round),
+    }]));
+    for (const { vm } of policy.fleet.waveOrder.nextOfWave(candidates, pools)) {
+      const started = await vms.start({
+        vm,
+        kind: "reboot",
+        reason: `Wave ${name}`,
+        wave: { name, run: record.run },
+        drainTimeoutMs: wave.drainTimeoutMs,
+        maintenanceMs: wave.vmMaintenanceMs,
+      }, round);
+      if (started.isErr() && state.isStale) {
+        decisions.add("Wave start put off", [name, vm], { reason: started.error.message });
+        return;
+      }
+    }
+  }
+
+  #recordsOf(wave: schema.config.MaintenanceWave): readonly schema.fleet.VmRecord[] {
+    return wave.pools.flatMap((pool) => this.#options.state.vmsOfPool(pool));
+  }
+
+  #vmsOf(
+    [name, wave]: NamedWave,
+    { record, round }: { record: schema.fleet.WaveRecord; round: Round },
+  ): readonly policy.fleet.waveProgress.WaveVm[] {
+    return this.#recordsOf(wave).map((vm) => {
+      const result = vm.waveResults[name];
+      const { operation } = vm;
+      const isOurs = operation?.wave?.name === name && operation.wave.run === record.run;
+      return {
+        ...vm,
+        result: result?.run === record.run ? result.state : undefined,
+        isLost: isLost(vm, round.listedVms),
+        isFailing: isOurs && operation.failure !== undefined,
+      };
+    });
+  }
+}
