--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,6 +1,12 @@
 /**
- * Pure decisions: state, event and time in; new state and effects out.
+ * The decisions: pure code without I/O, clock or random source.
  *
  * @module
  */
+export * as canonicalJson from "./canonical_json.ts";
+export * as configCheck from "./config_check.ts";
+export * as configChunks from "./config_chunks.ts";
+export * as configDiff from "./config_diff.ts";
+export * as configText from "./config_text.ts";
+export * as findings from "./findings.ts";
 export * as fleet from "./fleet/mod.ts";
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -44,6 +44,8 @@
 }
 
 const DEFAULT_RESYNC_MS = 10_000;
+/** An older round says nothing about the present. */
+const MAX_ROUND_AGE_MS = 3_000;
 
 /** The central object; it delegates to managers and decides nothing itself. */
 export class Steward {
@@ -91,9 +93,12 @@
     ];
   }
 
-  /** The last whole round, for operators' requests; an error while the store is out. */
+  /** The inputs of the last round; undefined while the store is out or after a long pause. */
   get round(): Round | undefined {
-    return this.#round;
+    const nowMs = this.#options.clock.nowMs();
+    const isCurrent = this.#round !== undefined &&
+      nowMs - this.#round.listedAtMs <= MAX_ROUND_AGE_MS;
+    return isCurrent ? this.#round : undefined;
   }
 
   get stewards(): readonly string[] {
--- a/packages/testing/src/platform_fleet.ts
+++ b/packages/testing/src/platform_fleet.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import type { HttpBindings } from "@hono/node-server";
 import { Hono } from "hono";
 import type * as ports from "@jackdawlink/ports";
 import { FleetModel, type FleetSetup } from "./fleet_model.ts";
@@ -25,7 +26,7 @@
 
 /** The routes and the state behind them. */
 export class PlatformFleet {
-  readonly app = new Hono();
+  readonly app = new Hono<{ Bindings: HttpBindings }>();
   readonly faults: FleetFaults = { out: false, loseEveryNthAnswer: 0 };
   model: FleetModel;
   #actions = 0;
