--- a/packages/steward/src/interleaving_test.ts
+++ b/packages/steward/src/interleaving_test.ts
@@ -11,7 +11,7 @@
 const ROUND_MS = 500;
 const VM_COUNT = 6;
 const MAX_ROUNDS = 60;
-const RUNS = 60;
+const RUNS = 100;
 const SEED = 20_261_204;
 
 interface Faults {
@@ -25,7 +25,7 @@
 }
 
 const faultsArbitrary: fc.Arbitrary<Faults> = fc.record({
-  pauseAt: fc.array(fc.integer({ min: 1, max: 120 }), { minLength: 2, maxLength: 2 }),
+  pauseAt: fc.array(fc.integer({ min: 1, max: 200 }), { minLength: 2, maxLength: 2 }),
   loseEvery: fc.constantFrom(0, 3, 5, 7),
   listLagMs: fc.constantFrom(0, 400, 1_700),
   outAt: fc.constantFrom(0, 3, 9),
@@ -142,6 +142,10 @@
       const held = tokens.some((token) => token.operationId === vm.operation?.operationId);
       this.expect(vm.operation === undefined || held, `${vm.vm} is out without a token`);
     }
+    const operations = new Set((await vms).map(({ operation }) => operation?.operationId));
+    for (const { vm, operationId } of this.model.plannedOut()) {
+      this.expect(operations.has(operationId), `${vm} is out for ${operationId}, which is over`);
+    }
     const jobs = (await segments).flatMap((segment) => Object.values(segment.jobs));
     const placed = jobs.filter((job) => job.state === "placed").length;
     this.expect(placed <= 2, `${placed} tasks of a team with a limit of 2`);
--- a/packages/testing/src/fleet_model.ts
+++ b/packages/testing/src/fleet_model.ts
@@ -12,7 +12,7 @@
 export interface FleetSetup {
   readonly vms?: readonly VmSetup[];
   readonly workers?: readonly WorkerSetup[];
-  /** How far lists lag. */
+  /** How far lists lag at most. */
   readonly listLagMs?: number;
 }
 
@@ -26,6 +26,9 @@
   readonly notLive: readonly string[];
 }
 
+/** Successive lists lag by these parts of the full lag, so that a later list may show an older state. */
+const LAG_RATIOS: readonly number[] = [1, 0.3, 0.7];
+
 /** How an action on a VM ended. */
 export type ActionOutcome = "accepted" | "stale" | "unknown-vm";
 
@@ -34,7 +37,8 @@
   readonly events: WitnessEvent[] = [];
   readonly tasks: TaskTable;
   readonly #vms = new Map<string, VmModel>();
-  #listLagMs: number;
+  readonly #listLagMs: number;
+  #lists = 0;
 
   constructor(setup: FleetSetup) {
     this.#listLagMs = setup.listLagMs ?? 0;
@@ -54,7 +58,10 @@
 
   listVms(nowMs: number): readonly ports.platform.ListedVm[] {
     this.advance(nowMs);
-    return [...this.#vms.values()].map((vm) => vm.listedAt(nowMs - this.#listLagMs));
+    this.#lists += 1;
+    const lagRatio = LAG_RATIOS[this.#lists % LAG_RATIOS.length] ?? 1;
+    const atMs = nowMs - this.#listLagMs * lagRatio;
+    return [...this.#vms.values()].map((vm) => vm.listedAt(atMs));
   }
 
   listWorkers(nowMs: number): readonly ports.platform.ListedWorker[] {
@@ -104,6 +111,13 @@
     this.#vms.get(vm)?.setDown(false, nowMs);
   }
 
+  /** The VMs that an operation took out and has not returned. */
+  plannedOut(): readonly { readonly vm: string; readonly operationId: string }[] {
+    return [...this.#vms.values()]
+      .map((vm) => vm.listedAt(Number.POSITIVE_INFINITY))
+      .filter((listed) => !listed.returned);
+  }
+
   /** The VMs that are not live now. */
   notLive(): readonly string[] {
     return [...this.#vms.values()].filter((vm) => !vm.isLive()).map((vm) => vm.setup.vm);
