--- a/packages/steward/src/interleaving_test.ts
+++ b/packages/steward/src/interleaving_test.ts
@@ -11,7 +11,7 @@
 const ROUND_MS = 500;
 const VM_COUNT = 6;
 const MAX_ROUNDS = 60;
-const RUNS = 100;
+const RUNS = 200;
 const SEED = 20_261_204;
 
 interface Faults {
