Vary the faults of the interleaving test

Purpose: the test must see each safety check fail when it is taken out. Seen: compares of records other than the first removed (a VM out without a token), drains not awaited (vm-0 was cut), the rack limit removed, and task ids forgotten by the platform (job-1.1 started 2 times).

--- a/packages/steward/src/interleaving_test.ts
+++ b/packages/steward/src/interleaving_test.ts
@@ -27,7 +27,7 @@
 const faultsArbitrary: fc.Arbitrary<Faults> = fc.record({
   pauseAt: fc.array(fc.integer({ min: 1, max: 200 }), { minLength: 2, maxLength: 2 }),
   loseEvery: fc.constantFrom(0, 3, 5, 7),
-  listLagMs: fc.constantFrom(0, 400, 1_700),
+  listLagMs: fc.constantFrom(0, 400, 1_700, 4_000),
   outAt: fc.constantFrom(0, 3, 9),
 });
 
