Vary the faults of the interleaving test

Purpose: the test must see each safety check fail when it is taken out. Seen: compares of records other than the first removed (a VM out without a token), drains not awaited (vm-0 was cut), the rack limit removed, and task ids forgotten by the platform (job-1.1 started 2 times).

--- a/packages/steward/src/interleaving_test.ts
+++ b/packages/steward/src/interleaving_test.ts
@@ -56,8 +56,8 @@
       vm: `vm-${index}`,
       availabilityZone: `zone-${index % 2}`,
       rack: `rack-${index % 4}`,
-      drainMs: 700,
-      rebootMs: 900,
+      drainMs: index % 2 === 0 ? 700 : 0,
+      rebootMs: index % 2 === 0 ? 900 : 0,
     }));
     const workers = vms.slice(0, 3).map(({ vm, availabilityZone, rack }) => ({
       worker: `worker-${vm}`,
