Drive stewards by processes, and tell known losses from late lists

Cause of the fault that the test found: a wave counted VMs that a lagging list still showed as out, after their reboot was over, as failures, and paused itself. Now a loss counts only once the list shows it after the VM's latest operation; budgets still count every VM that may be out. Ruled out: waiting a fixed time.

--- a/packages/policy/src/fleet/mod.ts
+++ b/packages/policy/src/fleet/mod.ts
@@ -5,6 +5,7 @@
  */
 export * as assignments from "./assignments.ts";
 export * as budgets from "./budgets.ts";
+export * as losses from "./losses.ts";
 export * as placement from "./placement/place.ts";
 export * as quarantine from "./quarantine.ts";
 export * as sizeEstimates from "./size_estimates.ts";
--- a/packages/steward/src/main.ts
+++ b/packages/steward/src/main.ts
@@ -6,6 +6,7 @@
  */
 import { once } from "node:events";
 import type { AddressInfo } from "node:net";
+import * as timers from "node:timers/promises";
 import { parseArgs } from "node:util";
 import { createAdaptorServer } from "@hono/node-server";
 import * as adapters from "@jackdawlink/adapters";
@@ -113,11 +114,5 @@
 
 /** Waits for a time or until a signal. */
 function pause(delayMs: number, signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(resolve, delayMs);
-    signal.addEventListener("abort", () => {
-      clearTimeout(timer);
-      resolve();
-    }, { once: true });
-  });
+  return timers.setTimeout(delayMs, undefined, { signal }).catch(() => undefined);
 }
--- a/packages/steward/src/round.ts
+++ b/packages/steward/src/round.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
 
@@ -16,19 +15,3 @@
   /** Whether this steward acts for a subject; only saves double work. */
   readonly actsFor: (subject: string) => boolean;
 }
-
-/** The VMs of a pool that are out of service without holding a token. */
-export function lossesOf(
-  vms: readonly schema.fleet.VmRecord[],
-  listedVms: ReadonlyMap<string, ports.platform.ListedVm>,
-): readonly policy.fleet.budgets.VmPlace[] {
-  return vms.filter((record) => isLost(record, listedVms));
-}
-
-/** Whether a VM is out of service although no operation took it out. */
-export function isLost(
-  record: schema.fleet.VmRecord,
-  listedVms: ReadonlyMap<string, ports.platform.ListedVm>,
-): boolean {
-  return record.operation === undefined && listedVms.get(record.vm)?.state !== "live";
-}
--- a/packages/steward/src/vm_manager.ts
+++ b/packages/steward/src/vm_manager.ts
@@ -9,7 +9,7 @@
 import * as schema from "@jackdawlink/schema";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetState } from "./fleet_state.ts";
-import { lossesOf, type Round } from "./round.ts";
+import type { Round } from "./round.ts";
 
 /** An operation that can't start now; nothing was changed. */
 export const OperationRefusedError = schema.errors.JackdawlinkError.subclass(
@@ -120,7 +120,9 @@
   /** The VMs of a pool that count as unavailable. */
   unavailableIn(pool: string, round: Round): readonly policy.fleet.budgets.VmPlace[] {
     const { state } = this.#options;
-    const losses = lossesOf(state.vmsOfPool(pool), round.listedVms);
+    const losses = state.vmsOfPool(pool).filter((record) =>
+      policy.fleet.losses.mayBeOut(record, round.listedVms.get(record.vm))
+    );
     return policy.fleet.budgets.unavailableVms(state.pool(pool).tokens, losses);
   }
 
--- a/packages/steward/src/wave_manager.ts
+++ b/packages/steward/src/wave_manager.ts
@@ -8,7 +8,7 @@
 import type * as schema from "@jackdawlink/schema";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetState } from "./fleet_state.ts";
-import { isLost, type Round } from "./round.ts";
+import type { Round } from "./round.ts";
 import type { VmManager } from "./vm_manager.ts";
 
 const URGENCY_RANK: Readonly<Record<schema.config.Urgency, number>> = {
@@ -166,7 +166,7 @@
       return {
         ...vm,
         result: result?.run === record.run ? result.state : undefined,
-        isLost: isLost(vm, round.listedVms),
+        isLost: policy.fleet.losses.isKnownLost(vm, round.listedVms.get(vm.vm)),
         isFailing: isOurs && operation.failure !== undefined,
       };
     });
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,16 +1,4 @@
 /**
- * Stand-ins of what surrounds the system, for tests and benchmarks.
- *
- * @module
- */
-export * as fleetModel from "./fleet_model.ts";
-export * as memoryStore from "./memory_store.ts";
-export * as modelPlatform from "./model_platform.ts";
-export * as platformFaults from "./platform_faults.ts";
-export * as platformFleet from "./platform_fleet.ts";
-export * as platformServer from "./platform_server.ts";
-export * as platformStore from "./platform_store.ts";
-export * as virtualTime from "./virtual_time.ts";
  * Stand-ins for what surrounds the programs, a fault proxy, and a harness for child processes.
  *
  * @module
@@ -21,7 +9,15 @@
 export * as backendServerRecord from "./backend_server_record.ts";
 export * as faultProxy from "./fault_proxy.ts";
 export * as faultProxyControl from "./fault_proxy_control.ts";
+export * as fleetModel from "./fleet_model.ts";
 export * as freePorts from "./free_ports.ts";
+export * as memoryStore from "./memory_store.ts";
+export * as modelPlatform from "./model_platform.ts";
+export * as platformFaults from "./platform_faults.ts";
+export * as platformFleet from "./platform_fleet.ts";
+export * as platformServer from "./platform_server.ts";
+export * as platformStore from "./platform_store.ts";
 export * as processes from "./processes.ts";
 export * as runTimes from "./run_times.ts";
+export * as virtualTime from "./virtual_time.ts";
 export * as waitFor from "./wait_for.ts";
