--- /dev/null
+++ b/packages/policy/src/fleet/budgets_test.ts
@@ -0,0 +1,226 @@
+import { describe, expect, it } from "vitest";
+import * as schema from "@jackdawlink/schema";
+import * as budgets from "./budgets.ts";
+import * as losses from "./losses.ts";
+import * as taskIds from "./task_ids.ts";
+import * as waveOrder from "./wave_order.ts";
+import * as waveProgress from "./wave_progress.ts";
+
+function place(vm: string, availabilityZone = "a", rack = "r1"): budgets.VmPlace {
+  return { vm, availabilityZone, rack };
+}
+
+describe("mayBecomeUnavailable", () => {
+  const perZone = { maxUnavailable: 3, maxUnavailablePerAvailabilityZone: 2 };
+  const perRack = { maxUnavailable: 3, maxUnavailablePerRack: 1 };
+  it.each([
+    { name: "room", limits: { maxUnavailable: 2 }, tokens: [place("b")], losses: [], limit: "" },
+    {
+      name: "a full pool",
+      limits: { maxUnavailable: 1 },
+      tokens: [place("b")],
+      losses: [],
+      limit: "pool",
+    },
+    {
+      name: "an unplanned loss",
+      limits: { maxUnavailable: 1 },
+      tokens: [],
+      losses: [place("b")],
+      limit: "pool",
+    },
+    {
+      name: "a VM that is lost while it holds a token",
+      limits: { maxUnavailable: 2 },
+      tokens: [place("b")],
+      losses: [place("b")],
+      limit: "",
+    },
+    {
+      name: "a full zone",
+      limits: perZone,
+      tokens: [place("b", "a", "r2"), place("c")],
+      losses: [],
+      limit: "availabilityZone",
+    },
+    { name: "a full rack", limits: perRack, tokens: [place("b")], losses: [], limit: "rack" },
+    {
+      name: "the same rack name in another zone",
+      limits: perRack,
+      tokens: [place("b", "z")],
+      losses: [],
+      limit: "",
+    },
+  ])("decides on $name", ({ limits, tokens, losses, limit }) => {
+    const unavailable = budgets.unavailableVms(tokens, losses);
+    const verdict = budgets.mayBecomeUnavailable(limits, { candidate: place("x"), unavailable });
+    expect(verdict.allowed ? "" : verdict.limit).toBe(limit);
+  });
+});
+
+describe("isKnownLost", () => {
+  const seen = { running: 0, rebooted: true };
+  it.each(
+    [
+      { state: "down", operationId: "x.000000001", returned: true, known: true },
+      { state: "leaving", operationId: "x.000000001", returned: false, known: false },
+      { state: "down", operationId: "", returned: true, known: false },
+      { state: "live", operationId: "x.000000001", returned: true, known: false },
+    ] as const,
+  )("tells late lists from losses: $state, $operationId", ({ known, ...listed }) => {
+    const record = { vm: "x", operationCount: 1 };
+    expect(losses.isKnownLost(record, { ...seen, ...listed })).toBe(known);
+  });
+});
+
+describe("nextOfWave", () => {
+  it("fills the budget across racks with the longest drains first", () => {
+    const candidates = ["a1", "a2", "b1", "b2", "c1"].map((vm, index) => ({
+      ...place(vm, "z", vm[0]),
+      pool: "boards",
+      expectedDrainMs: index,
+    }));
+    const limits = { maxUnavailable: 3, maxUnavailablePerRack: 1 };
+    const pools = new Map([["boards", { limits, unavailable: [place("x", "z", "c")] }]]);
+    const chosen = waveOrder.nextOfWave(candidates, pools).map(({ vm }) => vm);
+    expect(chosen).toEqual(["b2", "a2"]);
+  });
+
+  it.each([1, 2, 3, 4, 5])("rolls 40 VMs out in 1.25 times the shortest time, seed %i", (seed) => {
+    const vms = Array.from({ length: 40 }, (_, index) => ({
+      ...place(`vm-${index}`, `z${index % 3}`, `r${index % 10}`),
+      pool: "boards",
+      expectedDrainMs: 60 + (index * 37 * seed) % 120,
+    }));
+    const limits = { maxUnavailable: 4, maxUnavailablePerRack: 1 };
+    const out = new Map<string, { until: number; vm: waveOrder.WaveCandidate }>();
+    let left = vms;
+    let now = 0;
+    while (left.length > 0 || out.size > 0) {
+      const unavailable = [...out.values()].map(({ vm }) => vm);
+      for (const vm of waveOrder.nextOfWave(left, new Map([["boards", { limits, unavailable }]]))) {
+        out.set(vm.vm, { until: now + vm.expectedDrainMs, vm });
+        left = left.filter((each) => each !== vm);
+      }
+      now = Math.min(...[...out.values()].map(({ until }) => until));
+      [...out].filter(([, { until }]) => until <= now).forEach(([vm]) => out.delete(vm));
+    }
+    const totalMs = vms.reduce((sum, vm) => sum + vm.expectedDrainMs, 0);
+    const rackMs = Array.from(
+      { length: 10 },
+      (_, rack) =>
+        vms.filter((vm) => vm.rack === `r${rack}`).reduce((sum, vm) => sum + vm.expectedDrainMs, 0),
+    );
+    const shortestMs = Math.max(totalMs / limits.maxUnavailable, ...rackMs);
+    expect(now).toBeLessThanOrEqual(1.25 * shortestMs);
+  });
+});
+
+describe("nextChange", () => {
+  const wave = schema.config.emptyConfig().maintenanceWaves["x"] ??
+    { pools: ["boards"], urgency: "normal", drainTimeoutMs: 1, vmMaintenanceMs: 10 } as const;
+  const record = { wave: "x", run: 1, acknowledgedFailures: 0, startedAtMs: 0 };
+  function vm(change: Partial<waveProgress.WaveVm>): waveProgress.WaveVm {
+    return {
+      ...place("v"),
+      pool: "boards",
+      result: undefined,
+      isLost: false,
+      isFailing: false,
+      ...change,
+    };
+  }
+  const failed = [vm({ vm: "p", result: "failed" }), vm({ vm: "q", isFailing: true }), vm({})];
+  const done = [vm({ result: "done" }), vm({ result: "failed" })];
+  const lost = [vm({ vm: "p", isLost: true }), vm({ vm: "q", isLost: true })];
+  it.each([
+    { name: "goes on", vms: [vm({}), vm({ result: "failed" })], change: { kind: "none" } },
+    { name: "ends", vms: done, change: { kind: "finish" } },
+    {
+      name: "pauses on failures",
+      vms: failed,
+      change: { kind: "pause", by: "failures", reason: "2 VMs failed: p, q" },
+    },
+    {
+      name: "goes on after an operator resumed it",
+      vms: failed,
+      acknowledgedFailures: 2,
+      change: { kind: "none" },
+    },
+    {
+      name: "pauses on a lost rack",
+      vms: lost,
+      change: { kind: "pause", by: "failures", reason: "VMs p, q of rack a/r1 are lost" },
+    },
+    {
+      name: "pauses when its budgets leave too little time",
+      vms: [vm({}), vm({ vm: "w" })],
+      finishWithinMs: 19,
+      change: {
+        kind: "pause",
+        by: "infeasible",
+        reason: "The availability budget of pool boards allows no roll-out in less than 20 ms",
+      },
+    },
+    {
+      name: "follows the operator",
+      vms: [vm({})],
+      state: "paused" as const,
+      change: { kind: "pause", by: "operator", reason: "An operator set the wave to paused" },
+    },
+    {
+      name: "stays paused after failures",
+      vms: [vm({})],
+      pausedBy: "failures" as const,
+      change: { kind: "none" },
+    },
+    {
+      name: "resumes",
+      vms: [vm({})],
+      pausedBy: "operator" as const,
+      change: { kind: "resume" },
+    },
+  ])("$name", ({ vms, change, finishWithinMs, state, pausedBy, acknowledgedFailures = 0 }) => {
+    const decided = waveProgress.nextChange({
+      wave: { ...wave, pauseAfterFailures: 2, finishWithinMs, state: state ?? "running" },
+      record: {
+        ...record,
+        acknowledgedFailures,
+        pausedBy,
+        state: pausedBy === undefined ? "running" : "paused",
+      },
+      vms,
+      limitsOf: () => ({ maxUnavailable: 1 }),
+    });
+    expect(decided).toEqual(change);
+  });
+});
+
+describe("afterAttempt", () => {
+  it.each(
+    [
+      { end: "succeeded", repeatable: false, cancel: true, state: "succeeded" },
+      { end: "failed", repeatable: false, cancel: false, state: "failed" },
+      { end: "failed", repeatable: true, cancel: false, state: "waiting" },
+      { end: "stopped", repeatable: true, cancel: true, state: "cancelled" },
+      { end: "never-started", repeatable: false, cancel: false, state: "waiting" },
+      { end: "never-started", repeatable: false, cancel: true, state: "cancelled" },
+      { end: "checkpointed", repeatable: true, cancel: false, state: "waiting" },
+      { end: "worker-lost", repeatable: false, cancel: false, state: "unknown" },
+      { end: "worker-lost", repeatable: false, cancel: true, state: "unknown" },
+      { end: "worker-lost", repeatable: true, cancel: false, state: "waiting" },
+    ] as const,
+  )("$end, repeatable $repeatable, cancelled $cancel: $state", (row) => {
+    const spec = {
+      cores: 1,
+      memoryMb: 1,
+      accelerators: 0,
+      runMs: 1,
+      urgency: "normal",
+      repeatable: row.repeatable,
+      maxAttempts: 3,
+    } as const;
+    const job = { attempt: 1, spec, cancelRequested: row.cancel };
+    expect(taskIds.afterAttempt(job, row.end).state).toBe(row.state);
+  });
+});
--- a/packages/policy/src/fleet/mod.ts
+++ b/packages/policy/src/fleet/mod.ts
@@ -9,6 +9,7 @@
 export * as placement from "./placement/place.ts";
 export * as quarantine from "./quarantine.ts";
 export * as sizeEstimates from "./size_estimates.ts";
+export * as sizing from "./sizing.ts";
 export * as taskIds from "./task_ids.ts";
 export * as vmSteps from "./vm_steps.ts";
 export * as vmTransitions from "./vm_transitions.ts";
--- a/packages/policy/src/fleet/placement/place.ts
+++ b/packages/policy/src/fleet/placement/place.ts
@@ -28,6 +28,8 @@
   readonly weight: number;
   readonly maxRunningTasks?: number;
   readonly running: number;
+  /** Running tasks by {@link rackKey}, for the spread over racks. */
+  readonly runningByRack?: ReadonlyMap<string, number>;
 }
 
 /** One placement. */
@@ -84,7 +86,9 @@
         open.delete(team);
         continue;
       }
-      const worker = index.take(job.size, (each) => loads.get(loadKey(team, each)) ?? 0);
+      const worker = index.take(job.size, (each) =>
+        (loads.get(loadKey(team, each)) ?? 0) +
+        (input.teams.get(team)?.runningByRack?.get(rackKey(each)) ?? 0));
       if (worker === undefined) {
         continue;
       }
@@ -173,8 +177,15 @@
   return best;
 }
 
+/** Names a rack in its availability zone. */
+export function rackKey(
+  { availabilityZone, rack }: { availabilityZone: string; rack: string },
+): string {
+  return `${availabilityZone}/${rack}`;
+}
+
 function loadKey(team: string, worker: workersIndex.FreeWorker): string {
-  return `${team}/${worker.availabilityZone}/${worker.rack}`;
+  return `${team}/${rackKey(worker)}`;
 }
 
 function copyFree(worker: PlacementWorker): workersIndex.FreeWorker {
--- a/packages/policy/src/fleet/placement/workers_index.ts
+++ b/packages/policy/src/fleet/placement/workers_index.ts
@@ -23,8 +23,10 @@
   readonly accelerators: number;
 }
 
-/** How many fitting workers are compared for the spread over racks. */
+/** How many fitting workers of a bucket are compared for the spread over racks. */
 const COMPARED_WORKERS = 4;
+/** What a worker with twice the free cores costs, in tasks of the same team on a rack. */
+const COST_PER_LEVEL = 0.5;
 
 /** Workers in buckets by the power of two of their free cores, apart for those with accelerators. */
 export class WorkersIndex {
@@ -38,8 +40,8 @@
   }
 
   /**
-   * Takes the capacity for a task and returns its worker: the tightest bucket that fits, and in it the
-   * rack with the least load given. Work without accelerators takes workers with them last.
+   * Takes the capacity for a task and returns its worker: one with little left over, on a rack with
+   * little load. Work without accelerators takes workers with them last.
    */
   take(size: TaskSize, loadOf: (worker: FreeWorker) => number): FreeWorker | undefined {
     const groups = size.accelerators > 0 ? [this.#accelerated] : [this.#plain, this.#accelerated];
@@ -86,28 +88,41 @@
     size.accelerators <= worker.accelerators;
 }
 
-/** The least loaded of the first few workers that fit, from the tightest bucket on. */
+/**
+ * The best of the first few workers that fit in each bucket: the load of the rack counts against the
+ * free cores that would be broken up.
+ */
 function findIn(
   group: ReadonlyMap<number, ReadonlySet<FreeWorker>>,
   size: TaskSize,
   loadOf: (worker: FreeWorker) => number,
 ): FreeWorker | undefined {
-  const levels = [...group.keys()].filter((level) => level >= levelOf(size.cores));
-  for (const level of levels.sort((left, right) => left - right)) {
-    const found: FreeWorker[] = [];
-    for (const worker of group.get(level) ?? []) {
-      if (fits(size, worker)) {
-        found.push(worker);
-      }
-      if (found.length === COMPARED_WORKERS) {
-        break;
+  let best: FreeWorker | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  for (const [level, bucket] of group) {
+    for (const worker of level < levelOf(size.cores) ? [] : firstFitting(bucket, size)) {
+      const score = loadOf(worker) + level * COST_PER_LEVEL;
+      if (score < bestScore) {
+        best = worker;
+        bestScore = score;
       }
     }
-    if (found.length > 0) {
-      return found.reduce((best, next) => loadOf(next) < loadOf(best) ? next : best);
+  }
+  return best;
+}
+
+/** The first few workers of a bucket that fit. */
+function firstFitting(bucket: ReadonlySet<FreeWorker>, size: TaskSize): readonly FreeWorker[] {
+  const found: FreeWorker[] = [];
+  for (const worker of bucket) {
+    if (fits(size, worker)) {
+      found.push(worker);
+    }
+    if (found.length === COMPARED_WORKERS) {
+      break;
     }
   }
-  return undefined;
+  return found;
 }
 
 /** The power of two at or below a number of cores. */
--- a/packages/policy/src/fleet/vm_transitions.ts
+++ b/packages/policy/src/fleet/vm_transitions.ts
@@ -151,11 +151,12 @@
 
 function withHistory(
   record: schema.fleet.VmRecord,
-  line: string,
+  text: string,
   wallMs: number,
 ): schema.fleet.VmRecord {
-  const dated = `${new Date(wallMs).toISOString()} ${line}`;
-  const history = [...record.history, dated].slice(-schema.fleet.MAX_HISTORY_LINES);
+  const history = [...record.history, { atMs: wallMs, text }].slice(
+    -schema.fleet.MAX_HISTORY_LINES,
+  );
   return { ...record, history };
 }
 
--- a/packages/schema/src/fleet.ts
+++ b/packages/schema/src/fleet.ts
@@ -42,6 +42,9 @@
   reason: v.string(),
 });
 
+/** One line of a record's history. */
+export const historyLineSchema = v.object({ atMs: v.number(), text: v.string() });
+
 /** One VM. `pool` is the one pool that it belongs to. */
 export const vmRecordSchema = v.object({
   vm: nameSchema,
@@ -52,7 +55,7 @@
   operation: v.optional(operationSchema),
   /** The latest result of each wave that reached the VM. */
   waveResults: v.optional(v.record(nameSchema, waveResultSchema), {}),
-  history: v.pipe(v.array(v.string()), v.maxLength(MAX_HISTORY_LINES)),
+  history: v.pipe(v.array(historyLineSchema), v.maxLength(MAX_HISTORY_LINES)),
 });
 
 /** The right of one VM to be unavailable, counted against the pool's availability budget. */
--- a/packages/steward/src/job_manager.ts
+++ b/packages/steward/src/job_manager.ts
@@ -86,6 +86,11 @@
     return found.andThen((job) => ownJob(job, { team, jobId }));
   }
 
+  /** The state of any job, for operators. */
+  find(jobId: string): Promise<Result<Job | undefined, schema.errors.JackdawlinkError>> {
+    return this.#options.segments.get(jobId);
+  }
+
   /** Cancels a team's job: at once while it waits, otherwise once its task is stopped. */
   cancel(team: string, jobId: string): Promise<JobResult> {
     const endedAtMs = this.#options.clock.wallMs();
@@ -237,7 +242,7 @@
     const decided = policy.fleet.placement.placeRound({
       jobs: waiting.map((job) => ({ ...job, ...job.spec, size: this.#sizeOf(job) })),
       workers: this.#options.workers.placementWorkers(listed, taken),
-      teams: teamsOf(round.config, placed),
+      teams: teamsOf(round.config, { placed, listed }),
       nowMs: clock.wallMs(),
       maxPlacements: maxPlacementsPerRound,
     });
@@ -321,14 +326,23 @@
 /** Each team's weight, which is the sum of its shares, its limit and its running tasks. */
 function teamsOf(
   config: schema.config.Config,
-  placed: readonly Job[],
+  { placed, listed }: {
+    placed: readonly Job[];
+    listed: readonly ports.platform.ListedWorker[];
+  },
 ): ReadonlyMap<string, policy.fleet.placement.PlacementTeam> {
-  const running = new Map<string, number>();
+  const workers = new Map(listed.map((worker) => [worker.worker, worker]));
+  const teams = new Map<string, { running: number; racks: Map<string, number> }>();
+  for (const { team, worker } of placed) {
+    const counts = teams.get(team) ?? { running: 0, racks: new Map() };
+    const on = workers.get(worker ?? "");
+    const rack = on === undefined ? "" : policy.fleet.placement.rackKey(on);
+    counts.running += 1;
+    counts.racks.set(rack, (counts.racks.get(rack) ?? 0) + 1);
+    teams.set(team, counts);
+  }
   const weights = new Map<string, number>();
   const limits = new Map<string, number>();
-  for (const { team } of placed) {
-    running.set(team, (running.get(team) ?? 0) + 1);
-  }
   for (const { team, weight } of Object.values(config.shares)) {
     weights.set(team, (weights.get(team) ?? 0) + weight);
   }
@@ -339,7 +353,8 @@
     Object.keys(config.teams).map((team) => [team, {
       weight: weights.get(team) ?? 1,
       maxRunningTasks: limits.get(team),
-      running: running.get(team) ?? 0,
+      running: teams.get(team)?.running ?? 0,
+      runningByRack: teams.get(team)?.racks,
     }]),
   );
 }
--- a/packages/steward/src/operator_http.ts
+++ b/packages/steward/src/operator_http.ts
@@ -92,14 +92,33 @@
   return { hasStore: round !== undefined, stewards, pools, operations, waves, quarantined };
 }
 
-/** A subject's records, with what this steward decided about it. */
-function explain({ state, decisions }: Steward, subject: string): object {
+/** A subject's records, and its story: the history in the records and this steward's decisions. */
+async function explain(
+  { state, decisions, jobs, round }: Steward,
+  subject: string,
+): Promise<object> {
+  const vm = state.vms.get(subject);
+  const isPool = round?.config.pools[subject] !== undefined;
+  const job = (await jobs.find(subject)).unwrapOr(undefined);
+  const recorded = (vm?.history ?? []).map(({ atMs, text }) => ({
+    atMs,
+    part: "record",
+    message: text,
+    fields: {},
+  }));
+  const decided = decisions.about(subject).map(({ atMs, message, fields }) => ({
+    atMs,
+    part: "steward",
+    message,
+    fields,
+  }));
   return {
     subject,
-    vm: state.vms.get(subject),
-    pool: state.pool(subject),
+    vm,
+    pool: isPool ? state.pool(subject) : undefined,
     wave: state.waves.get(subject),
     worker: state.workers.get(subject),
-    decisions: decisions.about(subject),
+    job,
+    lines: [...recorded, ...decided].sort((left, right) => left.atMs - right.atMs),
   };
 }
