Split the job manager, act on overuse, and test jobs under kills and freezes

Purpose: jobs that may not be repeated start once while stewards are killed and frozen and answers are lost; repeatable tasks leave a draining worker after a checkpoint; idle rounds write nothing to the store.

--- a/packages/steward/src/caller_http.ts
+++ b/packages/steward/src/caller_http.ts
@@ -8,8 +8,8 @@
 import * as uuid from "uuid";
 import * as v from "valibot";
 import * as schema from "@jackdawlink/schema";
-import { JobConflictError, JobNotFoundError } from "./job_manager.ts";
-import { SegmentFullError } from "./job_segments.ts";
+import { JobNotFoundError } from "./job_manager.ts";
+import { JobConflictError, SegmentFullError } from "./job_segments.ts";
 import type { Steward } from "./steward.ts";
 import { teamOf } from "./team_keys.ts";
 
--- a/packages/steward/src/interleaving_test.ts
+++ b/packages/steward/src/interleaving_test.ts
@@ -1,28 +1,16 @@
-import { ok, ResultAsync } from "neverthrow";
 import fc from "fast-check";
 import * as v from "valibot";
 import { describe, expect, it } from "vitest";
-import * as adapters from "@jackdawlink/adapters";
-import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
-import * as testing from "@jackdawlink/testing";
-import { Steward } from "./steward.ts";
+import { type Faults, ROUND_MS, World } from "../test/steward_world.ts";
+import type { Steward } from "./steward.ts";
 
-const ROUND_MS = 500;
-const VM_COUNT = 6;
 const MAX_ROUNDS = 400;
 const RUNS = 200;
 const SEED = 20_261_204;
-
-interface Faults {
-  /** The call before which each steward stops until the others are done. */
-  readonly pauseAt: readonly number[];
-  /** Every n-th answer of the store or the platform is lost after its effect. */
-  readonly loseEvery: number;
-  readonly listLagMs: number;
-  /** The round in which the store goes out for some rounds. */
-  readonly outAt: number;
-}
+const IDLE_ROUNDS = 40;
+/** Twenty seconds: the list of stewards every 2 s, and all records and jobs every 10 s. */
+const MAX_IDLE_READS = 16;
 
 const faultsArbitrary: fc.Arbitrary<Faults> = fc.record({
   pauseAt: fc.array(fc.integer({ min: 1, max: 200 }), { minLength: 2, maxLength: 2 }),
@@ -31,174 +19,6 @@
   outAt: fc.constantFrom(0, 3, 9),
 });
 
-/** Several stewards, each of which acts for everything, on one store and one platform. */
-class World {
-  readonly clock = new testing.virtualTime.VirtualClock();
-  readonly store = new testing.memoryStore.MemoryStore();
-  readonly model: testing.fleetModel.FleetModel;
-  readonly config = v.parse(schema.config.configSchema, {
-    pools: { "boards": {}, "spare": { spare: true } },
-    teams: { "facilitators": { workspace: "boardwise" } },
-    workspaces: { "boardwise": {} },
-    limits: { "tasks": { team: "facilitators", maxRunningTasks: 2 } },
-    availabilityBudgets: {
-      "boards-budget": { pool: "boards", maxUnavailable: 2, maxUnavailablePerRack: 1 },
-    },
-    maintenanceWaves: { "december": { pools: ["boards"], state: "running" } },
-  });
-  readonly violations: string[] = [];
-  readonly #faults: Faults;
-  #answers = 0;
-
-  constructor(faults: Faults) {
-    this.#faults = faults;
-    const vms = Array.from({ length: VM_COUNT }, (_, index) => ({
-      vm: `vm-${index}`,
-      availabilityZone: `zone-${index % 2}`,
-      rack: `rack-${index % 4}`,
-      drainMs: index % 2 === 0 ? 700 : 0,
-      rebootMs: index % 2 === 0 ? 900 : 0,
-    }));
-    const workers = vms.slice(0, 3).map(({ vm, availabilityZone, rack }) => ({
-      worker: `worker-${vm}`,
-      availabilityZone,
-      rack,
-      cores: 4,
-      memoryMb: 4_096,
-    }));
-    this.model = new testing.fleetModel.FleetModel({ vms, workers, listLagMs: faults.listLagMs });
-    this.store.watch(schema.storeKeys.ROOT, () => this.check());
-  }
-
-  async adoptVms(): Promise<void> {
-    const records = this.model.listVms(this.clock.nowMs()).map((vm) => ({
-      key: schema.storeKeys.vmKey(vm.vm),
-      value: JSON.stringify({ ...vm, pool: "boards", operationCount: 0, history: [] }),
-      kind: "put" as const,
-    }));
-    await this.store.transact([], records);
-  }
-
-  /** A steward whose every call waits for the scheduler; `held` is awaited at its pausing point. */
-  steward(index: number, { scheduler, held }: {
-    readonly scheduler: fc.Scheduler;
-    readonly held: Promise<void>;
-  }): Steward {
-    const name = `steward-${index}`;
-    let calls = 0;
-    const gate = async () => {
-      calls += 1;
-      if (calls === this.#faults.pauseAt[index]) {
-        await held;
-      }
-      await scheduler.schedule(Promise.resolve(), name);
-    };
-    const platform = new testing.modelPlatform.ModelPlatform({
-      model: this.model,
-      clock: this.clock,
-      losesAnswer: () => this.losesAnswer(),
-    });
-    return new Steward({
-      stewardId: name,
-      incarnation: name,
-      store: aloneIn(gated(this.store, gate), name),
-      platform: gated(platform, gate),
-      clock: this.clock,
-      log: adapters.log.SILENT_LOG,
-      configSource: { read: () => Promise.resolve(ok(this.config)) },
-      leaseSeconds: 6,
-      maxPlacementsPerRound: 10,
-      markSettleMs: ROUND_MS,
-    });
-  }
-
-  losesAnswer(): boolean {
-    this.#answers += 1;
-    return this.#faults.loseEvery > 0 && this.#answers % this.#faults.loseEvery === 0;
-  }
-
-  async records<TSchema extends v.GenericSchema>(
-    prefix: string,
-    recordSchema: TSchema,
-  ): Promise<v.InferOutput<TSchema>[]> {
-    const values = (await this.store.list(prefix)).unwrapOr([]);
-    return values.map(({ value }) => v.parse(recordSchema, JSON.parse(value)));
-  }
-
-  /** Called after each write: budgets, the token of each VM that is out, and limits. */
-  async check(): Promise<void> {
-    const { VM_PREFIX, POOL_PREFIX, JOB_PREFIX } = schema.storeKeys;
-    const isOut = this.store.faults.out;
-    this.store.faults.out = false;
-    const pools = this.records(POOL_PREFIX, schema.fleet.poolRecordSchema);
-    const vms = this.records(VM_PREFIX, schema.fleet.vmRecordSchema);
-    const segments = this.records(JOB_PREFIX, schema.fleet.jobSegmentSchema);
-    this.store.faults.out = isOut;
-    const tokens = (await pools).flatMap((pool) => pool.tokens);
-    const racks = new Set(tokens.map(({ rack }) => rack));
-    this.expect(tokens.length <= 2, `${tokens.length} tokens are taken`);
-    this.expect(racks.size === tokens.length, "two tokens of one rack are taken");
-    for (const vm of await vms) {
-      const held = tokens.some((token) => token.operationId === vm.operation?.operationId);
-      this.expect(vm.operation === undefined || held, `${vm.vm} is out without a token`);
-    }
-    const operations = new Set((await vms).map(({ operation }) => operation?.operationId));
-    for (const { vm, operationId } of this.model.plannedOut()) {
-      this.expect(operations.has(operationId), `${vm} is out for ${operationId}, which is over`);
-    }
-    const jobs = (await segments).flatMap((segment) => Object.values(segment.jobs));
-    const placed = jobs.filter((job) => job.state === "placed").length;
-    this.expect(placed <= 2, `${placed} tasks of a team with a limit of 2`);
-  }
-
-  /** What the platform witnessed. */
-  checkWitness(): void {
-    for (const { kind, notLive, atMs, subject } of this.model.events) {
-      this.expect(kind !== "cut", `${subject} was cut at ${atMs}`);
-      this.expect(notLive.length <= 2, `${notLive.join()} were out at ${atMs}`);
-    }
-    for (const [taskId, starts] of this.model.tasks.starts) {
-      this.expect(starts <= 1, `${taskId} started ${starts} times`);
-      this.expect(taskId.endsWith(".1"), `${taskId} of a job that may not be repeated`);
-    }
-  }
-
-  expect(holds: boolean, violation: string): void {
-    if (!holds) {
-      this.violations.push(violation);
-    }
-  }
-}
-
-/** Every method of an object waits at the gate first. */
-function gated<T extends object>(target: T, gate: () => Promise<void>): T {
-  return new Proxy(target, {
-    get: (object, name) => {
-      const method = Reflect.get(object, name) as (...args: unknown[]) => unknown;
-      if (name === "watch" || typeof method !== "function") {
-        return method.bind(object);
-      }
-      return (...args: unknown[]) =>
-        new ResultAsync(gate().then(() => method.apply(object, args)) as never);
-    },
-  });
-}
-
-/** The steward sees only itself in the list of stewards, so that it acts for everything. */
-function aloneIn(store: ports.store.Store, name: string): ports.store.Store {
-  return new Proxy(store, {
-    get: (object, method) =>
-      method === "list"
-        ? (prefix: string) =>
-          object.list(prefix).map((values) =>
-            values.filter(({ key }) =>
-              !key.startsWith(schema.storeKeys.STEWARD_PREFIX) || key.endsWith(name)
-            )
-          )
-        : Reflect.get(object, method).bind(object),
-  });
-}
-
 async function runRounds(world: World, { steward, faults, isDone }: {
   steward: Steward;
   faults: Faults;
@@ -222,7 +42,8 @@
         const held = new Promise<void>((resolve) => {
           resume = resolve;
         });
-        const stewards = [0, 1, 2].map((index) => world.steward(index, { scheduler, held }));
+        const schedule = (label: string) => scheduler.schedule(Promise.resolve(), label);
+        const stewards = [0, 1, 2].map((index) => world.steward(index, { schedule, held }));
         const spec = v.parse(schema.fleet.jobSpecSchema, { cores: 1, memoryMb: 64, runMs: 1_500 });
         const submissions = Array.from(
           { length: 5 },
@@ -251,3 +72,31 @@
     );
   });
 });
+
+describe("store traffic", () => {
+  it.each([0, 50])("of idle rounds does not depend on %i running tasks", async (tasks) => {
+    const world = new World({ pauseAt: [], loseEvery: 0, listLagMs: 0, outAt: 0 });
+    const options = { schedule: () => Promise.resolve(), held: Promise.resolve() };
+    const steward = world.steward(0, options);
+    const spec = v.parse(schema.fleet.jobSpecSchema, { cores: 0.1, memoryMb: 64, runMs: 1e9 });
+    await steward.runRound();
+    const submitted = Array.from(
+      { length: tasks },
+      (_, index) => steward.jobs.submit("boards", { jobId: `job-${index}`, spec }),
+    );
+    await Promise.all(submitted);
+    for (let round = 0; round < 8; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect(world.model.tasks.starts.size).toBe(tasks);
+    Object.assign(world.store.calls, { reads: 0, writes: 0 });
+    for (let round = 0; round < IDLE_ROUNDS; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    const { reads, writes } = world.store.calls;
+    expect(writes).toBe(0);
+    expect(reads).toBeLessThanOrEqual(MAX_IDLE_READS);
+  });
+});
--- a/packages/steward/src/job_manager.ts
+++ b/packages/steward/src/job_manager.ts
@@ -4,17 +4,17 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import type { DecisionLog } from "./decision_log.ts";
+import { JobPlacement } from "./job_placement.ts";
 import type { JobPlacer } from "./job_placer.ts";
-import type { JobSegments } from "./job_segments.ts";
+import { JobConflictError, type JobSegments } from "./job_segments.ts";
+import { JobSizes } from "./job_sizes.ts";
 import type { Round } from "./round.ts";
+import { TaskFollower } from "./task_follower.ts";
 import type { WorkerManager } from "./worker_manager.ts";
 
-/** A job id that another team or another specification has taken; nothing was changed. */
-export const JobConflictError = schema.errors.ConflictError.subclass("JobConflictError");
 /** No job of that id belongs to the team. */
 export const JobNotFoundError = schema.errors.JackdawlinkError.subclass("JobNotFoundError");
 
@@ -23,8 +23,6 @@
 
 /** The subject by which a steward is chosen to place jobs. */
 export const JOBS_SUBJECT = "jobs";
-/** A worker that is missing or down for this long has lost its tasks. */
-const WORKER_LOST_AFTER_MS = 10_000;
 
 /** What the manager works with. */
 export interface JobManagerOptions {
@@ -40,13 +38,16 @@
 /** Owns the jobs. */
 export class JobManager {
   readonly #options: JobManagerOptions;
-  readonly #sizes = new policy.fleet.sizeEstimates.SizeEstimates();
-  /** When each worker was first seen missing or down. */
-  readonly #missingSinceMs = new Map<string, number>();
+  readonly #follower: TaskFollower;
+  readonly #placement: JobPlacement;
   #isStale = true;
 
   constructor(options: JobManagerOptions) {
     this.#options = options;
+    const sizes = new JobSizes();
+    const follower = new TaskFollower({ ...options, sizes });
+    this.#follower = follower;
+    this.#placement = new JobPlacement({ ...options, sizes, follower });
   }
 
   /** Something below the jobs' prefix changed. */
@@ -129,232 +130,13 @@
     }
     const listed = await platform.listWorkers();
     if (listed.isOk()) {
-      await this.#followTasks(listed.value);
-      await this.#place(listed.value, round);
+      await this.#follower.step(listed.value);
+      await this.#placement.step(listed.value, round);
     }
   }
-
-  async #followTasks(workers: readonly ports.platform.ListedWorker[]): Promise<void> {
-    const byName = new Map(workers.map((worker) => [worker.worker, worker]));
-    const placed = [...this.#options.segments.jobs()].filter((job) => job.state === "placed");
-    await Promise.all(placed.map((job) => this.#follow(job, byName.get(job.worker ?? ""))));
-  }
-
-  async #follow(job: Job, worker: ports.platform.ListedWorker | undefined): Promise<void> {
-    const taskId = policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt);
-    const task = worker?.tasks.find((each) => each.taskId === taskId);
-    if (this.#isWorkerLost(job.worker ?? "", worker)) {
-      await this.#end(job, "worker-lost");
-      return;
-    }
-    if (worker === undefined || worker.state === "down") {
-      return;
-    }
-    if (task !== undefined && task.state !== "running") {
-      const isCheckpointed = task.state === "stopped" && task.checkpointed;
-      await this.#end(job, isCheckpointed ? "checkpointed" : task.state);
-      return;
-    }
-    if (job.cancelRequested) {
-      await this.#stop(job, worker.worker);
-      return;
-    }
-    if (task === undefined) {
-      await this.#start(job, worker.worker);
-      return;
-    }
-    await this.#leaveWorker(job, { worker, task });
-  }
-
-  /** A task that can checkpoint leaves a worker that is going; others run to their end. */
-  async #leaveWorker(
-    job: Job,
-    { worker, task }: { worker: ports.platform.ListedWorker; task: ports.platform.ListedTask },
-  ): Promise<void> {
-    const declared = { cores: job.spec.cores, memoryMb: job.spec.memoryMb };
-    const used = { cores: task.usedCores, memoryMb: task.usedMemoryMb };
-    if (used.cores > 0 && used.memoryMb > 0) {
-      this.#sizes.observe(groupOf(job), { declared, used });
-    }
-    if (worker.state !== "leaving" || !job.spec.repeatable) {
-      return;
-    }
-    if (task.checkpointed) {
-      await this.#stop(job, worker.worker);
-    } else {
-      await this.#options.platform.checkpointTask(worker.worker, task.taskId);
-    }
-  }
-
-  async #stop(job: Job, worker: string): Promise<void> {
-    const taskId = policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt);
-    const outcome = await this.#options.platform.stopTask(worker, taskId);
-    if (outcome.isOk() && outcome.value !== "stopped") {
-      await this.#end(job, outcome.value);
-    }
-  }
-
-  /** The platform starts a task id once, and never after it was told to stop it. */
-  async #start(job: Job, worker: string): Promise<void> {
-    const { cores, memoryMb, accelerators, runMs } = job.spec;
-    const taskId = policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt);
-    const spec = { taskId, team: job.team, cores, memoryMb, accelerators, runMs };
-    const started = await this.#options.platform.startTask(worker, spec);
-    if (started.isErr() && started.error instanceof schema.errors.StaleOperationError) {
-      await this.#stop(job, worker);
-    }
-  }
-
-  async #end(job: Job, end: policy.fleet.taskIds.AttemptEnd): Promise<void> {
-    const { segments, decisions, workers, clock } = this.#options;
-    const after = policy.fleet.taskIds.afterAttempt(job, end);
-    const endedAtMs = after.state === "waiting" ? undefined : clock.wallMs();
-    const result = await segments.update({
-      jobId: job.jobId,
-      placerRevision: this.#options.placer.revision,
-      apply: (stored) =>
-        stored?.state === "placed" && stored.attempt === job.attempt
-          ? ok({ ...stored, ...after, endedAtMs })
-          : err(new JobConflictError(`Attempt ${job.attempt} is over already`)),
-    });
-    if (result.isErr()) {
-      return;
-    }
-    const { jobId, worker = "", attempt } = job;
-    decisions.add("Task ended", [jobId, worker], { attempt, end, ...after });
-    if (end === "succeeded" || end === "failed") {
-      await workers.add({ worker, jobId, succeeded: end === "succeeded" });
-    }
-  }
-
-  async #place(
-    listed: readonly ports.platform.ListedWorker[],
-    round: Round,
-  ): Promise<void> {
-    const { segments, clock, maxPlacementsPerRound } = this.#options;
-    const jobs = [...segments.jobs()];
-    const placed = jobs.filter((job) => job.state === "placed");
-    const waiting = jobs.filter((job) => job.state === "waiting");
-    if (waiting.length === 0) {
-      return;
-    }
-    const taken = placed.map((job) => ({ ...this.#sizeOf(job), worker: job.worker ?? "" }));
-    const decided = policy.fleet.placement.placeRound({
-      jobs: waiting.map((job) => ({ ...job, ...job.spec, size: this.#sizeOf(job) })),
-      workers: this.#options.workers.placementWorkers(listed, taken),
-      teams: teamsOf(round.config, { placed, listed }),
-      nowMs: clock.wallMs(),
-      maxPlacements: maxPlacementsPerRound,
-    });
-    await Promise.all([
-      ...decided.placements.map((placement) => this.#commitPlacement(placement)),
-      ...decided.refusals.map((refusal) => this.#commitRefusal(refusal)),
-    ]);
-  }
-
-  async #commitPlacement(
-    { jobId, worker }: policy.fleet.placement.Placement,
-  ): Promise<void> {
-    const { segments, placer, decisions } = this.#options;
-    if (placer.revision === undefined) {
-      return;
-    }
-    let attempt: number | undefined;
-    const result = await segments.update({
-      jobId,
-      placerRevision: placer.revision,
-      apply: (job) => {
-        const isOurs = job?.state === "placed" && job.attempt === attempt;
-        if (job?.state !== "waiting" && !isOurs) {
-          return err(new JobConflictError(`Job ${jobId} is not waiting any more`));
-        }
-        attempt = isOurs ? job.attempt : job.attempt + 1;
-        return ok({ ...job, state: "placed", worker, attempt, reason: undefined });
-      },
-    });
-    if (result.isErr()) {
-      placer.drop();
-      return;
-    }
-    decisions.add("Job placed", [jobId, worker], { worker, attempt, team: result.value.team });
-    await this.#start(result.value, worker);
-  }
-
-  async #commitRefusal({ jobId, reason }: policy.fleet.placement.Refusal): Promise<void> {
-    const { segments, decisions, clock } = this.#options;
-    const endedAtMs = clock.wallMs();
-    const result = await segments.update({
-      jobId,
-      apply: (job) =>
-        job?.state === "waiting"
-          ? ok({ ...job, state: "refused", reason, endedAtMs })
-          : err(new JobConflictError(`Job ${jobId} is not waiting any more`)),
-    });
-    if (result.isOk()) {
-      decisions.add("Job refused", [jobId], { reason });
-    }
-  }
-
-  /** The declared size corrected by what similar jobs used; never above what was declared by much. */
-  #sizeOf(job: Job): policy.fleet.workersIndex.TaskSize {
-    const { cores, memoryMb, accelerators } = job.spec;
-    return { ...this.#sizes.estimate(groupOf(job), { cores, memoryMb }), accelerators };
-  }
-
-  #isWorkerLost(name: string, worker: ports.platform.ListedWorker | undefined): boolean {
-    if (worker !== undefined && worker.state !== "down") {
-      this.#missingSinceMs.delete(name);
-      return false;
-    }
-    const nowMs = this.#options.clock.nowMs();
-    const sinceMs = this.#missingSinceMs.get(name) ?? nowMs;
-    this.#missingSinceMs.set(name, sinceMs);
-    return nowMs - sinceMs > WORKER_LOST_AFTER_MS;
-  }
-}
-
-/** Jobs of one team with the same declared size are taken to be alike. */
-function groupOf({ team, spec }: Job): string {
-  return `${team}/${spec.cores}/${spec.memoryMb}`;
 }
 
 /** A job that belongs to the team; that of another team looks as if it did not exist. */
 function ownJob(job: Job | undefined, { team, jobId }: { team: string; jobId: string }): JobResult {
   return job?.team === team ? ok(job) : err(new JobNotFoundError(`There is no job ${jobId}`));
 }
-
-/** Each team's weight, which is the sum of its shares, its limit and its running tasks. */
-function teamsOf(
-  config: schema.config.Config,
-  { placed, listed }: {
-    placed: readonly Job[];
-    listed: readonly ports.platform.ListedWorker[];
-  },
-): ReadonlyMap<string, policy.fleet.placement.PlacementTeam> {
-  const workers = new Map(listed.map((worker) => [worker.worker, worker]));
-  const teams = new Map<string, { running: number; racks: Map<string, number> }>();
-  for (const { team, worker } of placed) {
-    const counts = teams.get(team) ?? { running: 0, racks: new Map() };
-    const on = workers.get(worker ?? "");
-    const rack = on === undefined ? "" : policy.fleet.placement.rackKey(on);
-    counts.running += 1;
-    counts.racks.set(rack, (counts.racks.get(rack) ?? 0) + 1);
-    teams.set(team, counts);
-  }
-  const weights = new Map<string, number>();
-  const limits = new Map<string, number>();
-  for (const { team, weight } of Object.values(config.shares)) {
-    weights.set(team, (weights.get(team) ?? 0) + weight);
-  }
-  for (const { team, maxRunningTasks = Number.POSITIVE_INFINITY } of Object.values(config.limits)) {
-    limits.set(team, Math.min(limits.get(team) ?? Number.POSITIVE_INFINITY, maxRunningTasks));
-  }
-  return new Map(
-    Object.keys(config.teams).map((team) => [team, {
-      weight: weights.get(team) ?? 1,
-      maxRunningTasks: limits.get(team),
-      running: teams.get(team)?.running ?? 0,
-      runningByRack: teams.get(team)?.racks,
-    }]),
-  );
-}
--- /dev/null
+++ b/packages/steward/src/job_placement.ts
@@ -0,0 +1,144 @@
+/**
+ * Places waiting jobs on workers; each placement is in the store before its task starts.
+ *
+ * @module
+ */
+import { err, ok } from "neverthrow";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import type { DecisionLog } from "./decision_log.ts";
+import type { JobPlacer } from "./job_placer.ts";
+import { JobConflictError, type JobSegments } from "./job_segments.ts";
+import type { JobSizes } from "./job_sizes.ts";
+import type { Round } from "./round.ts";
+import type { TaskFollower } from "./task_follower.ts";
+import type { WorkerManager } from "./worker_manager.ts";
+
+type Job = schema.fleet.JobRecord;
+
+/** What the placement works with. */
+export interface JobPlacementOptions {
+  readonly segments: JobSegments;
+  readonly placer: JobPlacer;
+  readonly workers: WorkerManager;
+  readonly sizes: JobSizes;
+  readonly follower: TaskFollower;
+  readonly clock: ports.clock.Clock;
+  readonly decisions: DecisionLog;
+  readonly maxPlacementsPerRound: number;
+}
+
+/** Carries out the decisions of a placement round. */
+export class JobPlacement {
+  readonly #options: JobPlacementOptions;
+
+  constructor(options: JobPlacementOptions) {
+    this.#options = options;
+  }
+
+  /** Places waiting jobs on the listed workers. */
+  async step(
+    listed: readonly ports.platform.ListedWorker[],
+    round: Round,
+  ): Promise<void> {
+    const { segments, clock, sizes, maxPlacementsPerRound } = this.#options;
+    const jobs = [...segments.jobs()];
+    const placed = jobs.filter((job) => job.state === "placed");
+    const waiting = jobs.filter((job) => job.state === "waiting");
+    if (waiting.length === 0) {
+      return;
+    }
+    const taken = placed.map((job) => ({ ...sizes.sizeOf(job), worker: job.worker ?? "" }));
+    const decided = policy.fleet.placement.placeRound({
+      jobs: waiting.map((job) => ({ ...job, ...job.spec, size: sizes.sizeOf(job) })),
+      workers: this.#options.workers.placementWorkers(listed, taken),
+      teams: teamsOf(round.config, { placed, listed }),
+      nowMs: clock.wallMs(),
+      maxPlacements: maxPlacementsPerRound,
+    });
+    await Promise.all([
+      ...decided.placements.map((placement) => this.#commitPlacement(placement)),
+      ...decided.refusals.map((refusal) => this.#commitRefusal(refusal)),
+    ]);
+  }
+
+  async #commitPlacement(
+    { jobId, worker }: policy.fleet.placement.Placement,
+  ): Promise<void> {
+    const { segments, placer, decisions } = this.#options;
+    if (placer.revision === undefined) {
+      return;
+    }
+    let attempt: number | undefined;
+    const result = await segments.update({
+      jobId,
+      placerRevision: placer.revision,
+      apply: (job) => {
+        const isOurs = job?.state === "placed" && job.attempt === attempt;
+        if (job?.state !== "waiting" && !isOurs) {
+          return err(new JobConflictError(`Job ${jobId} is not waiting any more`));
+        }
+        attempt = isOurs ? job.attempt : job.attempt + 1;
+        return ok({ ...job, state: "placed", worker, attempt, reason: undefined });
+      },
+    });
+    if (result.isErr()) {
+      placer.drop();
+      return;
+    }
+    decisions.add("Job placed", [jobId, worker], { worker, attempt, team: result.value.team });
+    await this.#options.follower.start(result.value, worker);
+  }
+
+  async #commitRefusal({ jobId, reason }: policy.fleet.placement.Refusal): Promise<void> {
+    const { segments, decisions, clock } = this.#options;
+    const endedAtMs = clock.wallMs();
+    const result = await segments.update({
+      jobId,
+      apply: (job) =>
+        job?.state === "waiting"
+          ? ok({ ...job, state: "refused", reason, endedAtMs })
+          : err(new JobConflictError(`Job ${jobId} is not waiting any more`)),
+    });
+    if (result.isOk()) {
+      decisions.add("Job refused", [jobId], { reason });
+    }
+  }
+}
+
+/** Each team's weight, which is the sum of its shares, its limit and its running tasks. */
+function teamsOf(
+  config: schema.config.Config,
+  { placed, listed }: {
+    placed: readonly Job[];
+    listed: readonly ports.platform.ListedWorker[];
+  },
+): ReadonlyMap<string, policy.fleet.placement.PlacementTeam> {
+  const workers = new Map(listed.map((worker) => [worker.worker, worker]));
+  const teams = new Map<string, { running: number; racks: Map<string, number> }>();
+  for (const { team, worker } of placed) {
+    const counts = teams.get(team) ?? { running: 0, racks: new Map() };
+    const on = workers.get(worker ?? "");
+    const rack = on === undefined ? "" : policy.fleet.placement.rackKey(on);
+    counts.running += 1;
+    counts.racks.set(rack, (counts.racks.get(rack) ?? 0) + 1);
+    teams.set(team, counts);
+  }
+  const weights = new Map<string, number>();
+  const limits = new Map<string, number>();
+  for (const { team, weight } of Object.values(config.shares)) {
+    weights.set(team, (weights.get(team) ?? 0) + weight);
+  }
+  for (const { team, maxRunningTasks = Number.POSITIVE_INFINITY } of Object.values(config.limits)) {
+    limits.set(team, Math.min(limits.get(team) ?? Number.POSITIVE_INFINITY, maxRunningTasks));
+  }
+  return new Map(
+    Object.keys(config.teams).map((team) => [team, {
+      weight: weights.get(team) ?? 1,
+      maxRunningTasks: limits.get(team),
+      running: teams.get(team)?.running ?? 0,
+      runningByRack: teams.get(team)?.racks,
+    }]),
+  );
+}
--- a/packages/steward/src/job_segments.ts
+++ b/packages/steward/src/job_segments.ts
@@ -19,6 +19,8 @@
 /** About the size of one stored job. */
 const JOB_BYTES = 400;
 
+/** A job has another specification or state than the change needs; nothing was changed. */
+export const JobConflictError = schema.errors.ConflictError.subclass("JobConflictError");
 /** No room for another job; nothing was stored. */
 export const SegmentFullError = schema.errors.JackdawlinkError.subclass("SegmentFullError");
 
--- a/packages/steward/src/operator_http.ts
+++ b/packages/steward/src/operator_http.ts
@@ -36,7 +36,7 @@
   app.get("/v1/status", (context) => context.json(statusOf(steward)));
   app.get(
     "/v1/explain/:subject",
-    (context) => context.json(explain(steward, context.req.param("subject"))),
+    async (context) => context.json(await explain(steward, context.req.param("subject"))),
   );
   addOperations(app, steward);
   return app;
--- /dev/null
+++ b/packages/steward/src/task_follower.ts
@@ -0,0 +1,181 @@
+/**
+ * Follows the tasks of placed jobs: starts them, stops them, and records how they ended.
+ *
+ * @module
+ */
+import { err, ok } from "neverthrow";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import type { DecisionLog } from "./decision_log.ts";
+import type { JobPlacer } from "./job_placer.ts";
+import { JobConflictError, type JobSegments } from "./job_segments.ts";
+import type { JobSizes } from "./job_sizes.ts";
+import type { WorkerManager } from "./worker_manager.ts";
+
+type Job = schema.fleet.JobRecord;
+
+/** A worker that is missing or down for this long has lost its tasks. */
+const WORKER_LOST_AFTER_MS = 10_000;
+/** How long the platform may take to show what a task uses. */
+const USAGE_LAG_MS = 15_000;
+
+/** What the follower works with. */
+export interface TaskFollowerOptions {
+  readonly segments: JobSegments;
+  readonly placer: JobPlacer;
+  readonly workers: WorkerManager;
+  readonly sizes: JobSizes;
+  readonly platform: ports.platform.Platform;
+  readonly clock: ports.clock.Clock;
+  readonly decisions: DecisionLog;
+}
+
+/** Owns what is remembered of running tasks; a new placer can do without. */
+export class TaskFollower {
+  readonly #options: TaskFollowerOptions;
+  /** When each worker was first seen missing or down. */
+  readonly #missingSinceMs = new Map<string, number>();
+  /** The last action on each task that uses too much. */
+  readonly #overuse = new Map<
+    string,
+    { readonly last: policy.fleet.sizeEstimates.OveruseAction; readonly atMs: number }
+  >();
+
+  constructor(options: TaskFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Follows the tasks of all placed jobs. */
+  async step(workers: readonly ports.platform.ListedWorker[]): Promise<void> {
+    const byName = new Map(workers.map((worker) => [worker.worker, worker]));
+    const placed = [...this.#options.segments.jobs()].filter((job) => job.state === "placed");
+    await Promise.all(placed.map((job) => this.#follow(job, byName.get(job.worker ?? ""))));
+  }
+
+  async #follow(job: Job, worker: ports.platform.ListedWorker | undefined): Promise<void> {
+    const taskId = policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt);
+    const task = worker?.tasks.find((each) => each.taskId === taskId);
+    if (this.#isWorkerLost(job.worker ?? "", worker)) {
+      await this.#end(job, "worker-lost");
+      return;
+    }
+    if (worker === undefined || worker.state === "down") {
+      return;
+    }
+    if (task !== undefined && task.state !== "running") {
+      const isCheckpointed = task.state === "stopped" && task.checkpointed;
+      await this.#end(job, isCheckpointed ? "checkpointed" : task.state);
+      return;
+    }
+    if (job.cancelRequested) {
+      await this.#stop(job, worker.worker);
+      return;
+    }
+    if (task === undefined) {
+      await this.start(job, worker.worker);
+      return;
+    }
+    await this.#checkUsage(job, { worker: worker.worker, task });
+    await this.#leaveWorker(job, { worker, task });
+  }
+
+  /** Corrects the size of such jobs, and acts on a task that uses more than it was given. */
+  async #checkUsage(
+    job: Job,
+    { worker, task }: { worker: string; task: ports.platform.ListedTask },
+  ): Promise<void> {
+    const { sizes, platform, clock, decisions } = this.#options;
+    const used = { cores: task.usedCores, memoryMb: task.usedMemoryMb };
+    if (used.cores > 0 && used.memoryMb > 0) {
+      sizes.observe(job, used);
+    }
+    const nowMs = clock.nowMs();
+    const { taskId, checkpointed } = task;
+    const before = this.#overuse.get(taskId) ?? { last: "none" as const, atMs: nowMs };
+    const action = policy.fleet.sizeEstimates.overuseAction(
+      { allotted: sizes.allotted(job), used, checkpointed, repeatable: job.spec.repeatable },
+      { last: before.last, sinceLastMs: nowMs - before.atMs, lagMs: USAGE_LAG_MS },
+    );
+    this.#overuse.set(taskId, before);
+    if (action === "none") {
+      return;
+    }
+    this.#overuse.set(taskId, { last: action, atMs: nowMs });
+    decisions.add("Task uses too much", [job.jobId, worker], { taskId, action, ...used });
+    const handlers = {
+      throttle: () => platform.throttleTask(worker, taskId, job.spec.cores),
+      checkpoint: () => platform.checkpointTask(worker, taskId),
+      stop: () => platform.stopTask(worker, taskId),
+    };
+    await handlers[action]();
+  }
+
+  /** A task that can checkpoint leaves a worker that is going; others run to their end. */
+  async #leaveWorker(
+    job: Job,
+    { worker, task }: { worker: ports.platform.ListedWorker; task: ports.platform.ListedTask },
+  ): Promise<void> {
+    if (worker.state !== "leaving" || !job.spec.repeatable) {
+      return;
+    }
+    if (task.checkpointed) {
+      await this.#stop(job, worker.worker);
+    } else {
+      await this.#options.platform.checkpointTask(worker.worker, task.taskId);
+    }
+  }
+
+  async #stop(job: Job, worker: string): Promise<void> {
+    const taskId = policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt);
+    const outcome = await this.#options.platform.stopTask(worker, taskId);
+    if (outcome.isOk() && outcome.value !== "stopped") {
+      await this.#end(job, outcome.value);
+    }
+  }
+
+  /** The platform starts a task id once, and never after it was told to stop it. */
+  async start(job: Job, worker: string): Promise<void> {
+    const { cores, memoryMb, accelerators, runMs } = job.spec;
+    const taskId = policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt);
+    const spec = { taskId, team: job.team, cores, memoryMb, accelerators, runMs };
+    const started = await this.#options.platform.startTask(worker, spec);
+    if (started.isErr() && started.error instanceof schema.errors.StaleOperationError) {
+      await this.#stop(job, worker);
+    }
+  }
+
+  async #end(job: Job, end: policy.fleet.taskIds.AttemptEnd): Promise<void> {
+    const { segments, decisions, workers, clock } = this.#options;
+    this.#overuse.delete(policy.fleet.taskIds.taskIdOf(job.jobId, job.attempt));
+    const after = policy.fleet.taskIds.afterAttempt(job, end);
+    const endedAtMs = after.state === "waiting" ? undefined : clock.wallMs();
+    const result = await segments.update({
+      jobId: job.jobId,
+      placerRevision: this.#options.placer.revision,
+      apply: (stored) =>
+        stored?.state === "placed" && stored.attempt === job.attempt
+          ? ok({ ...stored, ...after, endedAtMs })
+          : err(new JobConflictError(`Attempt ${job.attempt} is over already`)),
+    });
+    if (result.isErr()) {
+      return;
+    }
+    const { jobId, worker = "", attempt } = job;
+    decisions.add("Task ended", [jobId, worker], { attempt, end, ...after });
+    if (end === "succeeded" || end === "failed") {
+      await workers.add({ worker, jobId, succeeded: end === "succeeded" });
+    }
+  }
+
+  #isWorkerLost(name: string, worker: ports.platform.ListedWorker | undefined): boolean {
+    if (worker !== undefined && worker.state !== "down") {
+      this.#missingSinceMs.delete(name);
+      return false;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    const sinceMs = this.#missingSinceMs.get(name) ?? nowMs;
+    this.#missingSinceMs.set(name, sinceMs);
+    return nowMs - sinceMs > WORKER_LOST_AFTER_MS;
+  }
+}
--- a/packages/steward/test/steward_test.ts
+++ b/packages/steward/test/steward_test.ts
@@ -137,6 +137,7 @@
     });
     const explained = await (await fetch(`${steward?.operatorUrl}/v1/explain/worker-bad`)).json();
     expect(explained).toMatchObject({ worker: { quarantines: 1 } });
+    expect(explained).toHaveProperty("lines.0.message");
   });
 });
 
@@ -216,6 +217,79 @@
   });
 });
 
+describe("jobs with three stewards", () => {
+  it("run once each though stewards are killed and frozen and answers are lost", async () => {
+    await fixture.start();
+    await fixture.publish({});
+    const stewards = await startStewards(3);
+    const faults = { rules: [{ kinds: ["write"], loseAnswerProbability: 0.2 }], seed: 11 };
+    await fixture.control("POST", "/control/faults", faults);
+    await fixture.control("POST", "/fleet/faults", { loseEveryNthAnswer: 3 });
+    const jobIds = Array.from({ length: 24 }, (_, index) => `renewal-${index}`);
+    const submit = (jobId: string, steward: RunningSteward | undefined) => {
+      const body = { jobId, cores: 1, memoryMb: 100, runMs: 100 };
+      return waitFor(
+        "the acceptance",
+        async () =>
+          (await callAsTeam(`${steward?.callerUrl}/v1/jobs`, { method: "POST", body })).status ===
+            202,
+      );
+    };
+    await Promise.all(jobIds.map((jobId, index) => submit(jobId, stewards[index % 3])));
+    const jobs = async () => {
+      const { JOB_PREFIX } = schema.storeKeys;
+      const segments = await fixture.records(JOB_PREFIX, schema.fleet.jobSegmentSchema);
+      return segments.flatMap((segment) => Object.values(segment.jobs));
+    };
+    const succeeded = async () =>
+      (await jobs()).filter(({ state }) => state === "succeeded").length;
+    await waitFor("the first job", async () => await succeeded() >= 1, LIMIT);
+    stewards[0]?.program.signal("SIGSTOP");
+    await waitFor("the eighth job", async () => await succeeded() >= 8, LIMIT);
+    await stewards[1]?.program.kill();
+    stewards[0]?.program.signal("SIGCONT");
+    await waitFor("all jobs", async () => await succeeded() === jobIds.length, LIMIT);
+    const { starts } = await fixture.witness();
+    const once = Object.fromEntries(jobIds.map((jobId) => [`${jobId}.1`, 1]));
+    expect(starts).toEqual(once);
+  });
+
+  it("leave a worker that drains after a checkpoint, and are cancelled on request", async () => {
+    const place = { availabilityZone: "zone-0", rack: "rack-0", cores: 4, memoryMb: 8_192 };
+    await fixture.start({
+      workers: [{ ...place, worker: "vm-0" }, { ...place, worker: "vm-1" }],
+    });
+    await fixture.publish({});
+    const [steward] = await startStewards(1);
+    const url = `${steward?.callerUrl}/v1/jobs`;
+    const body = { jobId: "long", cores: 1, memoryMb: 100, runMs: 600_000, repeatable: true };
+    await callAsTeam(url, { method: "POST", body });
+    const placed = await waitFor(
+      "the start",
+      async () => Object.keys((await fixture.witness()).starts).length === 1,
+    );
+    expect(placed).toBe(true);
+    const explain = async () =>
+      await (await fetch(`${steward?.operatorUrl}/v1/explain/long`)).json() as {
+        job: schema.fleet.JobRecord;
+      };
+    const first = (await explain()).job.worker;
+    await post(`${steward?.operatorUrl}/v1/vms/${first}/reboot`);
+    const second = await waitFor("the other worker", async () => {
+      const { job } = await explain();
+      return job.attempt === 2 && job.state === "placed" ? job.worker : undefined;
+    });
+    expect(second).not.toBe(first);
+    await waitFor(
+      "the reboot",
+      async () => (await fixture.witness()).events.some(({ kind }) => kind === "return"),
+    );
+    await expectPromises();
+    await callAsTeam(`${url}/long`, { method: "DELETE" });
+    await waitFor("the cancellation", async () => (await explain()).job.state === "cancelled");
+  });
+});
+
 describe("operators that race", () => {
   it("with opposite moves leave the VM in one pool, and one of them is refused", async () => {
     await fixture.start();
