Adopt VMs in groups and retire those that are gone

Cause: a replaced VM stayed in its pool and counted as a loss against the budget for ever. Now a VM that the platform has not listed for ten minutes loses its record, token and mark in one transaction. Records that don't fit their schema are left alone; a test shows it for VMs, pools and the list of draining VMs.

--- a/packages/adapters/src/mod.ts
+++ b/packages/adapters/src/mod.ts
@@ -6,6 +6,7 @@
 export * as backOff from "./back_off.ts";
 export * as clock from "./clock.ts";
 export * as configRepository from "./config_repository.ts";
+export * as drainingList from "./draining_list.ts";
 export * as headRepository from "./head_repository.ts";
 export * as history from "./history.ts";
 export * as log from "./log.ts";
--- a/packages/policy/src/fleet/vm_steps.ts
+++ b/packages/policy/src/fleet/vm_steps.ts
@@ -58,6 +58,11 @@
   return `${vm}.${String(operationNumber).padStart(9, "0")}`;
 }
 
+/** The n of a VM's n-th operation; zero for an empty id. */
+export function operationNumberOf(operationId: string): number {
+  return Number(operationId.slice(operationId.lastIndexOf(".") + 1));
+}
+
 /** Entries follow the mark within a bounded time; a steward that takes over waits that time itself. */
 function stepMarking({ seenForMs, markSettleMs }: StepInput): VmStep {
   return seenForMs >= markSettleMs
--- a/packages/policy/src/fleet/vm_transitions.ts
+++ b/packages/policy/src/fleet/vm_transitions.ts
@@ -10,6 +10,7 @@
 /** Records that are written together. */
 export interface FleetChange {
   readonly vms?: readonly schema.fleet.VmRecord[];
+  readonly removedVms?: readonly string[];
   readonly pools?: readonly schema.fleet.PoolRecord[];
   readonly draining?: schema.fleet.DrainingRecord;
   readonly waves?: readonly schema.fleet.WaveRecord[];
@@ -126,6 +127,16 @@
   };
 }
 
+/** Forgets a VM that is gone for good, with its token and mark. */
+export function retire({ record, pool, draining }: Omit<VmContext, "wallMs">): FleetChange {
+  const removedVms = [record.vm];
+  if (record.operation === undefined) {
+    return { removedVms };
+  }
+  const { [record.vm]: _, ...operations } = draining.operations;
+  return { removedVms, pools: [removeToken(pool, record.vm)], draining: { operations } };
+}
+
 /** The results with that of the operation's wave, if it has one. */
 function waveResultsAfter(
   record: schema.fleet.VmRecord,
--- a/packages/steward/src/fleet_state.ts
+++ b/packages/steward/src/fleet_state.ts
@@ -93,19 +93,21 @@
   commit(change: policy.fleet.vmTransitions.FleetChange): StoreResult<boolean> {
     const entries = entriesOf(change);
     const guards = (change.unchangedWaves ?? []).map(schema.storeKeys.waveKey);
-    const keys = [...entries.map(({ key }) => key), ...guards];
+    const removed = (change.removedVms ?? []).map(schema.storeKeys.vmKey);
+    const keys = [...entries.map(({ key }) => key), ...removed, ...guards];
     const corrupt = keys.find((key) => this.#corruptKeys.has(key));
     if (corrupt !== undefined) {
       const message = `Record ${corrupt} does not fit its schema and is left alone`;
       return errAsync(new schema.fleet.CorruptRecordError(message));
     }
-    if (entries.length === 0) {
+    if (entries.length + removed.length === 0) {
       return okAsync(false);
     }
     const compares = keys.map((key) => ({ key, modRevision: this.#versions.get(key) ?? 0 }));
-    const writes = entries.map(({ key, record }) =>
+    const puts = entries.map(({ key, record }) =>
       ({ kind: "put", key, value: JSON.stringify(record) }) as const
     );
+    const writes = [...puts, ...removed.map((key) => ({ kind: "delete", key }) as const)];
     return this.#store.transact(compares, writes)
       .map((outcome) => this.#afterCommit(change, outcome))
       .mapErr((error) => {
@@ -125,6 +127,10 @@
     for (const { key } of entriesOf(change)) {
       this.#versions.set(key, outcome.storeRevision);
     }
+    for (const vm of change.removedVms ?? []) {
+      this.#tables.vms.delete(vm);
+      this.#versions.delete(schema.storeKeys.vmKey(vm));
+    }
     change.vms?.forEach((record) => this.#tables.vms.set(record.vm, record));
     change.pools?.forEach((record) => this.#tables.pools.set(record.pool, record));
     change.waves?.forEach((record) => this.#tables.waves.set(record.wave, record));
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -15,6 +15,7 @@
 import { Membership } from "./membership.ts";
 import type { Round } from "./round.ts";
 import { VmManager } from "./vm_manager.ts";
+import { VmRegistry } from "./vm_registry.ts";
 import { WaveManager } from "./wave_manager.ts";
 import { WorkerManager } from "./worker_manager.ts";
 
@@ -57,6 +58,7 @@
   readonly jobs: JobManager;
   readonly #options: StewardOptions;
   readonly #membership: Membership;
+  readonly #registry: VmRegistry;
   readonly #stopWatches: readonly (() => void)[];
   #round: Round | undefined;
   #readAtMs = Number.NEGATIVE_INFINITY;
@@ -76,6 +78,7 @@
       decisions,
       markSettleMs: options.markSettleMs,
     });
+    this.#registry = new VmRegistry({ state, clock, decisions });
     this.waves = new WaveManager({ state, vms: this.vms, clock, decisions });
     this.workers = new WorkerManager({ state, clock, decisions });
     this.jobs = new JobManager({
@@ -114,7 +117,7 @@
       return err(round.error);
     }
     this.#round = round.value;
-    await this.vms.adopt(round.value);
+    await this.#registry.step(round.value);
     await this.vms.step(round.value);
     await this.waves.step(round.value);
     await this.jobs.step(round.value);
--- /dev/null
+++ b/packages/steward/src/steward_test.ts
@@ -0,0 +1,72 @@
+import * as v from "valibot";
+import { describe, expect, it } from "vitest";
+import * as schema from "@jackdawlink/schema";
+import { ROUND_MS, World } from "../test/steward_world.ts";
+
+const IDLE_ROUNDS = 40;
+/** Twenty seconds: the list of stewards every 2 s, and all records and jobs every 10 s. */
+const MAX_IDLE_READS = 16;
+const NO_FAULTS = { pauseAt: [], loseEvery: 0, listLagMs: 0, outAt: 0 };
+const OPTIONS = { schedule: () => Promise.resolve(), held: Promise.resolve() };
+
+describe("store traffic", () => {
+  it.each([0, 50])("of idle rounds does not depend on %i running tasks", async (tasks) => {
+    const world = new World(NO_FAULTS);
+    const steward = world.steward(0, OPTIONS);
+    const spec = v.parse(schema.fleet.jobSpecSchema, { cores: 0.1, memoryMb: 64, runMs: 1e9 });
+    await steward.runRound();
+    const submitted = Array.from(
+      { length: tasks },
+      (_, index) => steward.jobs.submit("boards", { jobId: `job-${index}`, spec }),
+    );
+    await Promise.all(submitted);
+    for (let round = 0; round < 8; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect(world.model.tasks.starts.size).toBe(tasks);
+    Object.assign(world.store.calls, { reads: 0, writes: 0 });
+    for (let round = 0; round < IDLE_ROUNDS; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    const { reads, writes } = world.store.calls;
+    expect(writes).toBe(0);
+    expect(reads).toBeLessThanOrEqual(MAX_IDLE_READS);
+  });
+});
+
+describe("records", () => {
+  it.each([
+    { vm: "gone", rounds: 1_300, isKept: false },
+    { vm: "gone", rounds: 1_000, isKept: true },
+  ])("of a VM that is missing for $rounds rounds: kept $isKept", async ({ vm, rounds, isKept }) => {
+    const world = new World(NO_FAULTS);
+    const place = { vm, pool: "boards", availabilityZone: "zone-0", rack: "rack-0" };
+    const value = JSON.stringify({ ...place, operationCount: 0, history: [] });
+    await world.store.transact([], [{ kind: "put", key: schema.storeKeys.vmKey(vm), value }]);
+    const steward = world.steward(0, OPTIONS);
+    for (let round = 0; round < rounds; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect(steward.state.vms.has(vm)).toBe(isKept);
+  });
+
+  it.each([
+    { key: schema.storeKeys.vmKey("vm-1"), value: "{" },
+    { key: schema.storeKeys.poolKey("boards"), value: '{"pool":"boards"}' },
+    { key: schema.storeKeys.DRAINING, value: "[]" },
+  ])("that don't fit are left alone: $key", async ({ key, value }) => {
+    const world = new World(NO_FAULTS);
+    await world.adoptVms();
+    await world.store.transact([], [{ kind: "put", key, value }]);
+    const steward = world.steward(0, OPTIONS);
+    for (let round = 0; round < 20; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect((await world.store.get(key))._unsafeUnwrap()?.value).toBe(value);
+    expect(world.model.plannedOut().filter(({ vm }) => vm === "vm-1")).toEqual([]);
+  });
+});
--- a/packages/steward/src/vm_manager.ts
+++ b/packages/steward/src/vm_manager.ts
@@ -41,24 +41,6 @@
     this.#options = options;
   }
 
-  /** Gives VMs that the platform lists for the first time a record, in the pool of their servers. */
-  async adopt(round: Round): Promise<void> {
-    const { state, decisions } = this.#options;
-    for (const listed of round.listedVms.values()) {
-      const pool = firstPoolOf(listed.vm, round.config);
-      if (state.vms.has(listed.vm) || pool === undefined || !round.actsFor(pool)) {
-        continue;
-      }
-      const { vm, availabilityZone, rack } = listed;
-      const place = { vm, pool, availabilityZone, rack };
-      const record = { ...place, operationCount: 0, waveResults: {}, history: [] };
-      const written = await state.commit({ vms: [record] });
-      if (written.isOk() && written.value) {
-        decisions.add("VM adopted", [vm, pool], { pool, availabilityZone, rack });
-      }
-    }
-  }
-
   /** Takes the next step of each operation that this steward acts for. */
   async step(round: Round): Promise<void> {
     const { state } = this.#options;
@@ -264,11 +246,3 @@
 ): string {
   return `The availability budget of pool ${pool} is used up for the ${limit}: ${used} of ${max}`;
 }
-
-/** The pool of the backend servers on a VM, else the first spare pool. */
-function firstPoolOf(vm: string, config: schema.config.Config): string | undefined {
-  const server = Object.values(config.backendServers).find((each) => each.vm === vm);
-  const service = server && config.services[server.service];
-  const spare = Object.entries(config.pools).find(([, pool]) => pool.spare)?.[0];
-  return service?.pool ?? spare;
-}
--- /dev/null
+++ b/packages/steward/src/vm_registry.ts
@@ -0,0 +1,108 @@
+/**
+ * Which VMs have a record: new ones get one, and those that are gone for good lose theirs.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+import type { DecisionLog } from "./decision_log.ts";
+import type { FleetState } from "./fleet_state.ts";
+import type { Round } from "./round.ts";
+
+/** A VM that the platform has not listed for this long is gone for good. */
+const RETIRE_AFTER_MS = 600_000;
+/** The records that one transaction adds. */
+const MAX_ADOPTIONS = 50;
+
+/** What the registry works with. */
+export interface VmRegistryOptions {
+  readonly state: FleetState;
+  readonly clock: ports.clock.Clock;
+  readonly decisions: DecisionLog;
+}
+
+/** Owns the coming and going of VM records. */
+export class VmRegistry {
+  readonly #options: VmRegistryOptions;
+  /** Since when each VM has been missing from the list, as far as this steward has seen. */
+  readonly #missingSinceMs = new Map<string, number>();
+
+  constructor(options: VmRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** Adopts and retires VMs of the pools that this steward acts for. */
+  async step(round: Round): Promise<void> {
+    await this.#adopt(round);
+    await this.#retire(round);
+  }
+
+  /** A new VM belongs to the pool of its backend servers, else to the spare pool. */
+  async #adopt(round: Round): Promise<void> {
+    const { state, decisions } = this.#options;
+    const records = [...round.listedVms.values()]
+      .filter(({ vm }) => !state.vms.has(vm))
+      .flatMap((listed) => newRecord(listed, round))
+      .slice(0, MAX_ADOPTIONS);
+    if (records.length === 0) {
+      return;
+    }
+    const written = await state.commit({ vms: records });
+    if (written.isErr() || !written.value) {
+      return;
+    }
+    for (const { vm, pool, availabilityZone, rack } of records) {
+      decisions.add("VM adopted", [vm, pool], { pool, availabilityZone, rack });
+    }
+  }
+
+  /** A VM that was replaced must not count against its pool's budget for ever. */
+  async #retire(round: Round): Promise<void> {
+    const { state, clock, decisions } = this.#options;
+    for (const record of [...state.vms.values()]) {
+      if (!this.#isGone(record.vm, round) || !round.actsFor(record.pool)) {
+        continue;
+      }
+      const context = { record, pool: state.pool(record.pool), draining: state.draining };
+      const written = await state.commit(policy.fleet.vmTransitions.retire(context));
+      if (written.isOk() && written.value) {
+        const missingMs = clock.nowMs() - (this.#missingSinceMs.get(record.vm) ?? 0);
+        decisions.add("VM retired", [record.vm, record.pool], { missingMs });
+        this.#missingSinceMs.delete(record.vm);
+      }
+    }
+  }
+
+  #isGone(vm: string, round: Round): boolean {
+    if (round.listedVms.has(vm)) {
+      this.#missingSinceMs.delete(vm);
+      return false;
+    }
+    const sinceMs = this.#missingSinceMs.get(vm) ?? round.listedAtMs;
+    this.#missingSinceMs.set(vm, sinceMs);
+    return round.listedAtMs - sinceMs > RETIRE_AFTER_MS;
+  }
+}
+
+/** The record of a VM that is listed for the first time, if a pool takes it. */
+function newRecord(
+  listed: ports.platform.ListedVm,
+  round: Round,
+): readonly schema.fleet.VmRecord[] {
+  const { vm, availabilityZone, rack, operationId } = listed;
+  const pool = firstPoolOf(vm, round.config);
+  if (pool === undefined || !round.actsFor(pool)) {
+    return [];
+  }
+  const operationCount = policy.fleet.vmSteps.operationNumberOf(operationId);
+  return [{ vm, pool, availabilityZone, rack, operationCount, waveResults: {}, history: [] }];
+}
+
+/** The pool of the backend servers on a VM, else the first spare pool. */
+function firstPoolOf(vm: string, config: schema.config.Config): string | undefined {
+  const server = Object.values(config.backendServers).find((each) => each.vm === vm);
+  const service = server && config.services[server.service];
+  const spare = Object.entries(config.pools).find(([, pool]) => pool.spare)?.[0];
+  return service?.pool ?? spare;
+}
