--- a/packages/steward/src/steward_test.ts
+++ b/packages/steward/src/steward_test.ts
@@ -2,13 +2,19 @@
 import { describe, expect, it } from "vitest";
 import * as schema from "@jackdawlink/schema";
 import { ROUND_MS, VM_COUNT, World } from "../test/steward_world.ts";
+import type { Steward } from "./steward.ts";
 
 const IDLE_ROUNDS = 40;
 /** Twenty seconds: the list of stewards every 2 s, and all records and jobs every 10 s. */
 const MAX_IDLE_READS = 16;
+const MAX_ROUNDS = 200;
 const NO_FAULTS = { pauseAt: [], loseEvery: 0, listLagMs: 0, outAt: 0 };
 const OPTIONS = { schedule: () => Promise.resolve(), held: Promise.resolve() };
 
+function isWaveFinished({ state }: Steward): boolean {
+  return state.waves.get("december")?.state === "finished";
+}
+
 describe("store traffic", () => {
   it.each([0, 50])("of idle rounds does not depend on %i running tasks", async (tasks) => {
     const world = new World(NO_FAULTS);
@@ -20,10 +26,11 @@
       (_, index) => steward.jobs.submit("boards", { jobId: `job-${index}`, spec }),
     );
     await Promise.all(submitted);
-    for (let round = 0; round < 8; round += 1) {
+    for (let round = 0; round < MAX_ROUNDS && !isWaveFinished(steward); round += 1) {
       world.clock.advance(ROUND_MS);
       await steward.runRound();
     }
+    expect(isWaveFinished(steward)).toBe(true);
     expect(world.model.tasks.starts.size).toBe(tasks);
     Object.assign(world.store.calls, { reads: 0, writes: 0 });
     for (let round = 0; round < IDLE_ROUNDS; round += 1) {
@@ -55,7 +62,7 @@
 
   it.each([
     { key: schema.storeKeys.vmKey("vm-1"), value: "{" },
-    { key: schema.storeKeys.poolKey("boards"), value: '{"pool":"boards"}' },
+    { key: schema.storeKeys.poolKey("spare"), value: '{"pool":"spare"}' },
     { key: schema.storeKeys.DRAINING, value: "[]" },
   ])("that don't fit are left alone: $key", async ({ key, value }) => {
     const world = new World(NO_FAULTS);
--- a/packages/steward/test/steward_world.ts
+++ b/packages/steward/test/steward_world.ts
@@ -40,7 +40,7 @@
     availabilityBudgets: {
       "boards-budget": { pool: "boards", maxUnavailable: 2, maxUnavailablePerRack: 1 },
     },
-    maintenanceWaves: { "december": { pools: ["boards"], state: "running" } },
+    maintenanceWaves: { "december": { pools: ["boards", "spare"], state: "running" } },
   });
   readonly violations: string[] = [];
   readonly #faults: Faults;
