--- a/packages/adapters/src/platform_store.ts
+++ b/packages/adapters/src/platform_store.ts
@@ -4,24 +4,22 @@
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
-import * as schema from "@jackdawlink/schema";
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type * as schema from "@jackdawlink/schema";
+import { err, type Result, ResultAsync } from "neverthrow";
 import * as undici from "undici";
-import * as v from "valibot";
+import type * as v from "valibot";
 import { BackOff } from "./back_off.ts";
 import { CallBudget } from "./call_budget.ts";
 import * as codec from "./gateway_codec.ts";
+import { overBudget, refused, StoreRefusedError, unavailable } from "./store_errors.ts";
+import { decodeAnswer, parseJson } from "./store_answers.ts";
 import { StoreWatch } from "./store_watch.ts";
 
+export { StoreAnswerError, StoreRefusedError } from "./store_errors.ts";
+
 /** The header by which a process names itself to the platform. */
 export const CLIENT_HEADER = "jackdawlink-client";
 
-/** The store answered with something that is not of its protocol. */
-export const StoreAnswerError = schema.errors.StoreUnavailableError.subclass("StoreAnswerError");
-
-/** The store refused the call for good; it had no effect. */
-export const StoreRefusedError = schema.errors.JackdawlinkError.subclass("StoreRefusedError");
-
 /** What a {@link PlatformStore} is made of. */
 export interface PlatformStoreOptions {
   readonly settings: schema.settings.StoreSettings;
@@ -31,9 +29,19 @@
   readonly clientId?: string;
   /** A random source between 0 and 1, for jitter. */
   readonly random?: () => number;
+  /** Told of each call that was sent, for metrics. */
+  readonly onCall?: (call: StoreCall) => void;
+}
+
+/** One call that was sent to the store. */
+export interface StoreCall {
+  readonly path: string;
+  readonly kind: "read" | "write";
+  readonly isAnswered: boolean;
+  readonly elapsedMs: number;
 }
 
-type Kind = "read" | "write";
+type Kind = StoreCall["kind"];
 
 interface CallOptions<TSchema> {
   readonly kind: Kind;
@@ -43,6 +51,8 @@
 
 /** A failed status with its reason; only the first characters of a body are kept. */
 const MAX_REASON_CHARACTERS = 200;
+/** The longest back-off; it also leaves each call half of its time-out for the call itself. */
+const MAX_BACK_OFF_MS = 1_000;
 const HTTP_OK = 200;
 /** Statuses of calls that are wrong in themselves; the same call would be refused again. */
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 404, 413]);
@@ -60,6 +70,7 @@
   readonly #backOff: BackOff;
   readonly #watches = new Set<StoreWatch>();
   #notBeforeMs = 0;
+  #lastFailureAtMs = 0;
 
   constructor(options: PlatformStoreOptions) {
     const { settings, clock } = options;
@@ -74,11 +85,16 @@
       read: new CallBudget(settings.readsPerSecond, () => clock.nowMs()),
       write: new CallBudget(settings.writesPerSecond, () => clock.nowMs()),
     };
-    this.#backOff = new BackOff({ random: this.#random });
+    const capMs = Math.min(MAX_BACK_OFF_MS, settings.timeoutMs / 2);
+    this.#backOff = new BackOff({ random: this.#random, capMs });
   }
 
-  get(key: string): ResultAsync<ports.store.StoredValue | null, schema.errors.JackdawlinkError> {
-    const body = { key: codec.encodeBytes(key) };
+  get(
+    key: string,
+    { minModRevision = 0 }: ports.store.GetOptions = {},
+  ): ResultAsync<ports.store.StoredValue | null, schema.errors.JackdawlinkError> {
+    const condition = minModRevision > 0 ? { min_mod_revision: String(minModRevision) } : {};
+    const body = { key: codec.encodeBytes(key), ...condition };
     return this.#call("/v3/kv/range", { kind: "read", body, answer: codec.rangeAnswerSchema })
       .map((answer) => answer.kvs[0] ?? null);
   }
@@ -169,9 +185,12 @@
     if (waitMs === null) return err(overBudget(kind));
     const backOffMs = this.#notBeforeMs - clock.nowMs();
     await this.#sleep(Math.min(settings.timeoutMs, Math.max(waitMs, backOffMs)));
-    const result = await this.#exchange(path, { body, timeoutMs: deadlineMs - clock.nowMs() });
-    this.#noteOutcome(path, result);
-    return result.andThen((value) => decodeAnswer(path, value, answer));
+    const sentAtMs = clock.nowMs();
+    const result = await this.#exchange(path, { body, timeoutMs: deadlineMs - sentAtMs });
+    this.#noteOutcome(path, { result, sentAtMs });
+    const elapsedMs = clock.nowMs() - sentAtMs;
+    this.#options.onCall?.({ path, kind, isAnswered: result.isOk(), elapsedMs });
+    return result.andThen((value) => decodeAnswer(path, { value, schema: answer }));
   }
 
   async #exchange(
@@ -193,21 +212,26 @@
       if (REFUSED_STATUSES.has(response.statusCode)) return err(refused(path, reason));
       return err(unavailable(path, reason));
     } catch (cause) {
-      return err(unavailable(path, (cause as Error).message, cause));
+      return err(unavailable(path, (cause as Error).message, { cause }));
     }
   }
 
+  /** Calls that were under way together count as one failure. */
   #noteOutcome(
     path: string,
-    result: Result<unknown, schema.errors.JackdawlinkError>,
+    { result, sentAtMs }: {
+      result: Result<unknown, schema.errors.JackdawlinkError>;
+      sentAtMs: number;
+    },
   ): void {
     if (result.isOk() || result.error instanceof StoreRefusedError) {
       this.#backOff.succeeded();
       return;
     }
-    const backOffMs = Math.round(this.#backOff.failed());
-    this.#notBeforeMs = this.#options.clock.nowMs() + backOffMs;
-    this.#options.log.warn("Store call failed", { path, backOffMs, reason: result.error.message });
+    this.#options.log.warn("Store call failed", { path, reason: result.error.message });
+    if (sentAtMs < this.#lastFailureAtMs) return;
+    this.#lastFailureAtMs = this.#options.clock.nowMs();
+    this.#notBeforeMs = this.#lastFailureAtMs + this.#backOff.failed();
   }
 
   #sleep(delayMs: number): Promise<void> {
@@ -215,44 +239,3 @@
     return new Promise((resolve) => this.#options.clock.after(delayMs, resolve));
   }
 }
-
-function parseJson(
-  path: string,
-  text: string,
-): Result<unknown, schema.errors.JackdawlinkError> {
-  try {
-    return ok(JSON.parse(text));
-  } catch (cause) {
-    return err(new StoreAnswerError(`The store's answer to ${path} is not JSON`, { cause }));
-  }
-}
-
-function decodeAnswer<TSchema extends v.GenericSchema>(
-  path: string,
-  value: unknown,
-  answerSchema: TSchema,
-): Result<v.InferOutput<TSchema>, schema.errors.JackdawlinkError> {
-  const parsed = v.safeParse(answerSchema, value);
-  if (parsed.success) return ok(parsed.output);
-  const issues = parsed.issues.map((issue) => `${v.getDotPath(issue) ?? ""}: ${issue.message}`);
-  return err(new StoreAnswerError(`The store's answer to ${path} is malformed: ${issues[0]}`));
-}
-
-function unavailable(
-  path: string,
-  reason: string,
-  cause?: unknown,
-): schema.errors.JackdawlinkError {
-  const message = `The store did not answer ${path}: ${reason}`;
-  return new schema.errors.StoreUnavailableError(message, { cause });
-}
-
-function refused(path: string, reason: string): schema.errors.JackdawlinkError {
-  return new StoreRefusedError(`The store refused ${path}: ${reason}`);
-}
-
-function overBudget(kind: Kind): schema.errors.JackdawlinkError {
-  return new schema.errors.StoreBudgetError(
-    `The budget of store ${kind}s of this process is used up`,
-  );
-}
--- a/packages/steward/src/metrics.ts
+++ b/packages/steward/src/metrics.ts
@@ -36,7 +36,7 @@
 export function countCalls(store: ports.store.Store, metrics: Metrics): ports.store.Store {
   const count = (call: string) => metrics.storeCalls.inc({ call });
   return {
-    get: (key) => (count("get"), store.get(key)),
+    get: (key, options) => (count("get"), store.get(key, options)),
     list: (prefix) => (count("list"), store.list(prefix)),
     transact: (compares, writes) => (count("transact"), store.transact(compares, writes)),
     grantLease: (ttlSeconds) => (count("lease"), store.grantLease(ttlSeconds)),
--- a/packages/testing/src/memory_store.ts
+++ b/packages/testing/src/memory_store.ts
@@ -1,106 +1,118 @@
 /**
- * The platform store in memory, with outages and answers lost after effect, for tests in one process.
+ * A store in the memory of a test, with calls that fail, effects that come late and answers that get
+ * lost.
  *
  * @module
  */
-import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { KeyValueTable } from "./key_value_table.ts";
 
-type StoreResult<T> = ResultAsync<T, schema.errors.JackdawlinkError>;
+type JackdawlinkError = schema.errors.JackdawlinkError;
 
-/** What the next calls meet. */
-export interface StoreFaults {
-  out: boolean;
-  /** Decides for each write whether its answer is lost after it took effect. */
-  losesAnswer: () => boolean;
+/** What happens to one call: `late` takes effect after the caller has been told of a failure. */
+export type CallFate = "answered" | "lost-before" | "lost-after" | "late";
+
+/** What a {@link MemoryStore} is made of. */
+export interface MemoryStoreOptions {
+  readonly nowMs?: () => number;
+  /** Decides the fate of each call; all are answered without it. */
+  readonly fate?: (call: "read" | "write") => CallFate;
+  /** Runs before each call takes effect; lets other calls come in between. */
+  readonly pause?: () => Promise<void>;
 }
 
-/** A store in memory; leases never lapse by themselves. */
+/** Implements the port on a {@link KeyValueTable}. */
 export class MemoryStore implements ports.store.Store {
-  readonly faults: StoreFaults = { out: false, losesAnswer: () => false };
-  readonly #values = new Map<string, ports.store.StoredValue & { leaseId?: string }>();
-  readonly #watchers = new Set<{ prefix: string; onChange: () => void }>();
-  readonly calls = { reads: 0, writes: 0 };
-  #revision = 0;
-  #leases = 0;
-
-  get(key: string): StoreResult<ports.store.StoredValue | null> {
-    this.calls.reads += 1;
-    return this.faults.out ? unavailable() : okAsync(this.#values.get(key) ?? null);
+  readonly table: KeyValueTable;
+  readonly #fate: (call: "read" | "write") => CallFate;
+  readonly #pause: () => Promise<void>;
+  readonly #late: Promise<unknown>[] = [];
+
+  constructor({ nowMs, fate, pause }: MemoryStoreOptions = {}) {
+    this.table = new KeyValueTable(nowMs ?? (() => performance.now()));
+    this.#fate = fate ?? (() => "answered");
+    this.#pause = pause ?? (() => Promise.resolve());
   }
 
-  list(prefix: string): StoreResult<readonly ports.store.StoredValue[]> {
-    this.calls.reads += 1;
-    if (this.faults.out) {
-      return unavailable();
-    }
-    const found = [...this.#values.values()].filter(({ key }) => key.startsWith(prefix));
-    return okAsync(found.sort((left, right) => left.key < right.key ? -1 : 1));
+  /** Resolves once all late effects have happened. */
+  async settled(): Promise<void> {
+    await Promise.all(this.#late);
+  }
+
+  get(
+    key: string,
+    { minModRevision = 0 }: ports.store.GetOptions = {},
+  ): ResultAsync<ports.store.StoredValue | null, JackdawlinkError> {
+    return this.#call("read", () => {
+      const stored = this.table.get(key);
+      return stored === undefined || stored.modRevision < minModRevision ? null : stored;
+    });
+  }
+
+  list(prefix: string): ResultAsync<readonly ports.store.StoredValue[], JackdawlinkError> {
+    return this.#call("read", () => this.table.range({ key: prefix, end: `${prefix}\uffff` }));
   }
 
   transact(
     compares: readonly ports.store.Compare[],
     writes: readonly ports.store.Write[],
-  ): StoreResult<ports.store.TransactionOutcome> {
-    this.calls.writes += 1;
-    if (this.faults.out) {
-      return unavailable();
-    }
-    const succeeded = compares.every(({ key, modRevision }) =>
-      (this.#values.get(key)?.modRevision ?? 0) === modRevision
-    );
-    if (succeeded) {
-      this.#write(writes);
-    }
-    return this.faults.losesAnswer()
-      ? unavailable()
-      : okAsync({ succeeded, storeRevision: this.#revision });
+  ): ResultAsync<ports.store.TransactionOutcome, JackdawlinkError> {
+    return this.#call("write", () => {
+      const succeeded = compares.every(({ key, modRevision }) =>
+        (this.table.get(key)?.modRevision ?? 0) === modRevision
+      );
+      if (succeeded) this.table.commit(() => writes.forEach((write) => this.#write(write)));
+      return { succeeded, storeRevision: this.table.revision };
+    });
   }
 
-  grantLease(): StoreResult<string> {
-    this.#leases += 1;
-    return this.faults.out ? unavailable() : okAsync(String(this.#leases));
+  grantLease(ttlSeconds: number): ResultAsync<string, JackdawlinkError> {
+    return this.#call("write", () => this.table.grantLease(ttlSeconds));
   }
 
-  keepLeaseAlive(): StoreResult<boolean> {
-    return this.faults.out ? unavailable() : okAsync(true);
+  keepLeaseAlive(leaseId: string): ResultAsync<boolean, JackdawlinkError> {
+    return this.#call("write", () => {
+      this.table.expireLeases();
+      return this.table.keepAlive(leaseId) > 0;
+    });
   }
 
-  revokeLease(leaseId: string): StoreResult<void> {
-    const keys = [...this.#values.values()].filter((value) => value.leaseId === leaseId);
-    this.#write(keys.map(({ key }) => ({ kind: "delete", key })));
-    return okAsync(undefined);
+  revokeLease(leaseId: string): ResultAsync<void, JackdawlinkError> {
+    return this.#call("write", () => void this.table.revokeLease(leaseId));
   }
 
   watch(prefix: string, onChange: () => void): () => void {
-    const watcher = { prefix, onChange };
-    this.#watchers.add(watcher);
-    return () => this.#watchers.delete(watcher);
+    return this.table.onEvents((events) => {
+      if (events.some((event) => event.keyValue.key.startsWith(prefix))) onChange();
+    });
   }
 
-  #write(writes: readonly ports.store.Write[]): void {
-    this.#revision += 1;
-    for (const write of writes) {
-      if (write.kind === "delete") {
-        this.#values.delete(write.key);
-      } else {
-        const { key, value, leaseId } = write;
-        this.#values.set(key, { key, value, modRevision: this.#revision, leaseId });
-      }
-      this.#notify(write.key);
-    }
+  #write(write: ports.store.Write): void {
+    if (write.kind === "delete") this.table.deleteRange({ key: write.key, end: "" });
+    else this.table.put(write.key, write.value, { leaseId: write.leaseId ?? "0" });
   }
 
-  #notify(changedKey: string): void {
-    for (const { prefix, onChange } of this.#watchers) {
-      if (changedKey.startsWith(prefix)) {
-        queueMicrotask(onChange);
-      }
-    }
+  #call<TAnswer>(
+    call: "read" | "write",
+    effect: () => TAnswer,
+  ): ResultAsync<TAnswer, JackdawlinkError> {
+    return new ResultAsync(this.#suffer(this.#fate(call), effect));
   }
-}
 
-function unavailable<T>(): StoreResult<T> {
-  return errAsync(new schema.errors.StoreUnavailableError("The store does not answer"));
+  async #suffer<TAnswer>(
+    fate: CallFate,
+    effect: () => TAnswer,
+  ): Promise<Result<TAnswer, JackdawlinkError>> {
+    await this.#pause();
+    const lost = new schema.errors.StoreUnavailableError("The answer was lost");
+    if (fate === "lost-before") return err(lost);
+    if (fate === "late") {
+      this.#late.push(this.#pause().then(this.#pause).then(effect));
+      return err(lost);
+    }
+    const answer = effect();
+    return fate === "answered" ? ok(answer) : err(lost);
+  }
 }
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -21,3 +21,4 @@
 export * as runTimes from "./run_times.ts";
 export * as virtualTime from "./virtual_time.ts";
 export * as waitFor from "./wait_for.ts";
+export * as testClock from "./test_clock.ts";
