--- a/packages/policy/src/fleet/placement/deadlines_test.ts
+++ b/packages/policy/src/fleet/placement/deadlines_test.ts
@@ -125,5 +125,6 @@
     expect(placed.missed - perfect.missed).toBeLessThanOrEqual(placed.withDeadline * 0.02);
     expect(placed.missed).toBeLessThan(baseline.missed);
     expect(placed.urgentDelayMs).toBeLessThanOrEqual(4_300);
+    expect(perfect.urgentDelayMs).toBeLessThanOrEqual(4_300);
   });
 });
