--- a/packages/steward/src/job_manager.ts
+++ b/packages/steward/src/job_manager.ts
@@ -128,6 +128,9 @@
         return;
       }
     }
+    if (!hasOpenJobs(segments)) {
+      return;
+    }
     const listed = await platform.listWorkers();
     if (listed.isOk()) {
       await this.#follower.step(listed.value);
@@ -140,3 +143,13 @@
 function ownJob(job: Job | undefined, { team, jobId }: { team: string; jobId: string }): JobResult {
   return job?.team === team ? ok(job) : err(new JobNotFoundError(`There is no job ${jobId}`));
 }
+
+/** Without open jobs the long list of workers need not be read. */
+function hasOpenJobs(segments: JobSegments): boolean {
+  for (const { state } of segments.jobs()) {
+    if (state === "waiting" || state === "placed") {
+      return true;
+    }
+  }
+  return false;
+}
