--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -25,3 +25,4 @@
 export * as rendezvous from "./rendezvous.ts";
 export * as requests from "./requests/mod.ts";
 export * as teamTargets from "./sharing/targets.ts";
+export * as fleet from "./fleet/mod.ts";
--- a/packages/schema/src/mod.ts
+++ b/packages/schema/src/mod.ts
@@ -6,6 +6,7 @@
 export * as claims from "./claims.ts";
 export * as config from "./config.ts";
 export * as errors from "./errors.ts";
+export * as fleet from "./fleet.ts";
 export * as head from "./head.ts";
 export * as http from "./http.ts";
 export * as names from "./names.ts";
--- /dev/null
+++ b/packages/steward/src/steward_test.ts
@@ -0,0 +1,81 @@
+import * as v from "valibot";
+import { describe, expect, it } from "vitest";
+import * as schema from "@jackdawlink/schema";
+import { ROUND_MS, VM_COUNT, World } from "../test/steward_world.ts";
+import type { Steward } from "./steward.ts";
+
+const IDLE_ROUNDS = 40;
+/** Twenty seconds: the list of stewards every 2 s, and all records and jobs every 10 s. */
+const MAX_IDLE_READS = 16;
+/** The key of the steward is renewed every 2 s; nothing else is written. */
+const LEASE_RENEWALS = 10;
+const MAX_ROUNDS = 200;
+const NO_FAULTS = { pauseAt: [], loseEvery: 0, listLagMs: 0, outAt: 0 };
+const OPTIONS = { schedule: () => Promise.resolve(), held: Promise.resolve() };
+
+function isWaveFinished({ state }: Steward): boolean {
+  return state.waves.get("december")?.state === "finished";
+}
+
+describe("store traffic", () => {
+  it.each([0, 50])("of idle rounds does not depend on %i running tasks", async (tasks) => {
+    const world = new World(NO_FAULTS);
+    const steward = world.steward(0, OPTIONS);
+    const spec = v.parse(schema.fleet.jobSpecSchema, { cores: 0.1, memoryMb: 64, runMs: 1e9 });
+    await steward.runRound();
+    const submitted = Array.from(
+      { length: tasks },
+      (_, index) => steward.jobs.submit("boards", { jobId: `job-${index}`, spec }),
+    );
+    await Promise.all(submitted);
+    for (let round = 0; round < MAX_ROUNDS && !isWaveFinished(steward); round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect(isWaveFinished(steward)).toBe(true);
+    expect(world.model.tasks.starts.size).toBe(tasks);
+    Object.assign(world.calls, { read: 0, write: 0 });
+    for (let round = 0; round < IDLE_ROUNDS; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    const { read, write } = world.calls;
+    expect(write).toBe(LEASE_RENEWALS);
+    expect(read).toBeLessThanOrEqual(MAX_IDLE_READS);
+  });
+});
+
+describe("records", () => {
+  it.each([
+    { vm: "gone", rounds: 1_300, isKept: false },
+    { vm: "gone", rounds: 1_000, isKept: true },
+  ])("of a VM that is missing for $rounds rounds: kept $isKept", async ({ vm, rounds, isKept }) => {
+    const world = new World(NO_FAULTS);
+    const place = { vm, pool: "boards", availabilityZone: "zone-0", rack: "rack-0" };
+    const value = JSON.stringify({ ...place, operationCount: 0, history: [] });
+    await world.store.transact([], [{ kind: "put", key: schema.storeKeys.vmKey(vm), value }]);
+    const steward = world.steward(0, OPTIONS);
+    for (let round = 0; round < rounds; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect(steward.state.vms.has(vm)).toBe(isKept);
+  });
+
+  it.each([
+    { key: schema.storeKeys.vmKey("vm-1"), value: "{" },
+    { key: schema.storeKeys.poolKey("spare"), value: '{"pool":"spare"}' },
+    { key: schema.storeKeys.DRAINING, value: "[]" },
+  ])("that don't fit are left alone: $key", async ({ key, value }) => {
+    const world = new World(NO_FAULTS);
+    await world.store.transact([], [{ kind: "put", key, value }]);
+    const steward = world.steward(0, OPTIONS);
+    for (let round = 0; round < 20; round += 1) {
+      world.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect((await world.store.get(key))._unsafeUnwrap()?.value).toBe(value);
+    expect(steward.state.vms.size).toBe(VM_COUNT - Number(key.endsWith("vm-1")));
+    expect(world.model.plannedOut().filter(({ vm }) => vm === "vm-1")).toEqual([]);
+  });
+});
