--- a/packages/steward/src/mod.ts
+++ b/packages/steward/src/mod.ts
@@ -1,6 +1,5 @@
 /**
  * The steward: VMs in pools, maintenance waves, and jobs on workers.
- * The parts of `jackdawlink-steward`.
  *
  * @module
  */
--- a/packages/testing/src/worker_main.ts
+++ /dev/null
@@ -1,6 +0,0 @@
-/**
- * Placeholder.
- *
- * @module
- */
-export {};
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -13,7 +13,6 @@
   "jackdawlink-quickstart": "packages/bench/src/quickstart_main.ts",
   "stand-in-platform": "packages/testing/src/platform_main.ts",
   "stand-in-backend-server": "packages/testing/src/backend_server_main.ts",
-  "stand-in-worker": "packages/testing/src/worker_main.ts",
   "fault-proxy": "packages/testing/src/fault_proxy_main.ts",
 };
 
