--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -14,6 +14,7 @@
 export * as configEdits from "./config_edits.ts";
 export * as configText from "./config_text.ts";
 export * as findings from "./findings.ts";
+export * as fleet from "./fleet/mod.ts";
 export * as freshness from "./membership/freshness.ts";
 export * as headChanges from "./membership/head_changes.ts";
 export * as maxMin from "./sharing/max_min.ts";
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -75,6 +75,8 @@
   roundMs: v.optional(durationMsSchema, 500),
   leaseSeconds: v.optional(positiveIntegerSchema, 6),
   maxPlacementsPerRound: v.optional(countSchema, 500),
+  /** How long entries may take to stop sending to a VM that is marked as draining. */
+  markSettleMs: v.optional(durationMsSchema, 4_000),
   store: storeSchema,
   log: v.optional(logSchema, {}),
 });
--- a/packages/testing/src/platform_main.ts
+++ b/packages/testing/src/platform_main.ts
@@ -5,10 +5,11 @@
  * @module
  */
 import { parseArgs } from "node:util";
+import { PlatformFleet } from "./platform_fleet.ts";
 import { type PlatformApp, startPlatform } from "./platform_server.ts";
 
 /** Applications beside the store; add one line for each. */
-const APPS: readonly PlatformApp[] = [];
+const APPS: readonly PlatformApp[] = [new PlatformFleet().app];
 
 const { values } = parseArgs({
   options: { address: { type: "string", default: "127.0.0.1:0" } },
