Index shares and backend servers once for all permit groups

Shares are now indexed by pool and servers by service once. Behaviour is the same; the permit tests pass.

--- a/packages/policy/src/permits/groups.ts
+++ b/packages/policy/src/permits/groups.ts
@@ -38,6 +38,8 @@
 export function groupsOf(config: configs.Config): ReadonlyMap<string, Group> {
   const groups = new Map<string, Group>();
   const limits = limitsOf(config);
+  const serversByService = serversOf(config);
+  const sharesByPool = sharesOf(config);
   const longestRunMs = Math.max(0, ...Object.values(config.services).map((it) => it.maxRunMs));
   for (const [team, limit] of limits) {
     const group = teamGroup(team);
@@ -49,9 +51,9 @@
     groups.set(group, {
       group,
       service: name,
-      totals: slotTotals(config, name),
+      totals: slotTotals(name, serversByService.get(name) ?? []),
       maxRunMs: service.maxRunMs,
-      ruleOf: teamRules(config, { pool: service.pool, limits }),
+      ruleOf: teamRules(sharesByPool.get(service.pool) ?? new Map(), limits),
     });
   }
   return groups;
@@ -68,31 +70,49 @@
   return limits;
 }
 
+type NamedServer = readonly [string, configs.BackendServer];
+
+function serversOf(config: configs.Config): Map<string, NamedServer[]> {
+  const byService = new Map<string, NamedServer[]>();
+  for (const named of Object.entries(config.backendServers)) {
+    const servers = byService.get(named[1].service);
+    if (servers === undefined) byService.set(named[1].service, [named]);
+    else servers.push(named);
+  }
+  return byService;
+}
+
+/** The weights of teams, by pool. */
+function sharesOf(config: configs.Config): Map<string, Map<string, number>> {
+  const byPool = new Map<string, Map<string, number>>();
+  for (const { pool, team, weight } of Object.values(config.shares)) {
+    const weights = byPool.get(pool) ?? new Map<string, number>();
+    byPool.set(pool, weights.set(team, weight));
+  }
+  return byPool;
+}
+
 /** A draining backend server gets nothing new. One request runs on one connection. */
-function slotTotals(config: configs.Config, service: string): Map<string, number> {
+function slotTotals(service: string, servers: readonly NamedServer[]): Map<string, number> {
   const totals = new Map<string, number>();
-  for (const [name, server] of Object.entries(config.backendServers)) {
-    if (server.service !== service) continue;
+  for (const [name, server] of servers) {
     const total = server.draining ? 0 : Math.min(server.slots, server.connections);
     totals.set(slotsResource(service, name), total);
   }
   return totals;
 }
 
+/** A team with a limit but without a share counts with the weight 1; any other has no rule. */
 function teamRules(
-  config: configs.Config,
-  options: { pool: string; limits: ReadonlyMap<string, number> },
+  weights: ReadonlyMap<string, number>,
+  limits: ReadonlyMap<string, number>,
 ): (team: string) => targets.TeamRule | undefined {
-  const rules = new Map<string, targets.TeamRule>();
-  for (const share of Object.values(config.shares)) {
-    if (share.pool !== options.pool) continue;
-    const limit = options.limits.get(share.team) ?? null;
-    rules.set(share.team, { weight: share.weight, limit });
-  }
-  for (const [team, limit] of options.limits) {
-    if (!rules.has(team)) rules.set(team, { weight: 1, limit });
-  }
-  return (team) => rules.get(team);
+  return (team) => {
+    const weight = weights.get(team);
+    const limit = limits.get(team);
+    if (weight === undefined && limit === undefined) return undefined;
+    return { weight: weight ?? 1, limit: limit ?? null };
+  };
 }
 
 function noRule(): undefined {
