Share the chunks held between the repository and peers' catch-up

CatchUp now asks the assembler that the repository already fills. The tests keep their assertions; the one that answers a peer first fills the assembler.

--- a/packages/entry/src/membership/catch_up.ts
+++ b/packages/entry/src/membership/catch_up.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
-import * as policy from "@jackdawlink/policy";
+import type * as policy from "@jackdawlink/policy";
 import type * as schema from "@jackdawlink/schema";
 
 /** What a {@link CatchUp} is made of. */
@@ -13,6 +13,8 @@
   readonly links: ports.peers.PeerLinks;
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
+  /** The chunks held; shared with what reads them from the store. */
+  readonly assembler: policy.configAssembler.ConfigAssembler;
   readonly current: () => ports.members.Snapshot;
   readonly adopt: (snapshot: ports.members.Snapshot) => void;
 }
@@ -25,9 +27,6 @@
 /** Asks peers with a higher revision, and answers those with a lower one. */
 export class CatchUp {
   readonly #options: CatchUpOptions;
-  /** Chunk texts of the current snapshot and of a newer one that is not whole yet. */
-  #texts = new Map<string, string>();
-  #textsConfigRevision = -1;
   #askedAtMs = -Infinity;
 
   constructor(options: CatchUpOptions) {
@@ -43,11 +42,10 @@
       return;
     }
     this.#askedAtMs = nowMs;
-    this.#refreshTexts();
     this.#options.links.send(memberId, {
       type: "catchUpRequest",
       revision: this.#options.current().head.revision,
-      heldDigests: [...this.#texts.keys()],
+      heldDigests: this.#options.assembler.heldDigests(),
     });
   }
 
@@ -56,7 +54,6 @@
     if (head.revision <= request.revision) {
       return;
     }
-    this.#refreshTexts();
     const held = new Set(request.heldDigests);
     const missing = head.chunks.filter(({ digest }) => !held.has(digest));
     this.#options.links.send(memberId, {
@@ -78,7 +75,7 @@
       if (bytes > maxBytes && chunks.length > 0) {
         break;
       }
-      const text = this.#texts.get(ref.digest);
+      const text = this.#options.assembler.textOf(ref.digest);
       if (text !== undefined) {
         chunks.push({ digest: ref.digest, text });
       }
@@ -92,34 +89,32 @@
     if (head.revision <= this.#options.current().head.revision) {
       return;
     }
-    this.#refreshTexts();
     if (!this.#keepChunks(answer, memberId)) {
       return;
     }
-    const texts = head.chunks.map(({ digest }) => this.#texts.get(digest));
-    const whole = texts.filter((text) => text !== undefined);
-    if (whole.length < texts.length) {
+    if (this.#options.assembler.missing(head.chunks).length > 0) {
       this.#askForRest(answer, memberId);
       return;
     }
-    policy.configChunks.joinChunks(whole).match(
+    this.#options.assembler.assemble(head.chunks).match(
       (config) => this.#options.adopt({ head, config }),
       (error) => this.#refuse(answer, memberId, error.message),
     );
   }
 
-  /** Keeps chunks whose digests hold; false where one does not. */
+  /** Keeps the chunks that the head names; false where one does not fit its digest or schema. */
   #keepChunks(answer: schema.peer.CatchUpAnswer, memberId: string): boolean {
+    const missing = new Set(this.#options.assembler.missing(answer.head.chunks));
     for (const { digest, text } of answer.chunks) {
-      if (policy.configChunks.digestOf(text) !== digest) {
-        this.#refuse(answer, memberId, `chunk ${digest} does not have its digest`);
+      if (!missing.has(digest)) {
+        continue;
+      }
+      const added = this.#options.assembler.add(digest, text);
+      if (added.isErr()) {
+        this.#refuse(answer, memberId, added.error.message);
         return false;
       }
     }
-    const named = new Set(answer.head.chunks.map(({ digest }) => digest));
-    answer.chunks
-      .filter(({ digest }) => named.has(digest))
-      .forEach(({ digest, text }) => this.#texts.set(digest, text));
     return true;
   }
 
@@ -140,15 +135,4 @@
       reason,
     });
   }
-
-  /** Splits the current configuration anew after it has changed. */
-  #refreshTexts(): void {
-    const { head, config } = this.#options.current();
-    if (this.#textsConfigRevision === head.configRevision) {
-      return;
-    }
-    this.#textsConfigRevision = head.configRevision;
-    const chunks = policy.configChunks.splitConfig(config);
-    this.#texts = new Map(chunks.map(({ digest, text }) => [digest, text]));
-  }
 }
--- a/packages/entry/src/membership/catch_up_test.ts
+++ b/packages/entry/src/membership/catch_up_test.ts
@@ -25,6 +25,7 @@
   let sent: schema.peer.Message[];
   let current: ports.members.Snapshot;
   let nowMs: number;
+  let assembler: policy.configAssembler.ConfigAssembler;
   let catchUp: CatchUp;
 
   beforeEach(() => {
@@ -32,6 +33,7 @@
     sent = [];
     nowMs = 0;
     current = { head: schema.head.EMPTY_HEAD, config: schema.config.emptyConfig() };
+    assembler = new policy.configAssembler.ConfigAssembler();
     catchUp = new CatchUp({
       links: {
         send: (_memberId, message) => void sent.push(message),
@@ -39,6 +41,7 @@
       },
       clock: { nowMs: () => nowMs, wallMs: () => 0, after: () => () => {} },
       log: SILENT,
+      assembler,
       current: () => current,
       adopt: (snapshot) => current = snapshot,
     });
@@ -87,6 +90,7 @@
 
   it("sends only chunks that the asker does not hold", () => {
     current = { head: headAt(3, CHUNKS), config: CONFIG };
+    CHUNKS.forEach(({ digest, text }) => expect(assembler.add(digest, text).isOk()).toBe(true));
     receive({ type: "catchUpRequest", revision: 2, heldDigests: [CHUNKS[0]?.digest ?? ""] });
     expect(sent).toMatchObject([{ type: "catchUpAnswer", chunks: whole.slice(1) }]);
   });
--- a/packages/entry/src/membership/member.ts
+++ b/packages/entry/src/membership/member.ts
@@ -46,10 +46,16 @@
     peerAddress: options.peerAddress,
     operatorAddress: options.operatorAddress,
   };
+  const assembler = new policy.configAssembler.ConfigAssembler();
   const snapshots = new SnapshotManager({
     store,
     headRepository,
-    configRepository: new adapters.configRepository.ConfigRepository({ store, headRepository }),
+    configRepository: new adapters.configRepository.ConfigRepository({
+      store,
+      headRepository,
+      assembler,
+    }),
+    assembler,
     links,
     clock,
     log: log("snapshot"),
--- a/packages/entry/src/membership/snapshot_manager.ts
+++ b/packages/entry/src/membership/snapshot_manager.ts
@@ -15,6 +15,8 @@
   readonly store: ports.store.Store;
   readonly headRepository: adapters.headRepository.HeadRepository;
   readonly configRepository: adapters.configRepository.ConfigRepository;
+  /** Holds the chunks of the configuration for the repository and for peers. */
+  readonly assembler: policy.configAssembler.ConfigAssembler;
   readonly links: ports.peers.PeerLinks;
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
@@ -55,6 +57,7 @@
       links: options.links,
       clock: options.clock,
       log: options.log,
+      assembler: options.assembler,
       current: () => this.#snapshot,
       adopt: (snapshot) => this.#adopt(snapshot, "peer"),
     });
--- a/packages/policy/src/config_assembler.ts
+++ b/packages/policy/src/config_assembler.ts
@@ -24,6 +24,11 @@
     return refs.map(({ digest }) => digest).filter((digest) => !this.#chunks.has(digest));
   }
 
+  /** The digests of all held chunks. */
+  heldDigests(): string[] {
+    return [...this.#chunks.keys()];
+  }
+
   /** The text of a held chunk, for a peer that lacks it. */
   textOf(digest: string): string | undefined {
     return this.#chunks.get(digest)?.text;
