--- a/packages/entry/test/faults_test.ts
+++ b/packages/entry/test/faults_test.ts
@@ -242,11 +242,18 @@
     );
   }
 
+  async function revisions(): Promise<number[]> {
+    const statuses = await Promise.all(system.entries.map((entry) => system.statusOf(entry)));
+    return statuses.map(({ revision }) => revision);
+  }
+
   it.each(CASES)("hold while $name", async ({ strike, end, mayBreak }) => {
     await waitUntilServing();
+    const acceptedRevision = Math.min(...await revisions());
     await strike(system);
     await end(system);
     await waitUntilServing();
+    expect(Math.min(...await revisions())).toBeGreaterThanOrEqual(acceptedRevision);
     const told = await traffic.stop();
     const witness = await system.witness();
     expect(witness.violations(told, { maxRunningByTeam: LIMITS })).toEqual([]);
--- a/packages/testing/src/witness.ts
+++ b/packages/testing/src/witness.ts
@@ -28,16 +28,18 @@
 export type Violation = string;
 
 const STATUS_GATEWAY_TIMEOUT = 504;
+/** The connections that each backend server of the tests offers; those of its control count too. */
+const MAX_CONNECTIONS = 64;
 
 type Run = backendServerRecord.Run;
-type Record_ = backendServerRecord.BackendServerRecord;
+type ServerRecord = backendServerRecord.BackendServerRecord;
 
 /** Everything that the backend servers ran and the callers were told. */
 export class Witness {
-  readonly #records: readonly Record_[];
+  readonly #records: readonly ServerRecord[];
   readonly #runs: readonly Run[];
 
-  constructor(records: readonly Record_[]) {
+  constructor(records: readonly ServerRecord[]) {
     this.#records = records;
     this.#runs = records.flatMap((record) => record.runs);
   }
@@ -67,10 +69,7 @@
   }
 
   #violationsOfServers(): Violation[] {
-    return this.#records.flatMap(({ name, slots, maxRunning, overlappingOnConnection }) => [
-      ...(maxRunning > slots ? [`${name} ran ${maxRunning} requests in ${slots} slots`] : []),
-      ...(overlappingOnConnection > 0 ? [`${name} had two requests on one connection`] : []),
-    ]);
+    return this.#records.flatMap(violationsOfServer);
   }
 
   #violationsOfLimits({ maxRunningByTeam }: Bounds): Violation[] {
@@ -91,6 +90,21 @@
   }
 }
 
+function violationsOfServer(record: ServerRecord): Violation[] {
+  const { name, slots, maxRunning, maxConnections, overlappingOnConnection } = record;
+  const violations: Violation[] = [];
+  if (maxRunning > slots) {
+    violations.push(`${name} ran ${maxRunning} requests in ${slots} slots`);
+  }
+  if (maxConnections > MAX_CONNECTIONS) {
+    violations.push(`${name} had ${maxConnections} connections of ${MAX_CONNECTIONS}`);
+  }
+  if (overlappingOnConnection > 0) {
+    violations.push(`${name} had two requests on one connection`);
+  }
+  return violations;
+}
+
 function violationsOfRequest(request: ToldRequest, runs: readonly Run[]): Violation[] {
   const { marker, answer, isRepeatable, team } = request;
   const violations: Violation[] = [];
