Describe the operators' HTTP once, and wait for what members know in force

The entry, the command line and the test system each had a copy of the status. They now share schema/src/operator.ts. Explaining an unknown id answers 200 without lines, so that the command line no longer lists every entry that doesn't know a request as not asked.

It now asks for acceptedRevision. The cases of the old test stay: half of the members is not enough, a majority is, with the count of holders checked besides. Seen to fail: with the revision held in place of the accepted one, the cases 'all hold it, held back' and 'half hold it' fail (2 of 7).

--- a/packages/cli/src/commands/status_command.ts
+++ b/packages/cli/src/commands/status_command.ts
@@ -7,13 +7,12 @@
 import { Command } from "clipanion";
 import { ok } from "neverthrow";
 import { EXIT_CODES } from "../exit_codes.ts";
-import type { Status } from "../operator_client.ts";
 import { type CommandResult, OperatorCommand } from "../operator_command.ts";
 import type { Session } from "../session.ts";
 
 /** One entry as it answers, or the reason why it doesn't. */
 type EntryReport =
-  | { readonly address: string; readonly status: Status }
+  | { readonly address: string; readonly status: schema.operator.Status }
   | { readonly address: string; readonly reason: string };
 
 /** Prints the published revision and what each entry reports; works without the store as well. */
@@ -54,12 +53,12 @@
 
 function describeEntry(entry: EntryReport, head: schema.head.Head | null): string {
   if ("reason" in entry) return `${entry.address} out of reach: ${entry.reason}`;
-  const { memberId, incarnation, fresh, revision } = entry.status;
+  const { memberId, incarnation, fresh, freshBy, revision, acceptedRevision } = entry.status;
   const isListed = head?.members.some((member) =>
     member.memberId === memberId && member.incarnation === incarnation
   );
   const listing = isListed === undefined ? "" : isListed ? ", listed" : ", not listed";
-  return `${entry.address} ${memberId}: revision ${revision}, ${
-    fresh ? "fresh" : "not fresh"
-  }${listing}`;
+  const freshness = fresh ? `fresh by ${freshBy}` : "not fresh";
+  return `${entry.address} ${memberId}: revision ${revision}, in force ${acceptedRevision}, ` +
+    `${freshness}${listing}`;
 }
--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -1,5 +1,6 @@
 /**
- * Waits until a revision is accepted: a majority of the listed members report it.
+ * Waits until a listed member knows that a revision is in force. Members apply the rule of acceptance,
+ * which a count of those that hold the revision would not follow after a list without majority.
  *
  * @module
  */
@@ -39,23 +40,28 @@
   }
 }
 
-/** Asks each member once for its revision. */
+/** Asks each member once; one that knows the revision to be in force is enough. */
 export async function askMembers(
   session: Session,
   { members, revision }: { members: readonly schema.head.Member[]; revision: number },
 ): Promise<Acceptance> {
-  const answers = await Promise.all(
-    members.map((member) =>
-      session.operators.status(member.operatorAddress)
-        .map((status) =>
-          status.memberId === member.memberId && status.incarnation === member.incarnation &&
-          status.revision >= revision
-        )
-        .unwrapOr(false)
-    ),
-  );
-  const reportingCount = answers.filter((isReporting) => isReporting).length;
+  const answers = await Promise.all(members.map((member) => askMember(session, member)));
+  const statuses = answers.filter((status) => status !== null);
   const memberCount = members.length;
-  const isAccepted = memberCount === 0 || reportingCount > memberCount / 2;
-  return { isAccepted, memberCount, reportingCount };
+  return {
+    isAccepted: memberCount === 0 ||
+      statuses.some((status) => status.acceptedRevision >= revision),
+    memberCount,
+    reportingCount: statuses.filter((status) => status.revision >= revision).length,
+  };
+}
+
+/** The status of a member; null unless the listed incarnation answers. */
+async function askMember(
+  session: Session,
+  { operatorAddress, memberId, incarnation }: schema.head.Member,
+): Promise<schema.operator.Status | null> {
+  const answer = await session.operators.status(operatorAddress);
+  const status = answer.unwrapOr(null);
+  return status?.memberId === memberId && status.incarnation === incarnation ? status : null;
 }
--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -8,34 +8,8 @@
 import * as undici from "undici";
 import * as v from "valibot";
 
-/** `GET /v1/status` of an entry. */
-export const statusSchema = v.object({
-  memberId: v.string(),
-  incarnation: v.nullable(v.string()),
-  fresh: v.boolean(),
-  revision: v.number(),
-  members: v.optional(
-    v.array(
-      v.object({ memberId: v.string(), revision: v.number(), heardAgeMs: v.nullable(v.number()) }),
-    ),
-    [],
-  ),
-});
-
-/** `GET /v1/explain/<id>` of an entry or steward: the log lines that it still has of an id. */
-export const explanationSchema = v.object({
-  lines: v.array(v.object({
-    atMs: v.number(),
-    part: v.optional(v.string(), ""),
-    message: v.string(),
-    fields: v.optional(v.record(v.string(), v.unknown()), {}),
-  })),
-});
-
-export type Status = v.InferOutput<typeof statusSchema>;
-export type Explanation = v.InferOutput<typeof explanationSchema>;
 /** One log line, with the address of the process that wrote it. */
-export type ExplainedLine = Explanation["lines"][number] & { readonly address: string };
+export type ExplainedLine = schema.operator.ExplainedLine & { readonly address: string };
 
 /** Processes that don't answer within this time count as out of reach. */
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -45,13 +19,19 @@
 export class OperatorClient {
   readonly #agent = new undici.Agent();
 
-  status(address: string): ResultAsync<Status, schema.errors.JackdawlinkError> {
-    return this.#get(address, { path: "/v1/status", answer: statusSchema });
+  status(
+    address: string,
+  ): ResultAsync<schema.operator.Status, schema.errors.JackdawlinkError> {
+    const { STATUS_PATH: path, statusSchema: answer } = schema.operator;
+    return this.#get(address, { path, answer });
   }
 
-  explain(address: string, id: string): ResultAsync<Explanation, schema.errors.JackdawlinkError> {
-    const path = `/v1/explain/${encodeURIComponent(id)}`;
-    return this.#get(address, { path, answer: explanationSchema });
+  explain(
+    address: string,
+    id: string,
+  ): ResultAsync<schema.operator.Explanation, schema.errors.JackdawlinkError> {
+    const { EXPLAIN_PATH_PREFIX, explanationSchema: answer } = schema.operator;
+    return this.#get(address, { path: `${EXPLAIN_PATH_PREFIX}${encodeURIComponent(id)}`, answer });
   }
 
   async close(): Promise<void> {
--- a/packages/entry/src/caller_side.ts
+++ b/packages/entry/src/caller_side.ts
@@ -16,6 +16,6 @@
    */
   drain(): Promise<void>;
   close(): void;
-  /** What is known of a request; null for an unknown one. */
-  explain(requestId: string): unknown;
+  /** The decisions about a request; none for an unknown one. */
+  explain(requestId: string): schema.operator.Explanation;
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -125,7 +125,7 @@
     const operatorServer = new OperatorServer({
       status: () => this.#status(),
       isDraining: () => this.#draining,
-      explain: (requestId) => this.#parts?.callerSide.explain(requestId) ?? null,
+      explain: (requestId) => this.#parts?.callerSide.explain(requestId) ?? { lines: [] },
       registry: metrics.registry,
     });
     return this.#readPeerTls().asyncAndThen((tls) => {
--- a/packages/entry/src/membership/membership_manager.ts
+++ b/packages/entry/src/membership/membership_manager.ts
@@ -27,19 +27,7 @@
 }
 
 /** What the operators' status shows of the members. */
-export interface MembershipStatus {
-  readonly memberId: string;
-  readonly incarnation: string | null;
-  readonly fresh: boolean;
-  readonly freshBy: policy.freshness.FreshnessSource | null;
-  readonly revision: number;
-  readonly acceptedRevision: number;
-  readonly members: readonly {
-    readonly memberId: string;
-    readonly revision: number;
-    readonly heardAgeMs: number | null;
-  }[];
-}
+export type MembershipStatus = Omit<schema.operator.Status, "draining">;
 
 /** How long one change of the member list is tried. */
 const CHANGE_TIMEOUT_MS = 3_000;
--- a/packages/entry/src/operator_server.ts
+++ b/packages/entry/src/operator_server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createAdaptorServer } from "@hono/node-server";
-import type * as schema from "@jackdawlink/schema";
+import * as schema from "@jackdawlink/schema";
 import { Hono } from "hono";
 import type { ResultAsync } from "neverthrow";
 import type * as prometheus from "prom-client";
@@ -15,8 +15,8 @@
 export interface OperatorServerOptions {
   readonly status: () => MembershipStatus;
   readonly isDraining: () => boolean;
-  /** What is known of a request; null for an unknown one. */
-  readonly explain: (requestId: string) => unknown;
+  /** The decisions about a request; none for an unknown one. */
+  readonly explain: (requestId: string) => schema.operator.Explanation;
   readonly registry: prometheus.Registry;
 }
 
@@ -53,14 +53,14 @@
       context.header("content-type", registry.contentType);
       return context.body(await registry.metrics());
     });
-    app.get("/v1/status", (context) => context.json({ ...status(), draining: isDraining() }));
-    app.get("/v1/explain/:id", (context) => {
-      const requestId = context.req.param("id");
-      const explanation = explain(requestId);
-      return explanation === null || explanation === undefined
-        ? context.json({ error: { type: "NotFound", message: `No request ${requestId}` } }, 404)
-        : context.json(explanation);
+    app.get(schema.operator.STATUS_PATH, (context) => {
+      const answer: schema.operator.Status = { ...status(), draining: isDraining() };
+      return context.json(answer);
     });
+    app.get(
+      `${schema.operator.EXPLAIN_PATH_PREFIX}:id`,
+      (context) => context.json(explain(context.req.param("id"))),
+    );
     return app;
   }
 }
--- a/packages/entry/src/refusing_caller_side.ts
+++ b/packages/entry/src/refusing_caller_side.ts
@@ -35,7 +35,7 @@
     this.#listener.close();
   }
 
-  explain(): unknown {
-    return null;
+  explain(): schema.operator.Explanation {
+    return { lines: [] };
   }
 }
--- a/packages/entry/src/request_side.ts
+++ b/packages/entry/src/request_side.ts
@@ -12,6 +12,8 @@
 import { PermitManager } from "./permit_manager.ts";
 import * as requests from "./requests/mod.ts";
 
+/** The prefix of log lines about requests. */
+const REQUESTS_PART = "requests";
 /** How long waiting requests may still start once the process drains. */
 const WAITING_GRACE_MS = 1_000;
 /** How long returned permits have to reach their coordinators before the process leaves. */
@@ -50,7 +52,7 @@
     this.#path = new requests.requestPath.RequestPath({
       ...context,
       availabilityZone: settings.availabilityZone,
-      log: context.log("requests"),
+      log: context.log(REQUESTS_PART),
       permits: this.#permits,
       claims: this.#claims,
       seed: randomInt(SEED_RANGE),
@@ -75,16 +77,13 @@
     this.#permits.stop();
   }
 
-  explain(requestId: string): unknown {
-    const steps = this.#path.explain(requestId);
-    if (steps === null) {
-      return null;
-    }
+  explain(requestId: string): schema.operator.Explanation {
+    const steps = this.#path.explain(requestId) ?? [];
     const lines = steps.map(({ atWallMs, message, fields }) => ({
       atMs: atWallMs,
-      part: "requests",
+      part: REQUESTS_PART,
       message,
-      fields,
+      fields: { ...fields },
     }));
     return { lines };
   }
--- a/packages/schema/src/mod.ts
+++ b/packages/schema/src/mod.ts
@@ -9,6 +9,7 @@
 export * as head from "./head.ts";
 export * as http from "./http.ts";
 export * as names from "./names.ts";
+export * as operator from "./operator.ts";
 export * as peer from "./peer.ts";
 export * as settings from "./settings.ts";
 export * as storeKeys from "./store_keys.ts";
