Tell a short story in the quickstart

It printed every added object and warning. It now prints entries by availability zone, the configuration in force with seconds, requests by team, the parts of a full pool, one request's decisions, a withdrawn key at all entries, and a killed entry with traffic going on.

--- a/packages/bench/src/quickstart_main.ts
+++ b/packages/bench/src/quickstart_main.ts
@@ -1,106 +1,227 @@
 /**
- * Starts a small system, publishes a configuration, sends requests and prints what happened.
+ * Starts a small system, publishes a configuration, sends requests and prints what happened. Exits with
+ * 0 where everything was as it should be, and with 1 otherwise.
  *
  * @module
  */
 import * as testing from "@jackdawlink/testing";
 
+type TestSystem = testing.testSystem.TestSystem;
+
 const AVAILABILITY_ZONES = ["eu-west-a", "eu-west-b", "eu-west-c"];
 const SERVICES = ["modules", "booking", "packs", "certificates", "sessions"];
-const TEAMS = {
+const TEAMS: Readonly<Record<string, { weight: number; maxRunningRequests?: number }>> = {
   "east-boards": { weight: 3 },
   "west-boards": { weight: 1 },
   facilitators: { weight: 2, maxRunningRequests: 4 },
 };
+const TEAM_NAMES = Object.keys(TEAMS);
 const ENTRY_COUNT = 9;
-const REQUEST_COUNT = 1_500;
-const CONCURRENT_REQUESTS = 60;
+const BACKEND_SERVERS_PER_SERVICE = 2;
+const SLOTS_PER_SERVICE = BACKEND_SERVERS_PER_SERVICE * 8;
+const REQUEST_COUNT = 900;
+const CONCURRENT_REQUESTS = 45;
 const RUN_MS = 20;
+/** More requests of each team than its pool has slots. */
+const FULL_POOL_REQUESTS_PER_TEAM = 30;
+const FULL_POOL_WARM_UP_MS = 1_500;
+const FULL_POOL_MS = 4_000;
+const WITHDRAWN_TEAM = "west-boards";
+
+/** How requests ended: team, then outcome, then count. */
+type Counts = Map<string, Map<string, number>>;
+
+/** What a run of traffic is made of. */
+interface TrafficOptions {
+  readonly entries: readonly testing.testSystem.EntryHandle[];
+  readonly teams: readonly string[];
+  readonly queues: readonly string[];
+  readonly concurrentRequests: number;
+  /** Whether to send another request, and whether to count the last one. */
+  readonly isOver: (sentCount: number) => boolean;
+  readonly isCounted: () => boolean;
+}
+
+const caller = new testing.caller.Caller();
 
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
 
-/** Sends the requests of the quickstart and counts the outcomes by team. */
-async function sendTraffic(system: testing.testSystem.TestSystem) {
-  const caller = new testing.caller.Caller();
-  const teams = Object.keys(TEAMS);
-  const counts = new Map<string, Map<string, number>>();
+/** Sends requests one after another in several places, in turn over teams, queues and entries. */
+async function sendTraffic(options: TrafficOptions) {
+  const { entries, teams, queues, concurrentRequests, isOver, isCounted } = options;
+  const counts: Counts = new Map(teams.map((team) => [team, new Map()]));
   let lastRequestId = "";
-  let next = 0;
-  async function sendUntilDone(): Promise<void> {
-    while (next < REQUEST_COUNT) {
-      const index = next;
-      next += 1;
-      const team = teams[index % teams.length]!;
+  let sentCount = 0;
+  async function sendUntilOver(place: number): Promise<void> {
+    const team = teams[place % teams.length]!;
+    while (!isOver(sentCount)) {
+      const index = sentCount;
+      sentCount += 1;
       const answer = await caller.send({
-        entryUrl: system.entries[index % system.entries.length]!.callerUrl,
-        queue: SERVICES[index % SERVICES.length]!,
+        entryUrl: entries[index % entries.length]!.callerUrl,
+        queue: queues[index % queues.length]!,
         path: `/work?runMs=${RUN_MS}`,
         key: testing.exampleConfig.exampleSecret(team),
       });
-      const byOutcome = counts.get(team) ?? new Map<string, number>();
+      if (!isCounted()) continue;
+      const byOutcome = counts.get(team)!;
       byOutcome.set(answer.outcome, (byOutcome.get(answer.outcome) ?? 0) + 1);
-      counts.set(team, byOutcome);
       lastRequestId = answer.requestId ?? lastRequestId;
     }
   }
-  await Promise.all(Array.from({ length: CONCURRENT_REQUESTS }, sendUntilDone));
-  await caller.close();
+  await Promise.all(Array.from({ length: concurrentRequests }, (_, place) => sendUntilOver(place)));
   return { counts, lastRequestId };
 }
 
-async function run(system: testing.testSystem.TestSystem): Promise<number> {
-  print(
-    `Starting a stand-in platform and ${ENTRY_COUNT} entries in ${AVAILABILITY_ZONES.length} zones.`,
-  );
+function answeredOf(counts: Counts): number {
+  return [...counts.values()].reduce((sum, each) => sum + (each.get("answered") ?? 0), 0);
+}
+
+function printCounts(counts: Counts): void {
+  for (const [team, byOutcome] of counts) {
+    const parts = [...byOutcome].map(([outcome, count]) => `${count} ${outcome}`);
+    print(`  ${team}: ${parts.join(", ")}`);
+  }
+}
+
+/** Starts the processes and publishes the example configuration. */
+async function publish(system: TestSystem): Promise<boolean> {
+  print(`Starting a stand-in platform and ${ENTRY_COUNT} entries`);
   await system.start();
+  for (const availabilityZone of AVAILABILITY_ZONES) {
+    const entries = system.entries.filter((entry) => entry.availabilityZone === availabilityZone);
+    print(`  ${availabilityZone}: ${entries.map(({ memberId }) => memberId).join(", ")}`);
+  }
   const config = await system.startBackendServers(
     testing.exampleConfig.exampleConfig({
       availabilityZones: AVAILABILITY_ZONES,
       services: SERVICES,
-      backendServersPerService: 2,
+      backendServersPerService: BACKEND_SERVERS_PER_SERVICE,
       teams: TEAMS,
     }),
   );
-  const applied = await system.apply(config);
-  print(applied.output);
-  if (applied.code !== 0) return 1;
-  const { counts, lastRequestId } = await sendTraffic(system);
+  print("Configuration: jackdawlink apply config.toml --wait");
+  const startMs = performance.now();
+  const { code, output } = await system.apply(config);
+  const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
+  if (code !== 0) print(output);
+  const lines = output.split("\n");
+  const objects = lines.filter((line) => line.startsWith("+ "));
+  print(`  ${objects.length} objects, ${countWarnings(lines)}`);
+  print(`  ${lines.at(-1)}, after ${seconds} s`);
+  return code === 0;
+}
+
+/** The number of warnings by the promise that each refers to. */
+function countWarnings(lines: readonly string[]): string {
+  const counts = new Map<string, number>();
+  for (const line of lines) {
+    const promise = /^warning: .*\(([a-z-]+): [^)]*\)$/.exec(line)?.[1];
+    if (promise !== undefined) counts.set(promise, (counts.get(promise) ?? 0) + 1);
+  }
+  const parts = [...counts].map(([promise, count]) => `${count} ${promise}`);
+  return parts.length === 0 ? "no warnings" : `warnings: ${parts.join(", ")}`;
+}
+
+/** Sends a fixed number of requests and explains the last one. */
+async function serve(system: TestSystem): Promise<boolean> {
+  print(`Traffic: ${REQUEST_COUNT} requests by ${TEAM_NAMES.length} teams`);
+  const { counts, lastRequestId } = await sendTraffic({
+    entries: system.entries,
+    teams: TEAM_NAMES,
+    queues: SERVICES,
+    concurrentRequests: CONCURRENT_REQUESTS,
+    isOver: (sentCount) => sentCount >= REQUEST_COUNT,
+    isCounted: () => true,
+  });
+  printCounts(counts);
+  print(`Decisions about one request: jackdawlink explain ${lastRequestId}`);
+  const { code, output } = await system.command(["explain", lastRequestId]);
+  for (const line of output.split("\n")) print(`  ${line}`);
+  return answeredOf(counts) === REQUEST_COUNT && code === 0;
+}
+
+/** Keeps one pool full and prints which part of it each team gets. */
+async function fillPool(system: TestSystem): Promise<boolean> {
+  const [queue = ""] = SERVICES;
+  print(`A full pool: ${queue}, ${SLOTS_PER_SERVICE} slots, each team asks for more`);
+  const startMs = performance.now();
+  const elapsedMs = () => performance.now() - startMs;
+  const { counts } = await sendTraffic({
+    entries: system.entries,
+    teams: TEAM_NAMES,
+    queues: [queue],
+    concurrentRequests: FULL_POOL_REQUESTS_PER_TEAM * TEAM_NAMES.length,
+    isOver: () => elapsedMs() >= FULL_POOL_MS,
+    isCounted: () => elapsedMs() >= FULL_POOL_WARM_UP_MS,
+  });
+  const total = answeredOf(counts);
   for (const [team, byOutcome] of counts) {
-    const parts = [...byOutcome].map(([outcome, count]) => `${count} ${outcome}`);
-    print(`Team ${team}: ${parts.join(", ")}`);
+    const { weight, maxRunningRequests } = TEAMS[team]!;
+    const part = (byOutcome.get("answered") ?? 0) / total;
+    const limit = maxRunningRequests === undefined ? "" : `, at most ${maxRunningRequests} running`;
+    const slots = (part * SLOTS_PER_SERVICE).toFixed(1);
+    print(`  ${team}: weight ${weight}${limit}: ${(part * 100).toFixed(1)}%, ${slots} slots`);
   }
-  print(`What happened to request ${lastRequestId}:`);
-  print((await system.command(["explain", lastRequestId])).output);
-  const withdrawn = await system.command(["key", "withdraw", "west-boards", "--wait"]);
-  print(withdrawn.output);
-  const refused = await refusalOfWithdrawnKey(system);
-  print(`A request with the withdrawn key: status ${refused.status}, ${refused.outcome}`);
-  const served = [...counts.values()].reduce((sum, each) => sum + (each.get("answered") ?? 0), 0);
-  return served === REQUEST_COUNT && refused.status === 401 ? 0 : 1;
+  return total > 0;
+}
+
+async function withdrawKey(system: TestSystem): Promise<boolean> {
+  print(`A withdrawn key: jackdawlink key withdraw ${WITHDRAWN_TEAM} --wait`);
+  const withdrawn = await system.command(["key", "withdraw", WITHDRAWN_TEAM, "--wait"]);
+  print(`  ${withdrawn.output.split("\n").at(-1)}`);
+  const answers = await Promise.all(system.entries.map(({ callerUrl }) =>
+    caller.send({
+      entryUrl: callerUrl,
+      queue: SERVICES[0]!,
+      path: "/work",
+      key: testing.exampleConfig.exampleSecret(WITHDRAWN_TEAM),
+    })
+  ));
+  const refused = answers.filter(({ status, outcome }) => status === 401 && outcome === "not-run");
+  print(`  refused with status 401, not-run, by ${refused.length} of ${answers.length} entries`);
+  return withdrawn.code === 0 && refused.length === answers.length;
 }
 
-async function refusalOfWithdrawnKey(system: testing.testSystem.TestSystem) {
-  const caller = new testing.caller.Caller();
-  const refused = await caller.send({
-    entryUrl: system.entries[0]!.callerUrl,
-    queue: "modules",
-    path: "/work",
-    key: testing.exampleConfig.exampleSecret("west-boards"),
+/** Kills one entry and sends requests to the others. */
+async function killEntry(system: TestSystem): Promise<boolean> {
+  const killed = system.entries.at(-1)!;
+  const teams = TEAM_NAMES.filter((team) => team !== WITHDRAWN_TEAM);
+  print(`A killed entry: ${killed.memberId}; ${REQUEST_COUNT} requests to the others`);
+  await killed.program.kill();
+  const { counts } = await sendTraffic({
+    entries: system.entries.filter((entry) => entry !== killed),
+    teams,
+    queues: SERVICES,
+    concurrentRequests: CONCURRENT_REQUESTS,
+    isOver: (sentCount) => sentCount >= REQUEST_COUNT,
+    isCounted: () => true,
   });
-  await caller.close();
-  return refused;
+  printCounts(counts);
+  return answeredOf(counts) === REQUEST_COUNT;
+}
+
+async function run(system: TestSystem): Promise<boolean> {
+  for (const step of [publish, serve, fillPool, withdrawKey, killEntry]) {
+    const isAsExpected = await step(system);
+    if (isAsExpected) continue;
+    print("  not as expected");
+    return false;
+  }
+  return true;
 }
 
 const system = new testing.testSystem.TestSystem({
   availabilityZones: AVAILABILITY_ZONES,
   entryCount: ENTRY_COUNT,
 });
-let exitCode = 1;
+let isAsExpected = false;
 try {
-  exitCode = await run(system);
+  isAsExpected = await run(system);
 } finally {
+  await caller.close();
   await system.stop();
 }
-process.exit(exitCode);
+process.exit(isAsExpected ? 0 : 1);
