--- a/packages/testing/src/test_system.ts
+++ b/packages/testing/src/test_system.ts
@@ -43,6 +43,8 @@
   /** Merged into the settings of each entry. */
   readonly timing?: v.InferInput<typeof schema.settings.timingSchema>;
   readonly entrySettings?: Readonly<Record<string, unknown>>;
+  /** Settings of single entries. */
+  readonly settingsOf?: (memberId: string) => Readonly<Record<string, unknown>>;
   /** Without it, entries reach the store and one another directly. */
   readonly useFaultProxy?: boolean;
   readonly seed?: number;
@@ -222,7 +224,7 @@
     index: number,
     ports: { callers: number; operators: number; peers: number },
   ): Promise<void> {
-    const { availabilityZones, entrySettings = {}, timing = {} } = this.#options;
+    const { availabilityZones, entrySettings = {}, settingsOf, timing = {} } = this.#options;
     const memberId = `entry-${index + 1}`;
     const host = `127.0.0.${FIRST_ENTRY_HOST_NUMBER + index}`;
     const availabilityZone = availabilityZones[index % availabilityZones.length]!;
@@ -238,6 +240,7 @@
       store: { url: `http://${storeAddress}` },
       timing,
       ...entrySettings,
+      ...settingsOf?.(memberId),
     };
     const settingsFile = path.join(this.directory, `${memberId}.toml`);
     fs.writeFileSync(settingsFile, toml.stringify(settings));
