Test bad input at every edge, and mend two faults that it found

Found: 'jackdawlink-repeatable: toString' was taken as repeatable, since the look-up saw inherited names, so a request that may not be repeated could have been sent again; it is refused with 400. An address such as 127.0.0.1:70000 passed the schema and failed at listening ('getaddrinfo ENOTFOUND' or an unhandled error); the schema now refuses it by field, in configurations as well.

--- a/packages/entry/src/requests/admission.ts
+++ b/packages/entry/src/requests/admission.ts
@@ -110,7 +110,7 @@
   const deadlineText = textOf(headers, http.DEADLINE_HEADER);
   const idempotencyKey = textOf(headers, http.IDEMPOTENCY_KEY_HEADER) ?? null;
   if (!v.is(config.urgencySchema, urgency)) return err("invalidRequest");
-  if (repeatableText !== undefined && !(repeatableText in REPEATABLE_VALUES)) {
+  if (repeatableText !== undefined && !Object.hasOwn(REPEATABLE_VALUES, repeatableText)) {
     return err("invalidRequest");
   }
   if (deadlineText !== undefined && !DEADLINE_PATTERN.test(deadlineText)) {
--- /dev/null
+++ b/packages/entry/test/bad_input_test.ts
@@ -0,0 +1,221 @@
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as path from "node:path";
+import * as schema from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import * as toml from "smol-toml";
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import { WebSocket } from "ws";
+
+const TEAM = "billing";
+const QUEUE = "renewals";
+const KEY = testing.exampleConfig.exampleSecret(TEAM);
+const AUTHORIZATION = { authorization: `Bearer ${KEY}` };
+const PATH = `/v1/queues/${QUEUE}/work`;
+const HUGE_BYTES = 9_000_000;
+
+describe("bad input", () => {
+  const system = new testing.testSystem.TestSystem({
+    availabilityZones: ["zone-a"],
+    entryCount: 1,
+  });
+  const caller = new testing.caller.Caller();
+
+  beforeAll(async () => {
+    await system.start();
+    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+      availabilityZones: ["zone-a"],
+      services: [QUEUE],
+      backendServersPerService: 1,
+      teams: { [TEAM]: { weight: 1 } },
+    }));
+    const { code, output } = await system.apply(config);
+    expect(code, output).toBe(0);
+  });
+
+  afterAll(async () => {
+    await caller.close();
+    await system.stop();
+  });
+
+  /** The same process answers a sound request, with the configuration that it had. */
+  afterEach(async () => {
+    const [entry] = system.entries;
+    expect(entry!.program.running).toBe(true);
+    const { callerUrl: entryUrl } = entry!;
+    const answer = await caller.send({ entryUrl, queue: QUEUE, path: "/work", key: KEY });
+    expect(answer).toMatchObject({ outcome: "answered", status: 200 });
+  });
+
+  it.each([
+    {
+      title: "several faults",
+      fields: { memberId: "Entry 1", peerAddress: "localhost:1", colour: "red", timing: { x: 1 } },
+      issues: ["memberId: ", "peerAddress: ", "colour: ", "timing.x: "],
+    },
+    {
+      title: "ports and IP numbers out of range",
+      fields: { callerAddress: "127.0.0.1:70000", operatorAddress: "300.0.0.1:0" },
+      issues: ["callerAddress: ", "operatorAddress: "],
+    },
+    {
+      title: "wrong types",
+      fields: { shutdownGraceMs: "soon", seedPeerAddresses: 3, store: { url: 4 } },
+      issues: ["shutdownGraceMs: ", "seedPeerAddresses: ", "store.url: "],
+    },
+    {
+      title: "a missing certificate",
+      fields: { peerTls: { certificateFile: "/lost", keyFile: "/lost", authorityFile: "/lost" } },
+      issues: ["A file of peerTls cannot be read"],
+    },
+  ])("in settings ends the start and tells every fault: $title", async ({ fields, issues }) => {
+    const settings = {
+      memberId: "entry-9",
+      availabilityZone: "zone-a",
+      callerAddress: "127.0.0.1:0",
+      operatorAddress: "127.0.0.1:0",
+      peerAddress: "127.0.0.1:0",
+      store: { url: "http://127.0.0.1:1" },
+      ...fields,
+    };
+    const file = path.join(system.directory, "bad.toml");
+    fs.writeFileSync(file, toml.stringify(settings));
+    const program = await system.processes.start("jackdawlink-entry", {
+      args: ["--settings", file],
+      awaitReady: false,
+    });
+    expect((await program.exited).code).toBe(1);
+    const output = program.lines.join("\n");
+    for (const issue of issues) expect(output).toContain(issue);
+    expect(output).not.toContain("Unhandled");
+  });
+
+  it.each<{ title: string; headers: Record<string, string>; path?: string; status: number }>([
+    { title: "repeatable", headers: { "jackdawlink-repeatable": "maybe" }, status: 400 },
+    { title: "inherited names", headers: { "jackdawlink-repeatable": "toString" }, status: 400 },
+    { title: "urgency", headers: { "jackdawlink-urgency": "__proto__" }, status: 400 },
+    { title: "deadline 0", headers: { "jackdawlink-deadline-ms": "0" }, status: 400 },
+    { title: "deadline -1", headers: { "jackdawlink-deadline-ms": "-1" }, status: 400 },
+    { title: "deadline 1e9", headers: { "jackdawlink-deadline-ms": "1e9" }, status: 400 },
+    { title: "idempotency key", headers: { "idempotency-key": "1" }, status: 400 },
+    { title: "other scheme", headers: { authorization: "Basic YTpi" }, status: 401 },
+    { title: "empty key", headers: { authorization: "Bearer " }, status: 401 },
+    { title: "inherited queue", path: "/v1/queues/__proto__/x", headers: {}, status: 404 },
+    { title: "encoded queue", path: "/v1/queues/%00/x", headers: {}, status: 404 },
+    { title: "no path", path: "/v1/queues/renewals", headers: {}, status: 404 },
+  ])("of callers is refused as not run: $title", async ({ headers, path = PATH, status }) => {
+    const answer = await fetch(`${system.entries[0]!.callerUrl}${path}`, {
+      method: "POST",
+      headers: { ...AUTHORIZATION, ...headers },
+    });
+    expect(answer.status).toBe(status);
+    expect(answer.headers.get(schema.http.OUTCOME_HEADER)).toBe("not-run");
+    expect(await answer.json()).toMatchObject({ error: { outcome: "not-run" } });
+  });
+
+  it.each([
+    { title: "no HTTP", text: "\x16\x03\x01 nonsense\r\n\r\n", status: /^HTTP\/1.1 400/ },
+    { title: "an unknown method", text: `NONE ${PATH} HTTP/1.1\r\n\r\n`, status: /^HTTP\/1.1 400/ },
+    {
+      title: "headers beyond the bound",
+      text: `GET ${PATH} HTTP/1.1\r\nhost: a\r\nx: ${"x".repeat(20_000)}\r\n\r\n`,
+      status: /^HTTP\/1.1 431/,
+    },
+    {
+      title: "two lengths",
+      text: `POST ${PATH} HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n`,
+      status: /^HTTP\/1.1 400/,
+    },
+    {
+      title: "a length beyond the bound",
+      text: `POST ${PATH} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${KEY}\r\n` +
+        `content-length: 999999999\r\nconnection: close\r\n\r\n`,
+      status: /^HTTP\/1.1 413/,
+    },
+  ])("on a caller's connection is refused: $title", async ({ text, status }) => {
+    const { hostname, port } = new URL(system.entries[0]!.callerUrl);
+    const answer = await new Promise<string>((resolve) => {
+      const socket = net.connect(Number(port), hostname, () => socket.write(text));
+      socket.on("error", () => undefined);
+      socket.once("data", (data) => {
+        socket.destroy();
+        resolve(String(data));
+      });
+      socket.once("close", () => resolve(""));
+    });
+    expect(answer).toMatch(status);
+  });
+
+  it.each([
+    { path: "/v1/explain/%00", status: 200 },
+    { path: `/v1/explain/${"x".repeat(8_000)}`, status: 200 },
+    { path: "/v1/explain/%E0%A4%A", status: 200 },
+    { path: "/v1/explain/", status: 404 },
+    { path: "/v1/status", method: "POST", status: 404 },
+    { path: "/none", status: 404 },
+  ])("of operators gets a plain answer: $path", async ({ path, method = "GET", status }) => {
+    const answer = await fetch(`${system.entries[0]!.operatorUrl}${path}`, { method });
+    await answer.text();
+    expect(answer.status).toBe(status);
+  });
+
+  it.each([
+    { title: "bytes that are no msgpack", data: Uint8Array.of(0xc1) },
+    { title: "text", data: "hello" },
+    { title: "an endless array", data: Uint8Array.of(0xdd, 0xff, 0xff, 0xff, 0xff) },
+    { title: "more than the bound", data: new Uint8Array(HUGE_BYTES) },
+  ])("of peers closes the link: $title", async ({ data }) => {
+    const settings = toml.parse(fs.readFileSync(system.entries[0]!.settingsFile, "utf8"));
+    const socket = new WebSocket(`ws://${String(settings["peerAddress"])}/`);
+    socket.on("error", () => undefined);
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.once("open", () => socket.send(data));
+    await closed;
+  });
+
+  it.each<{ title: string; damage: (head: schema.head.Head) => string }>([
+    { title: "no JSON", damage: () => "{" },
+    { title: "another shape", damage: () => '{"revision":"x"}' },
+    {
+      title: "a chunk that isn't there",
+      damage: (head) =>
+        JSON.stringify({
+          ...head,
+          revision: head.revision + 1,
+          configRevision: head.revision + 1,
+          changeId: "damaged",
+          chunks: [{ digest: "0".repeat(64), bytes: 1 }],
+        }),
+    },
+  ])("in the store leaves the configuration as it is: $title", async ({ damage }) => {
+    const [entry] = system.entries;
+    const sound = await readHead();
+    const linesBefore = entry!.program.lines.length;
+    await writeHead(damage(JSON.parse(sound) as schema.head.Head));
+    await testing.waitFor.waitFor(
+      "a log line about the store's value",
+      () => entry!.program.lines.slice(linesBefore).some((line) => / WARN | ERROR /.test(line)),
+    );
+    expect(entry!.program.running).toBe(true);
+    await writeHead(sound);
+    await system.waitUntilFresh();
+  });
+
+  async function callStore(path: string, body: object): Promise<unknown> {
+    const answer = await fetch(`${system.platformUrl}${path}`, {
+      method: "POST",
+      body: JSON.stringify(body),
+    });
+    return await answer.json();
+  }
+
+  async function readHead(): Promise<string> {
+    const key = btoa(schema.storeKeys.HEAD);
+    const { kvs } = await callStore("/v3/kv/range", { key }) as { kvs: { value: string }[] };
+    return atob(kvs[0]!.value);
+  }
+
+  async function writeHead(value: string): Promise<void> {
+    await callStore("/v3/kv/put", { key: btoa(schema.storeKeys.HEAD), value: btoa(value) });
+  }
+});
--- a/packages/schema/src/names.ts
+++ b/packages/schema/src/names.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
+import { isIP } from "node:net";
 import * as v from "valibot";
 
+/** The highest port. */
+const MAX_PORT = 65_535;
+
 /** The longest name of an object. */
 export const MAX_NAME_CHARACTERS = 63;
 
@@ -22,6 +26,7 @@
     /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
     "must be an IP number and a port",
   ),
+  v.check(isReachable, "must be an IP number and a port up to 65535"),
 );
 
 /** A whole number above zero. */
@@ -39,3 +44,8 @@
   const host = address.slice(0, separatorIndex).replace(/^\[|\]$/g, "");
   return { host, port: Number(address.slice(separatorIndex + 1)) };
 }
+
+function isReachable(address: string): boolean {
+  const { host, port } = splitAddress(address);
+  return isIP(host) !== 0 && port <= MAX_PORT;
+}
