Poll the head with the store revision that is held

Cause: an idle entry moved 12.6 KB/s at nine entries, of which the poll of the whole head every second was the part that does not depend on peers.

The poll now asks for a head newer than the held one. A store that has gone back behind that revision would answer with nothing for ever, so the adapter sees from the answer's store revision that it has, and reads in full. Ruled out: a full read every few polls, which would leave an entry fresh on an old head in between.

Broken on purpose: with the check for a store gone back removed, platform_store_test prints "expected null not to be null".

--- a/packages/adapters/src/platform_store.ts
+++ b/packages/adapters/src/platform_store.ts
@@ -5,7 +5,7 @@
  */
 import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
-import { err, type Result, ResultAsync } from "neverthrow";
+import { err, okAsync, type Result, ResultAsync } from "neverthrow";
 import * as undici from "undici";
 import type * as v from "valibot";
 import { BackOff } from "./back_off.ts";
@@ -96,7 +96,10 @@
     const condition = minModRevision > 0 ? { min_mod_revision: String(minModRevision) } : {};
     const body = { key: codec.encodeBytes(key), ...condition };
     return this.#call("/v3/kv/range", { kind: "read", body, answer: codec.rangeAnswerSchema })
-      .map((answer) => answer.kvs[0] ?? null);
+      .andThen((answer) => {
+        const hasGoneBack = answer.header.revision < minModRevision - 1;
+        return hasGoneBack ? this.get(key) : okAsync(answer.kvs[0] ?? null);
+      });
   }
 
   list(
--- a/packages/adapters/src/platform_store_test.ts
+++ b/packages/adapters/src/platform_store_test.ts
@@ -64,6 +64,8 @@
     const [unchanged, changed] = [storeRevision + 1, storeRevision];
     expect((await store.get("a/1", { minModRevision: unchanged }))._unsafeUnwrap()).toBeNull();
     expect((await store.get("a/1", { minModRevision: changed }))._unsafeUnwrap()).not.toBeNull();
+    const goneBack = { minModRevision: storeRevision + 100 };
+    expect((await store.get("a/1", goneBack))._unsafeUnwrap()).not.toBeNull();
     await store.transact([], [{ ...PUT, key: "a/2" }, { ...PUT, key: "b" }]);
     const listed = (await store.list("a/"))._unsafeUnwrap();
     expect(listed.map(({ key }) => key)).toEqual(["a/1", "a/2"]);
--- a/packages/entry/src/membership/snapshot_manager.ts
+++ b/packages/entry/src/membership/snapshot_manager.ts
@@ -132,11 +132,17 @@
   /** Reads the head, and the configuration where it has changed; null where that failed. */
   async #readHead(): Promise<schema.head.Head | null> {
     const { headRepository, configRepository } = this.#options;
-    const read = await headRepository.read();
+    const held = this.#record;
+    const read = held === null
+      ? await headRepository.read()
+      : await headRepository.readNewer(held.modRevision);
     if (read.isErr()) {
       return this.#refuse(read.error);
     }
-    const record = read.value;
+    const record = read.value ?? held!;
+    if (record === held) {
+      return held.head;
+    }
     if (this.#hasConfigOf(record.head)) {
       this.#record = record;
       this.#adopt({ head: record.head, config: this.#snapshot.config }, "store");
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -46,7 +46,10 @@
  * in the value and read again.
  */
 export interface Store {
-  /** The value, or null; with `minModRevision` also null where the key has not changed since. */
+  /**
+   * The value, or null; with `minModRevision` also null where the key has not changed since. A store that
+   * has gone back behind that revision, such as one restored from a copy, is read in full.
+   */
   get(
     key: string,
     options?: GetOptions,
