--- a/packages/entry/src/membership/snapshot_manager.ts
+++ b/packages/entry/src/membership/snapshot_manager.ts
@@ -15,6 +15,8 @@
   readonly store: ports.store.Store;
   readonly headRepository: adapters.headRepository.HeadRepository;
   readonly configRepository: adapters.configRepository.ConfigRepository;
+  /** Holds the chunks of the configuration for the repository and for peers. */
+  readonly assembler: policy.configAssembler.ConfigAssembler;
   readonly links: ports.peers.PeerLinks;
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
@@ -55,6 +57,7 @@
       links: options.links,
       clock: options.clock,
       log: options.log,
+      assembler: options.assembler,
       current: () => this.#snapshot,
       adopt: (snapshot) => this.#adopt(snapshot, "peer"),
     });
@@ -132,11 +135,17 @@
   /** Reads the head, and the configuration where it has changed; null where that failed. */
   async #readHead(): Promise<schema.head.Head | null> {
     const { headRepository, configRepository } = this.#options;
-    const read = await headRepository.read();
+    const held = this.#record;
+    const read = held === null
+      ? await headRepository.read()
+      : await headRepository.readNewer(held.modRevision);
     if (read.isErr()) {
       return this.#refuse(read.error);
     }
-    const record = read.value;
+    const record = read.value ?? held!;
+    if (record === held) {
+      return held.head;
+    }
     if (this.#hasConfigOf(record.head)) {
       this.#record = record;
       this.#adopt({ head: record.head, config: this.#snapshot.config }, "store");
--- /dev/null
+++ b/packages/steward/src/job_manager.ts
@@ -0,0 +1,155 @@
+/**
+ * Jobs: accepts them, places them on workers, follows their tasks.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import type { DecisionLog } from "./decision_log.ts";
+import { JobPlacement } from "./job_placement.ts";
+import type { JobPlacer } from "./job_placer.ts";
+import { JobConflictError, type JobSegments } from "./job_segments.ts";
+import { JobSizes } from "./job_sizes.ts";
+import type { Round } from "./round.ts";
+import { TaskFollower } from "./task_follower.ts";
+import type { WorkerManager } from "./worker_manager.ts";
+
+/** No job of that id belongs to the team. */
+export const JobNotFoundError = schema.errors.JackdawlinkError.subclass("JobNotFoundError");
+
+type Job = schema.fleet.JobRecord;
+type JobResult = Result<Job, schema.errors.JackdawlinkError>;
+
+/** The subject by which a steward is chosen to place jobs. */
+export const JOBS_SUBJECT = "jobs";
+
+/** What the manager works with. */
+export interface JobManagerOptions {
+  readonly segments: JobSegments;
+  readonly placer: JobPlacer;
+  readonly workers: WorkerManager;
+  readonly platform: ports.platform.Platform;
+  readonly clock: ports.clock.Clock;
+  readonly decisions: DecisionLog;
+  readonly maxPlacementsPerRound: number;
+}
+
+/** Owns the jobs. */
+export class JobManager {
+  readonly #options: JobManagerOptions;
+  readonly #follower: TaskFollower;
+  readonly #placement: JobPlacement;
+  #isStale = true;
+
+  constructor(options: JobManagerOptions) {
+    this.#options = options;
+    const sizes = new JobSizes();
+    const follower = new TaskFollower({ ...options, sizes });
+    this.#follower = follower;
+    this.#placement = new JobPlacement({ ...options, sizes, follower });
+  }
+
+  /** Something below the jobs' prefix changed. */
+  markStale(): void {
+    this.#isStale = true;
+  }
+
+  /** Stores a job; the result comes once it is durable. The same submission again changes nothing. */
+  submit(team: string, { jobId, spec }: { jobId: string; spec: schema.fleet.JobSpec }): Promise<
+    JobResult
+  > {
+    const submittedAtMs = this.#options.clock.wallMs();
+    const fresh: Job = {
+      jobId,
+      team,
+      spec,
+      state: "waiting",
+      attempt: 0,
+      cancelRequested: false,
+      submittedAtMs,
+    };
+    return this.#options.segments.update({
+      jobId,
+      apply: (job) => {
+        if (job === undefined) {
+          return ok(fresh);
+        }
+        const isSame = job.team === team && JSON.stringify(job.spec) === JSON.stringify(spec);
+        return isSame ? ok(job) : err(new JobConflictError(`Job id ${jobId} is taken`));
+      },
+    });
+  }
+
+  /** The state of a team's job. */
+  async get(team: string, jobId: string): Promise<JobResult> {
+    const found = await this.#options.segments.get(jobId);
+    return found.andThen((job) => ownJob(job, { team, jobId }));
+  }
+
+  /** The state of any job, for operators. */
+  find(jobId: string): Promise<Result<Job | undefined, schema.errors.JackdawlinkError>> {
+    return this.#options.segments.get(jobId);
+  }
+
+  /** Cancels a team's job: at once while it waits, otherwise once its task is stopped. */
+  cancel(team: string, jobId: string): Promise<JobResult> {
+    const endedAtMs = this.#options.clock.wallMs();
+    return this.#options.segments.update({
+      jobId,
+      apply: (stored) =>
+        ownJob(stored, { team, jobId }).map((job) => {
+          if (job.state === "waiting") {
+            const reason = "The submitter cancelled the job";
+            return { ...job, state: "cancelled", endedAtMs, reason };
+          }
+          return job.state === "placed" ? { ...job, cancelRequested: true } : job;
+        }),
+    });
+  }
+
+  /** One round: follows the tasks and places waiting jobs, if this steward is the placer. */
+  async step(round: Round): Promise<void> {
+    const { placer, segments, platform } = this.#options;
+    if (!round.actsFor(JOBS_SUBJECT)) {
+      placer.drop();
+      return;
+    }
+    const isNew = placer.revision === undefined;
+    if (isNew && !await placer.take()) {
+      return;
+    }
+    if (isNew || this.#isStale) {
+      this.#isStale = false;
+      const read = await segments.readAll();
+      if (read.isErr()) {
+        this.#isStale = true;
+        placer.drop();
+        return;
+      }
+    }
+    if (!hasOpenJobs(segments)) {
+      return;
+    }
+    const listed = await platform.listWorkers();
+    if (listed.isOk()) {
+      await this.#follower.step(listed.value);
+      await this.#placement.step(listed.value, round);
+    }
+  }
+}
+
+/** A job that belongs to the team; that of another team looks as if it did not exist. */
+function ownJob(job: Job | undefined, { team, jobId }: { team: string; jobId: string }): JobResult {
+  return job?.team === team ? ok(job) : err(new JobNotFoundError(`There is no job ${jobId}`));
+}
+
+/** Without open jobs the long list of workers need not be read. */
+function hasOpenJobs(segments: JobSegments): boolean {
+  for (const { state } of segments.jobs()) {
+    if (state === "waiting" || state === "placed") {
+      return true;
+    }
+  }
+  return false;
+}
