--- a/packages/entry/src/claims/claim_manager.ts
+++ b/packages/entry/src/claims/claim_manager.ts
@@ -156,7 +156,7 @@
       const { team, idempotencyKey } = pending.request;
       this.#grantedRequestIds.set(policy.claimIds.digestOfKey(team, idempotencyKey), requestId);
     }
-    this.#options.log.info("Claim answered.", { requestId, result });
+    this.#options.log.info("Claim answered", { requestId, result });
     pending.resolve({ result, status });
   }
 
@@ -164,7 +164,7 @@
     const { requestId, idempotencyKey, team } = pending.request;
     pending.stopTimer();
     this.#pendingByRequestId.delete(requestId);
-    this.#options.log.warn("Claim given up.", { requestId, team });
+    this.#options.log.warn("Claim given up", { requestId, team });
     this.#sendOutcome({
       type: "claimOutcome",
       requestId,
--- a/packages/entry/src/claims/shard_owner.ts
+++ b/packages/entry/src/claims/shard_owner.ts
@@ -136,7 +136,7 @@
     }
     const stored = await this.#options.store.list(schema.storeKeys.claimSegmentPrefix(index));
     if (stored.isErr()) {
-      this.#options.log.warn("Segments not read.", { shard: index, reason: stored.error.message });
+      this.#options.log.warn("Segments not read", { shard: index, reason: stored.error.message });
       return null;
     }
     const shard = new OwnedShard({ index, ownerRevision, window: this.#options.window });
@@ -145,7 +145,7 @@
         return null;
       }
     }
-    this.#options.log.info("Shard taken over.", { shard: index, keys: shard.size });
+    this.#options.log.info("Shard taken over", { shard: index, keys: shard.size });
     return shard;
   }
 
@@ -154,7 +154,7 @@
     const key = schema.storeKeys.claimOwnerKey(index);
     const before = await store.get(key);
     if (before.isErr()) {
-      log.warn("Owner not read.", { shard: index, reason: before.error.message });
+      log.warn("Owner not read", { shard: index, reason: before.error.message });
       return null;
     }
     const owner: schema.claims.Owner = { memberId, changeId: randomUUID() };
@@ -173,7 +173,7 @@
   #load(shard: OwnedShard, key: string, value: string): boolean {
     const segment = parseSegment(value);
     if (segment === null) {
-      this.#options.log.error("Segment not understood.", { shard: shard.index, key });
+      this.#options.log.error("Segment not understood", { shard: shard.index, key });
       return false;
     }
     shard.load(key, segment.records);
@@ -226,7 +226,7 @@
     const deletes = this.#deletesOf(shards);
     const outcome = await this.#options.store.transact(compares, [...puts, ...deletes]);
     if (outcome.isErr()) {
-      this.#options.log.warn("Commit failed.", { reason: outcome.error.message });
+      this.#options.log.warn("Commit failed", { reason: outcome.error.message });
       return false;
     }
     if (!outcome.value.succeeded) {
@@ -259,7 +259,7 @@
   /** Another process owns one of the shards; each is taken over again when it is next asked for. */
   #abandon(shards: readonly OwnedShard[]): void {
     for (const shard of shards) {
-      this.#options.log.warn("Shard lost.", { shard: shard.index });
+      this.#options.log.warn("Shard lost", { shard: shard.index });
       this.#shards.delete(shard.index);
       shard.abandon();
     }
--- a/packages/entry/test/tls_test.ts
+++ b/packages/entry/test/tls_test.ts
@@ -16,6 +16,19 @@
 const ENTRY_HOSTS = ["127.0.0.10", "127.0.0.11", "127.0.0.12"];
 const REQUESTS_PER_ENTRY = 10;
 const ADDRESS_TYPE_IP = 7;
+const LOG_LEVELS = ["debug", "info", "warn", "error"];
+const LOG_PARTS = [
+  "claims",
+  "entry",
+  "head",
+  "lease",
+  "members",
+  "peers",
+  "permits",
+  "requests",
+  "snapshot",
+  "store",
+];
 
 async function certificateOf(
   name: string,
@@ -201,6 +214,19 @@
     expect(received).toEqual([]);
   });
 
+  it("log one JSON object a line, each a short sentence of a part", () => {
+    const lines = system.entries.flatMap(({ program }) => program.lines)
+      .map((line) => JSON.parse(line) as Record<string, unknown>);
+    const entries = lines.filter((line) => line["ready"] !== true);
+    expect(entries.length).toBeGreaterThan(0);
+    for (const { at, level, part, message } of entries) {
+      expect(String(at)).toMatch(/^\d{4}-\d\d-\d\dT[\d:.]+Z$/);
+      expect(LOG_LEVELS).toContain(level);
+      expect(LOG_PARTS).toContain(part);
+      expect(String(message)).toMatch(/^[A-Z][^\n]*[^.\n]$/);
+    }
+  });
+
   it("keep the secrets of keys out of all logs", async () => {
     expect(await answeredByEach(SECRET)).toEqual(ENTRY_HOSTS.map(() => REQUESTS_PER_ENTRY));
     const unknown = "unknown-secret-of-a-caller";
