Test damaged store values together with the command line

While the head is damaged, commands end with a typed error: 2, or 4 where a chunk is missing, since a newer head may be on its way. Once it is sound again, a publish comes in force. A chunk with another digest is a new case.

--- a/packages/entry/test/bad_input_test.ts
+++ b/packages/entry/test/bad_input_test.ts
@@ -12,6 +12,7 @@
 const KEY = testing.exampleConfig.exampleSecret(TEAM);
 const AUTHORIZATION = { authorization: `Bearer ${KEY}` };
 const PATH = `/v1/queues/${QUEUE}/work`;
+const UNKNOWN_DIGEST = "0".repeat(64);
 const HUGE_BYTES = 9_000_000;
 
 describe("bad input", () => {
@@ -173,34 +174,56 @@
     await closed;
   });
 
-  it.each<{ title: string; damage: (head: schema.head.Head) => string }>([
-    { title: "no JSON", damage: () => "{" },
-    { title: "another shape", damage: () => '{"revision":"x"}' },
+  it.each<{
+    title: string;
+    chunk?: string;
+    damage: (head: schema.head.Head) => string;
+    exitCode: number;
+  }>([
+    { title: "no JSON", damage: () => "{", exitCode: 2 },
+    { title: "another shape", damage: () => '{"revision":"x"}', exitCode: 2 },
+    // As long as a chunk is missing, a newer head may be on its way.
+    { title: "a chunk that isn't there", damage: withChunk, exitCode: 4 },
     {
-      title: "a chunk that isn't there",
-      damage: (head) =>
-        JSON.stringify({
-          ...head,
-          revision: head.revision + 1,
-          configRevision: head.revision + 1,
-          changeId: "damaged",
-          chunks: [{ digest: "0".repeat(64), bytes: 1 }],
-        }),
+      title: "a chunk with another digest",
+      chunk: '{"kind":"teams"}',
+      damage: withChunk,
+      exitCode: 2,
     },
-  ])("in the store leaves the configuration as it is: $title", async ({ damage }) => {
+  ])("in the store changes nothing and is told: $title", async ({ chunk, damage, exitCode }) => {
     const [entry] = system.entries;
     const sound = await readHead();
     const linesBefore = entry!.program.lines.length;
-    await writeHead(damage(JSON.parse(sound) as schema.head.Head));
+    if (chunk !== undefined) await writeValue(schema.storeKeys.chunkKey(UNKNOWN_DIGEST), chunk);
+    await writeValue(schema.storeKeys.HEAD, damage(JSON.parse(sound) as schema.head.Head));
     await testing.waitFor.waitFor(
       "a log line about the store's value",
       () => entry!.program.lines.slice(linesBefore).some((line) => / WARN | ERROR /.test(line)),
     );
-    expect(entry!.program.running).toBe(true);
-    await writeHead(sound);
+    const { code, output } = await system.command(["get"]);
+    await writeValue(schema.storeKeys.HEAD, sound);
+    expect(code, output).toBe(exitCode);
+    expect(output).toMatch(/^[A-Za-z]+Error: /);
+    expect(output).not.toContain("    at ");
     await system.waitUntilFresh();
+    const args = ["key", "grant", `key-${linesBefore}`, "--team", TEAM, "--wait"];
+    const granted = await system.command(args);
+    expect(granted.code, granted.output).toBe(0);
   });
 
+  /** The head with one more revision and a chunk that nobody has written. */
+  function withChunk(head: schema.head.Head): string {
+    const revision = head.revision + 1;
+    const chunks = [{ digest: UNKNOWN_DIGEST, bytes: 1 }];
+    return JSON.stringify({
+      ...head,
+      revision,
+      configRevision: revision,
+      changeId: "damaged",
+      chunks,
+    });
+  }
+
   async function callStore(path: string, body: object): Promise<unknown> {
     const answer = await fetch(`${system.platformUrl}${path}`, {
       method: "POST",
@@ -215,7 +238,7 @@
     return atob(kvs[0]!.value);
   }
 
-  async function writeHead(value: string): Promise<void> {
-    await callStore("/v3/kv/put", { key: btoa(schema.storeKeys.HEAD), value: btoa(value) });
+  async function writeValue(key: string, value: string): Promise<void> {
+    await callStore("/v3/kv/put", { key: btoa(key), value: btoa(value) });
   }
 });
