Tell only of the warnings that an edit brings

key, drain and wave commands printed every standing warning of the configuration after each change: six lines in the quickstart for a withdrawn key, and more the larger the fleet. apply still prints all of them. Seen to fail: without the filter the new case finds the standing warnings.

--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -314,6 +314,15 @@
     expect(await isDraining()).toBe(false);
   });
 
+  it("tell only of the warnings that they bring", async () => {
+    const unguarded = CONFIG.replace(/\[availabilityBudgets[^]*$/, "");
+    const applied = await runJson("apply", file("config.toml", unguarded));
+    expect(applied.json.warnings).not.toEqual([]);
+    expect((await runJson("drain", "packs-1")).json.warnings).toEqual([]);
+    const { json } = await runJson("drain", "packs-2");
+    expect(json.warnings).toMatchObject([{ message: "all its backend servers are draining" }]);
+  });
+
   it("makes racing edits of different objects all take effect", async () => {
     await run("apply", file("config.toml", CONFIG));
     const names = ["one", "two", "three", "four"];
--- a/packages/cli/src/publishing.ts
+++ b/packages/cli/src/publishing.ts
@@ -40,15 +40,17 @@
   { base, config, summary }: ChangeRequest,
 ): Promise<Result<Published, JackdawlinkError>> {
   const changes = policy.configDiff.diffConfigs(base.config, config);
-  const warnings = policy.configCheck.checkConfig(config)
-    .filter((finding) => !policy.configCheck.isError(finding));
+  const warnings = warningsOf(config);
   if (changes.length === 0) return ok({ record: base, changes, warnings });
   const author = session.settings.operator;
   return await session.configRepository.publish({ base, config, author, summary })
     .map((record) => ({ record, changes, warnings }));
 }
 
-/** Edits the newest configuration; after a conflict the edit is made again from the newer one. */
+/**
+ * Edits the newest configuration; after a conflict the edit is made again from the newer one. Tells only
+ * of the warnings that the edit brings.
+ */
 export async function publishEdit(
   session: Session,
   { summary, edit }: { summary: string; edit: ConfigEdit },
@@ -61,9 +63,21 @@
     if (config.isErr()) return err(config.error);
     const published = await publish(session, { base: base.value, config: config.value, summary });
     if (published.isOk() || !(published.error instanceof schema.errors.ConflictError)) {
-      return published;
+      return published.map((change) => withNewWarnings(change, base.value.config));
     }
     last = published.error;
   }
   return err(last ?? new schema.errors.ConflictError("Other operators publish too fast"));
 }
+
+function warningsOf(config: schema.config.Config): readonly policy.findings.Finding[] {
+  return policy.configCheck.checkConfig(config)
+    .filter((finding) => !policy.configCheck.isError(finding));
+}
+
+function withNewWarnings(published: Published, base: schema.config.Config): Published {
+  const known = new Set(warningsOf(base).map(policy.findings.describeFinding));
+  const warnings = published.warnings
+    .filter((finding) => !known.has(policy.findings.describeFinding(finding)));
+  return { ...published, warnings };
+}
