Ask for free ports of the entry's own host

An entry of a test could not listen (EADDRINUSE on 127.0.0.14) although its port was free on 127.0.0.1, where it had been asked for; seen once in idempotency_test while other tests ran on the machine. The ports are now asked for on the host that will listen. A port may still be taken between asking and listening.

--- a/packages/testing/src/free_ports.ts
+++ b/packages/testing/src/free_ports.ts
@@ -5,9 +5,14 @@
  */
 import * as net from "node:net";
 
-/** Asks the system for free ports; all are held at once, so that they differ from one another. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere));
+const DEFAULT_HOST = "127.0.0.1";
+
+/** Asks the system for free ports of a host; all are held at once, so that they differ from one another. */
+export async function freePorts(
+  count: number,
+  { host = DEFAULT_HOST }: { host?: string } = {},
+): Promise<readonly number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => listenAnywhere(host)));
   const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
   await Promise.all(servers.map(closeServer));
   return ports;
@@ -19,11 +24,11 @@
   return port!;
 }
 
-function listenAnywhere(): Promise<net.Server> {
+function listenAnywhere(host: string): Promise<net.Server> {
   return new Promise((resolve, reject) => {
     const server = net.createServer();
     server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => resolve(server));
+    server.listen(0, host, () => resolve(server));
   });
 }
 
--- a/packages/testing/src/test_system.ts
+++ b/packages/testing/src/test_system.ts
@@ -213,9 +213,9 @@
 
   async #layOutEntries(): Promise<void> {
     const { entryCount } = this.#options;
-    const ports = await freePorts(entryCount * PORTS_PER_ENTRY);
     for (let index = 0; index < entryCount; index += 1) {
-      const [callers, operators, peers] = ports.slice(index * PORTS_PER_ENTRY) as number[];
+      const host = hostOf(index);
+      const [callers, operators, peers] = await freePorts(PORTS_PER_ENTRY, { host });
       await this.#layOutEntry(index, { callers: callers!, operators: operators!, peers: peers! });
     }
   }
@@ -226,7 +226,7 @@
   ): Promise<void> {
     const { availabilityZones, entrySettings = {}, settingsOf, timing = {} } = this.#options;
     const memberId = `entry-${index + 1}`;
-    const host = `127.0.0.${FIRST_ENTRY_HOST_NUMBER + index}`;
+    const host = hostOf(index);
     const availabilityZone = availabilityZones[index % availabilityZones.length]!;
     const peerAddress = `${host}:${ports.peers}`;
     const storeAddress = await this.#routeTo(storeRoute(memberId), this.#platformAddress);
@@ -277,3 +277,7 @@
 function storeRoute(memberId: string): string {
   return `store-${memberId}`;
 }
+
+function hostOf(index: number): string {
+  return `127.0.0.${FIRST_ENTRY_HOST_NUMBER + index}`;
+}
