--- a/packages/entry/src/requests/service_runner.ts
+++ b/packages/entry/src/requests/service_runner.ts
@@ -138,7 +138,7 @@
     const orders: RoundOrders = new Map();
     for (const job of this.#waiting.candidates(nowMs, standingOf)) {
       const { request } = job;
-      if (this.#runEstimate.isTooLate({ nowMs, deadlineAtMs: request.deadlineAtMs })) {
+      if (this.#shouldMakeRoom(request.deadlineAtMs, nowMs)) {
         this.#giveUp(job, "deadlineOver");
         return true;
       }
@@ -158,6 +158,11 @@
     return false;
   }
 
+  /** A request that would come too late is refused only where its slot serves another one. */
+  #shouldMakeRoom(deadlineAtMs: number, nowMs: number): boolean {
+    return this.waiting > 1 && this.#runEstimate.isTooLate({ nowMs, deadlineAtMs });
+  }
+
   #standingOf(team: string): policy.dispatcher.TeamStanding {
     return {
       running: this.#running.ofTeam(team),
