Replay a recorded trace of each workload against stated outcomes

Purpose: proof by replay for the request path. Only links, membership, the clock and the connections to backend servers are in memory. RequestPath takes an optional `connections` for it.

Weighed: driving the dispatcher by itself (leaves out the runner), and an attempt of its own (leaves out the check before sending). Replacing the connections keeps both.

--- a/packages/entry/src/requests/mod.ts
+++ b/packages/entry/src/requests/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * as backendConnections from "./backend_connections.ts";
 export * as callerServer from "./caller_server.ts";
 export * as requestPath from "./request_path.ts";
 export * as trail from "./trail.ts";
--- a/packages/entry/src/requests/request_path.ts
+++ b/packages/entry/src/requests/request_path.ts
@@ -39,6 +39,8 @@
   readonly registry: promClient.Registry;
   /** Seeds the choice between equal backend servers. */
   readonly seed: number;
+  /** Where connections to backend servers come from, for replays in simulated time. */
+  readonly connections?: BackendConnections;
 }
 
 /** One request with the caller's side of its connection. */
@@ -53,7 +55,7 @@
 export class RequestPath {
   readonly #options: RequestPathOptions;
   readonly #runners = new Map<string, ServiceRunner>();
-  readonly #connections = new BackendConnections();
+  readonly #connections: BackendConnections;
   readonly #bodies = new BodyReader();
   readonly #trail: trail.Trail;
   readonly #metrics: RequestMetrics;
@@ -65,6 +67,7 @@
 
   constructor(options: RequestPathOptions) {
     this.#options = options;
+    this.#connections = options.connections ?? new BackendConnections();
     this.#trail = new trail.Trail(options);
     this.#metrics = new RequestMetrics(options.registry);
     this.#random = xoroshiro128plus(options.seed);
--- /dev/null
+++ b/packages/testing/src/replay/outcomes.ts
@@ -0,0 +1,154 @@
+/**
+ * The stated outcomes of a replay. Each returns the breaches that it found.
+ *
+ * @module
+ */
+import type * as replayRecord from "./replay_record.ts";
+import * as shares from "./shares.ts";
+
+/** Urgent requests start within this time. */
+export const URGENT_START_MS = 4_300;
+/** A changed configuration is in force everywhere within this time. */
+export const IN_FORCE_MS = 4_000;
+/** A withdrawn key is refused everywhere within this time. */
+export const KEY_REFUSED_MS = 2_000;
+/** The largest distance of a full team from its share. */
+export const SHARE_TOLERANCE = 0.03;
+
+type ReplayRecord = replayRecord.ReplayRecord;
+type Outcome = (record: ReplayRecord) => readonly string[];
+
+/** By name; an empty list of breaches means that the outcome holds. */
+export const OUTCOMES: Readonly<Record<string, Outcome>> = {
+  "every request ends exactly once": endsOnce,
+  "what callers are told is true": toldTruth,
+  "no team runs more than its limit": withinLimits,
+  "no backend server runs more than its slots": withinSlots,
+  "urgent requests start in time": urgentInTime,
+  "background requests finish or are refused before they run": backgroundKept,
+  "full teams are near their shares": nearShares,
+  "a leaving backend server gets nothing new": nothingForLeaving,
+  "a withdrawn key gets nothing new": nothingForWithdrawn,
+};
+
+function endsOnce({ requests, trace }: ReplayRecord): readonly string[] {
+  const breaches = requests.filter(({ told }) => told.length !== 1)
+    .map(({ requestId, told }) => `${requestId} ended ${told.length} times`);
+  if (requests.length !== trace.arrivals.length) breaches.push("some arrivals were not replayed");
+  return breaches;
+}
+
+function toldTruth(record: ReplayRecord): readonly string[] {
+  const runs = runsByRequest(record);
+  return record.requests.flatMap(({ requestId, told, arrival }) => {
+    const count = runs.get(requestId)?.length ?? 0;
+    const outcome = told[0]?.outcome;
+    if (outcome === "not-run" && count > 0) return [`${requestId} ran and was told not to have`];
+    if (outcome === "answered" && count === 0) return [`${requestId} was answered without a run`];
+    if (!arrival.isRepeatable && count > 1) return [`${requestId} ran ${count} times`];
+    return [];
+  });
+}
+
+function withinLimits({ config, runs, trace }: ReplayRecord): readonly string[] {
+  const changes = trace.events.filter((event) => event.type === "limitChanged");
+  return Object.entries(config.limits).flatMap(([name, { team, maxRunningRequests }]) => {
+    const steps = [{ atMs: 0, limit: maxRunningRequests ?? 0 }];
+    for (const { limit, atMs, maxRunningRequests: changed } of changes) {
+      if (limit === name) steps.push({ atMs, limit: changed });
+    }
+    const limitAt = (atMs: number) => {
+      const inForce = steps.findLastIndex((step) => step.atMs + IN_FORCE_MS <= atMs);
+      const recent = steps.filter((step, index) => index >= inForce && step.atMs <= atMs);
+      return Math.max(...recent.map(({ limit }) => limit));
+    };
+    return exceeded(runs.filter((run) => run.team === team), limitAt)
+      .map((atMs) => `${team} was above its limit at ${atMs} ms`);
+  });
+}
+
+function withinSlots({ config, runs }: ReplayRecord): readonly string[] {
+  return Object.entries(config.backendServers).flatMap(([name, { slots }]) =>
+    exceeded(runs.filter(({ backendServer }) => backendServer === name), () => slots)
+      .map((atMs) => `${name} was above its slots at ${atMs} ms`)
+  );
+}
+
+/** The starts that exceed a bound. */
+function exceeded(
+  runs: readonly replayRecord.Run[],
+  boundAt: (atMs: number) => number,
+): readonly number[] {
+  return runs.map(({ startMs }) => startMs).filter((atMs) =>
+    runs.filter((run) => run.startMs <= atMs && atMs < run.endMs).length > boundAt(atMs)
+  );
+}
+
+/** The delays from arrival to first run of urgent requests; those never started have none. */
+export function urgentDelays(record: ReplayRecord): readonly number[] {
+  const runs = runsByRequest(record);
+  return record.requests.flatMap(({ requestId, arrival }) => {
+    const first = runs.get(requestId)?.[0];
+    if (arrival.urgency !== "urgent" || first === undefined) return [];
+    return [first.startMs - arrival.atMs];
+  });
+}
+
+/** Only the loss of an entry or a withdrawn key excuses a request that never started. */
+function urgentInTime(record: ReplayRecord): readonly string[] {
+  const runs = runsByRequest(record);
+  return record.requests.flatMap(({ requestId, arrival, told }) => {
+    if (arrival.urgency !== "urgent") return [];
+    const start = runs.get(requestId)?.[0];
+    if (start === undefined) {
+      const [end] = told;
+      const excused = end?.outcome === "connection lost" || end?.reason === "keyRefused";
+      return excused ? [] : [`${requestId} never started: ${end?.reason}`];
+    }
+    const delayMs = start.startMs - arrival.atMs;
+    return delayMs > URGENT_START_MS ? [`${requestId} started after ${delayMs} ms`] : [];
+  });
+}
+
+function backgroundKept(record: ReplayRecord): readonly string[] {
+  return record.requests.flatMap(({ requestId, arrival, told }) => {
+    if (arrival.urgency !== "background") return [];
+    const [end] = told;
+    const kept = end !== undefined && end.outcome !== "unknown";
+    return kept ? [] : [`${requestId} ended as ${end?.outcome}`];
+  });
+}
+
+function nearShares(record: ReplayRecord): readonly string[] {
+  return shares.distances(record)
+    .filter(({ distance }) => Math.abs(distance) > SHARE_TOLERANCE)
+    .map(({ team, service, startMs, distance }) =>
+      `${team} at ${service} from ${startMs} ms was off by ${(distance * 100).toFixed(1)}%`
+    );
+}
+
+function nothingForLeaving({ trace, runs }: ReplayRecord): readonly string[] {
+  return trace.events.filter((event) => event.type === "backendServerLeaving").flatMap((event) =>
+    runs.filter((run) =>
+      run.backendServer === event.backendServer && run.startMs > event.atMs + IN_FORCE_MS
+    ).map((run) => `${run.requestId} started at ${event.backendServer} at ${run.startMs} ms`)
+  );
+}
+
+function nothingForWithdrawn({ trace, runs, config }: ReplayRecord): readonly string[] {
+  return trace.events.filter((event) => event.type === "keyWithdrawn").flatMap((event) =>
+    runs.filter((run) =>
+      run.team === config.keys[event.key]!.team && run.startMs > event.atMs + KEY_REFUSED_MS
+    ).map((run) => `${run.requestId} started with ${event.key} at ${run.startMs} ms`)
+  );
+}
+
+function runsByRequest({ runs }: ReplayRecord): Map<string, replayRecord.Run[]> {
+  const byRequest = new Map<string, replayRecord.Run[]>();
+  for (const run of runs) {
+    const list = byRequest.get(run.requestId) ?? [];
+    list.push(run);
+    byRequest.set(run.requestId, list);
+  }
+  return byRequest;
+}
