Start urgent requests before the older backlog of their own team

Cause: a team's line ordered requests by arrival plus an offset, -4 s for urgent ones. Once others of the team had waited for more than 4 s, which queues allow for 5 to 120 s, urgent ones went behind them, by up to the wait of the oldest less 4 s. Now urgent ones go first; one start in four of a team is kept for the earliest place.

--- a/packages/policy/src/requests/dispatcher.ts
+++ b/packages/policy/src/requests/dispatcher.ts
@@ -115,6 +115,7 @@
     this.#virtualTime = Math.max(this.#virtualTime, state.virtualTime);
     state.virtualTime += 1 / weight;
     state.servedAtMs = nowMs;
+    state.line.started(request);
     this.remove(requestId);
   }
 
--- a/packages/policy/src/requests/line.ts
+++ b/packages/policy/src/requests/line.ts
@@ -23,9 +23,14 @@
   background: 3_000,
 };
 
+/** Of so many starts of a team, one follows the order of places even where urgent requests wait. */
+export const PLACED_START_INTERVAL = 4;
+
 /**
- * The requests of one team. Each is ordered by its arrival plus the offset of its urgency, so that
- * urgent requests go first and yet no request is passed by later ones for longer than the offsets span.
+ * The requests of one team. Each has a place: its arrival plus the offset of its urgency. Urgent
+ * requests go before places that are earlier, as other requests may wait for much longer than the
+ * offsets span; one start in {@link PLACED_START_INTERVAL} is kept for the earliest place, so that no
+ * request is passed without end.
  */
 export class TeamLine {
   readonly #lines: Record<config.Urgency, WaitingRequest[]> = {
@@ -33,6 +38,8 @@
     normal: [],
     background: [],
   };
+  /** Starts of urgent requests since the earliest place was last served. */
+  #urgentPasses = 0;
 
   get length(): number {
     return this.#lines.urgent.length + this.#lines.normal.length + this.#lines.background.length;
@@ -59,6 +66,18 @@
 
   /** The request that is to start next. */
   head(): WaitingRequest | undefined {
+    const placed = this.#earliestPlace();
+    if (this.#urgentPasses >= PLACED_START_INTERVAL - 1) return placed;
+    return this.urgentHead() ?? placed;
+  }
+
+  /** Notes that a request starts; it is still to be removed. */
+  started(request: WaitingRequest): void {
+    const isPlaced = request === this.#earliestPlace();
+    this.#urgentPasses = isPlaced ? 0 : this.#urgentPasses + 1;
+  }
+
+  #earliestPlace(): WaitingRequest | undefined {
     let first: WaitingRequest | undefined;
     for (const line of Object.values(this.#lines)) {
       const candidate = line[0];
