--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+
+// Internal: for tests, stand-ins and experiments only.
 export * as callerSide from "./caller_side.ts";
 export * as entry from "./entry.ts";
 export * as httpListener from "./http_listener.ts";
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+
+// Public: other packages use these.
 export * as acceptance from "./membership/acceptance.ts";
-export * as canonicalJson from "./canonical_json.ts";
 export * as claimIds from "./claims/ids.ts";
 export * as claimShard from "./claims/shard.ts";
 export * as configAssembler from "./config_assembler.ts";
@@ -17,14 +18,17 @@
 export * as fleet from "./fleet/mod.ts";
 export * as freshness from "./membership/freshness.ts";
 export * as headChanges from "./membership/head_changes.ts";
-export * as maxMin from "./sharing/max_min.ts";
 export * as memberState from "./membership/member_state.ts";
 export * as membership from "./membership/membership.ts";
-export * as permitCoordinator from "./permits/coordinator.ts";
 export * as permitCoordinators from "./permits/coordinator_set.ts";
-export * as permitGroupPlan from "./permits/group_plan.ts";
 export * as permitGroups from "./permits/groups.ts";
 export * as permits from "./permits/member.ts";
 export * as rendezvous from "./rendezvous.ts";
 export * as requests from "./requests/mod.ts";
+
+// Internal: for tests, stand-ins and experiments only.
+export * as canonicalJson from "./canonical_json.ts";
+export * as maxMin from "./sharing/max_min.ts";
+export * as permitCoordinator from "./permits/coordinator.ts";
+export * as permitGroupPlan from "./permits/group_plan.ts";
 export * as teamTargets from "./sharing/targets.ts";
--- a/packages/ports/src/mod.ts
+++ b/packages/ports/src/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+
+// Public: other packages use these.
 export type * as claims from "./claims.ts";
 export type * as clock from "./clock.ts";
 export type * as log from "./log.ts";
--- a/packages/schema/src/mod.ts
+++ b/packages/schema/src/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+
+// Public: other packages use these.
 export * as claims from "./claims.ts";
 export * as config from "./config.ts";
 export * as errors from "./errors.ts";
--- a/packages/steward/src/mod.ts
+++ b/packages/steward/src/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+
+// Internal: for tests, stand-ins and experiments only.
 export * as callerHttp from "./caller_http.ts";
 export * as decisionLog from "./decision_log.ts";
 export * as fleetState from "./fleet_state.ts";
