--- a/packages/adapters/src/mod.ts
+++ b/packages/adapters/src/mod.ts
@@ -15,6 +15,7 @@
 export * as peerTls from "./peer_tls.ts";
 export * as platformClient from "./platform_client.ts";
 export * as platformStore from "./platform_store.ts";
+export * as runtimeFlags from "./runtime_flags.ts";
 export * as settings from "./settings.ts";
 
 // Internal: for tests, stand-ins and experiments only.
