Let entries follow the draining VMs that stewards mark

Stewards wrote the list of draining VMs with each budget token, but no entry read it, so a VM of a wave got new requests until it refused them itself.

Each poll of the head now reads the list too, limited to a newer modification revision: one small read for each entry and poll, whatever the number of VMs. A watch was left out: it counts as a call, and the settle time covers the poll. Moving the head instead was ruled out (docs/FLEET.md, "Ways considered"). A poll counts for freshness only if both reads were answered. Heartbeats name the revision held, and an entry whose own read is older than 1.5 polls asks the peer that names a newer one. docs/FLEET.md states why markSettleMs covers fresh entries. A steward whose round fails starts the wait anew.

--- a/packages/adapters/src/draining_list.ts
+++ b/packages/adapters/src/draining_list.ts
@@ -4,19 +4,22 @@
  *
  * @module
  */
-import type { ResultAsync } from "neverthrow";
+import { ok, type ResultAsync } from "neverthrow";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 
-/** Reads the names of the VMs that are marked as draining. */
-export function readDrainingVms(
+/** The list if it was changed after the store revision `modRevision`, else null; such an answer is small. */
+export function readNewerDrainingVms(
   store: ports.store.Store,
-): ResultAsync<ReadonlySet<string>, schema.errors.JackdawlinkError> {
-  return store.get(schema.storeKeys.DRAINING).andThen((stored) => {
-    const record = stored ?? { key: schema.storeKeys.DRAINING, value: EMPTY_RECORD };
-    return schema.fleet.parseRecord(schema.fleet.drainingRecordSchema, record)
-      .map(({ operations }) => new Set(Object.keys(operations)));
+  modRevision: number,
+): ResultAsync<ports.members.DrainingVms | null, schema.errors.JackdawlinkError> {
+  const { DRAINING } = schema.storeKeys;
+  return store.get(DRAINING, { minModRevision: modRevision + 1 }).andThen((stored) => {
+    if (stored === null) return ok(null);
+    return schema.fleet.parseRecord(schema.fleet.drainingRecordSchema, stored)
+      .map(({ operations }) => ({
+        modRevision: stored.modRevision,
+        vms: new Set(Object.keys(operations)),
+      }));
   });
 }
-
-const EMPTY_RECORD = JSON.stringify({ operations: {} });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -21,6 +21,7 @@
   readonly store: ports.store.Store;
   readonly links: ports.peers.PeerLinks;
   readonly snapshots: ports.members.SnapshotSource;
+  readonly drainingVms: ports.members.DrainingVmSource;
   readonly membership: ports.members.Membership;
   readonly registry: prometheus.Registry;
   readonly log: (part: string) => ports.log.Log;
@@ -182,6 +183,7 @@
       store: this.#store,
       links: listeners.links,
       snapshots: member.snapshots,
+      drainingVms: member.drainingVms,
       membership: member.membership,
       registry: listeners.metrics.registry,
       log: (part) => this.#logs.part(part),
--- /dev/null
+++ b/packages/entry/src/membership/draining_vm_manager.ts
@@ -0,0 +1,91 @@
+/**
+ * Holds the list of draining VMs. It is read from the store with each poll of the head; a process whose
+ * own reads fail takes it from a peer whose heartbeat names a newer one.
+ *
+ * @module
+ */
+import * as adapters from "@jackdawlink/adapters";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+
+/** What a {@link DrainingVmManager} is made of. */
+export interface DrainingVmManagerOptions {
+  readonly store: ports.store.Store;
+  readonly links: ports.peers.PeerLinks;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly headPollMs: number;
+}
+
+/** Peers are asked once the own read is older than this many polls; until then the poll is enough. */
+const POLLS_BEFORE_ASKING = 1.5;
+
+/** Follows the list of draining VMs; moves only to a higher store revision. */
+export class DrainingVmManager implements ports.members.DrainingVmSource {
+  readonly #options: DrainingVmManagerOptions;
+  readonly #callbacks: ((draining: ports.members.DrainingVms) => void)[] = [];
+  #draining: ports.members.DrainingVms = { modRevision: 0, vms: new Set() };
+  #readAtMs = -Infinity;
+
+  constructor(options: DrainingVmManagerOptions) {
+    this.#options = options;
+    options.links.on("drainingVmsRequest", (request, { memberId }) => {
+      this.#answer(request, memberId);
+    });
+    options.links.on("drainingVms", ({ modRevision, vms }) => {
+      this.#adopt({ modRevision, vms: new Set(vms) }, "peer");
+    });
+  }
+
+  current(): ports.members.DrainingVms {
+    return this.#draining;
+  }
+
+  onChange(callback: (draining: ports.members.DrainingVms) => void): void {
+    this.#callbacks.push(callback);
+  }
+
+  /** Reads the store; false where it could not be read, so that the poll does not count as a read. */
+  async read(): Promise<boolean> {
+    const { store, clock, log } = this.#options;
+    const startedAtMs = clock.nowMs();
+    const { modRevision } = this.#draining;
+    const read = await adapters.drainingList.readNewerDrainingVms(store, modRevision);
+    if (read.isErr()) {
+      log.warn("Draining VMs not read", { kept: modRevision, reason: read.error.message });
+      return !(read.error instanceof schema.errors.StoreUnavailableError);
+    }
+    this.#readAtMs = startedAtMs;
+    if (read.value !== null) this.#adopt(read.value, "store");
+    return true;
+  }
+
+  /** Takes in the revision that a peer's heartbeat names. */
+  heard(memberId: string, modRevision: number): void {
+    const { clock, headPollMs, links } = this.#options;
+    const readAgeMs = clock.nowMs() - this.#readAtMs;
+    const isBehind = modRevision > this.#draining.modRevision;
+    if (isBehind && readAgeMs > headPollMs * POLLS_BEFORE_ASKING) {
+      const request = { modRevision: this.#draining.modRevision };
+      links.send(memberId, { type: "drainingVmsRequest", ...request });
+    }
+  }
+
+  #answer(request: schema.peer.DrainingVmsRequest, memberId: string): void {
+    const { modRevision, vms } = this.#draining;
+    if (modRevision > request.modRevision) {
+      this.#options.links.send(memberId, { type: "drainingVms", modRevision, vms: [...vms] });
+    }
+  }
+
+  #adopt(draining: ports.members.DrainingVms, source: "store" | "peer"): void {
+    if (draining.modRevision <= this.#draining.modRevision) return;
+    this.#draining = draining;
+    this.#options.log.info("Draining VMs taken over", {
+      modRevision: draining.modRevision,
+      vms: [...draining.vms].join(" "),
+      source,
+    });
+    this.#callbacks.forEach((callback) => callback(draining));
+  }
+}
--- a/packages/entry/src/membership/member.ts
+++ b/packages/entry/src/membership/member.ts
@@ -8,6 +8,7 @@
 import type * as ports from "@jackdawlink/ports";
 import * as policy from "@jackdawlink/policy";
 import type * as schema from "@jackdawlink/schema";
+import { DrainingVmManager } from "./draining_vm_manager.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
 import { MembershipManager } from "./membership_manager.ts";
 import { SnapshotManager } from "./snapshot_manager.ts";
@@ -27,6 +28,7 @@
 /** The parts that keep this process in the member list and follow the head. */
 export interface Member {
   readonly snapshots: SnapshotManager;
+  readonly drainingVms: DrainingVmManager;
   readonly membership: MembershipManager;
   readonly leaseKeeper: LeaseKeeper;
 }
@@ -46,6 +48,13 @@
     peerAddress: options.peerAddress,
     operatorAddress: options.operatorAddress,
   };
+  const drainingVms = new DrainingVmManager({
+    store,
+    links,
+    clock,
+    log: log("draining"),
+    headPollMs: timing.headPollMs,
+  });
   const snapshots = new SnapshotManager({
     store,
     headRepository,
@@ -55,6 +64,7 @@
     log: log("snapshot"),
     headPollMs: timing.headPollMs,
     needsAliveKeys: () => membership.needsAliveKeys(),
+    readDrainingVms: () => drainingVms.read(),
     onRead: (read) => membership.recordRead(read),
   });
   const leaseKeeper = new LeaseKeeper({
@@ -74,11 +84,12 @@
       rules: policy.memberState.rulesOf(timing),
     }),
     snapshots,
+    drainingVms,
     headRepository,
     leaseKeeper,
     links,
     clock,
     log: log("members"),
   });
-  return { snapshots, membership, leaseKeeper };
+  return { snapshots, drainingVms, membership, leaseKeeper };
 }
--- a/packages/entry/src/membership/membership_manager.ts
+++ b/packages/entry/src/membership/membership_manager.ts
@@ -8,6 +8,7 @@
 import type * as ports from "@jackdawlink/ports";
 import * as policy from "@jackdawlink/policy";
 import * as schema from "@jackdawlink/schema";
+import type { DrainingVmManager } from "./draining_vm_manager.ts";
 import type { LeaseKeeper } from "./lease_keeper.ts";
 import { MessageGate } from "./message_gate.ts";
 import type { SnapshotManager } from "./snapshot_manager.ts";
@@ -19,6 +20,7 @@
   readonly timing: schema.settings.TimingSettings;
   readonly state: policy.memberState.MemberState;
   readonly snapshots: SnapshotManager;
+  readonly drainingVms: DrainingVmManager;
   readonly headRepository: adapters.headRepository.HeadRepository;
   readonly leaseKeeper: LeaseKeeper;
   readonly links: adapters.peerLinks.PeerLinkMesh;
@@ -170,10 +172,12 @@
   }
 
   #sendHeartbeats(): void {
-    const { links, state, clock } = this.#options;
+    const { links, state, clock, drainingVms } = this.#options;
+    const drainingVmsRevision = drainingVms.current().modRevision;
     const now = { nowMs: clock.nowMs(), draining: this.#draining };
     for (const memberId of links.linkedMemberIds()) {
-      links.send(memberId, state.heartbeatFor(memberId, now));
+      const heartbeat = state.heartbeatFor(memberId, now);
+      links.send(memberId, { ...heartbeat, drainingVmsRevision });
     }
   }
 
@@ -181,12 +185,13 @@
     if (heartbeat.incarnation !== sender.incarnation) {
       return;
     }
-    const { state, snapshots, clock } = this.#options;
+    const { state, snapshots, drainingVms, clock } = this.#options;
     const from = { memberId: sender.memberId, nowMs: clock.nowMs() };
     const { hasHigherRevision, hasMoved } = state.receiveHeartbeat(heartbeat, from);
     if (hasHigherRevision) {
       snapshots.askPeer(sender.memberId);
     }
+    drainingVms.heard(sender.memberId, heartbeat.drainingVmsRevision ?? 0);
     if (hasMoved) {
       this.#consider();
     }
--- a/packages/entry/src/membership/snapshot_manager.ts
+++ b/packages/entry/src/membership/snapshot_manager.ts
@@ -23,6 +23,8 @@
   readonly random?: () => number;
   /** Whether the next poll should also read the lease keys of the members. */
   readonly needsAliveKeys: () => boolean;
+  /** Reads the list of draining VMs too; false where the store could not be read. */
+  readonly readDrainingVms: () => Promise<boolean>;
   readonly onRead: (read: policy.memberState.StoreRead) => void;
 }
 
@@ -116,8 +118,11 @@
     this.#isPolling = true;
     this.#isHinted = false;
     const startedAtMs = this.#options.clock.nowMs();
-    const head = await this.#readHead();
-    if (head !== null) {
+    const [head, hasDrainingVms] = await Promise.all([
+      this.#readHead(),
+      this.#options.readDrainingVms(),
+    ]);
+    if (head !== null && hasDrainingVms) {
       const aliveIncarnations = await this.#readAliveKeys();
       this.#options.onRead({ startedAtMs, revision: head.revision, aliveIncarnations });
     }
--- a/packages/entry/src/requests/request_index.ts
+++ b/packages/entry/src/requests/request_index.ts
@@ -42,26 +42,28 @@
   readonly team: string;
 }
 
-/** Built once for each configuration. */
+/** Built once for each configuration and list of draining VMs. */
 export class RequestIndex {
   readonly #config: config.Config;
+  readonly #drainingVms: ReadonlySet<string>;
   readonly #services = new Map<string, IndexedService>();
   readonly #queues = new Map<string, IndexedQueue>();
   readonly #keysByPrefix = new Map<string, IndexedKey[]>();
   readonly #weights = new Map<string, number>();
   readonly #limitedTeams = new Set<string>();
 
-  constructor(configuration: config.Config) {
+  constructor(configuration: config.Config, drainingVms: ReadonlySet<string>) {
     this.#config = configuration;
+    this.#drainingVms = drainingVms;
     this.#indexServices();
     this.#indexQueues();
     this.#indexKeys();
     this.#indexTeams();
   }
 
-  /** True where this index was built for the given configuration object. */
-  isOf(configuration: config.Config): boolean {
-    return this.#config === configuration;
+  /** True where this index was built for the given objects. */
+  isOf(configuration: config.Config, drainingVms: ReadonlySet<string>): boolean {
+    return this.#config === configuration && this.#drainingVms === drainingVms;
   }
 
   queue(name: string): IndexedQueue | undefined {
@@ -74,7 +76,8 @@
 
   /** Whether a backend server gets no new requests; one that is no longer named counts as well. */
   isDraining(backendServer: string): boolean {
-    return this.#config.backendServers[backendServer]?.draining ?? true;
+    const found = this.#config.backendServers[backendServer];
+    return found === undefined || this.#drains(found);
   }
 
   /** The team of the key with this SHA-256 digest; undefined where it is unknown or withdrawn. */
@@ -107,11 +110,16 @@
     return this.#weights.get(weightKey(pool, team)) ?? 1;
   }
 
+  /** An operator drains a backend server; a steward drains its whole VM. */
+  #drains(backendServer: config.BackendServer): boolean {
+    return backendServer.draining || this.#drainingVms.has(backendServer.vm);
+  }
+
   #indexServices(): void {
     const byService = new Map<string, NamedBackendServer[]>();
     for (const [name, backendServer] of Object.entries(this.#config.backendServers)) {
       const list = byService.get(backendServer.service) ?? [];
-      list.push({ ...backendServer, name });
+      list.push({ ...backendServer, name, draining: this.#drains(backendServer) });
       byService.set(backendServer.service, list);
     }
     for (const [name, service] of Object.entries(this.#config.services)) {
--- a/packages/entry/src/requests/request_path.ts
+++ b/packages/entry/src/requests/request_path.ts
@@ -36,6 +36,7 @@
   readonly claims: ports.claims.Claims;
   readonly membership: ports.members.Membership;
   readonly snapshots: ports.members.SnapshotSource;
+  readonly drainingVms: ports.members.DrainingVmSource;
   readonly registry: promClient.Registry;
   /** Seeds the choice between equal backend servers. */
   readonly seed: number;
@@ -68,8 +69,9 @@
     this.#trail = new trail.Trail(options);
     this.#metrics = new RequestMetrics(options.registry);
     this.#random = xoroshiro128plus(options.seed);
-    this.#index = new requestIndex.RequestIndex(options.snapshots.current().config);
-    options.snapshots.onChange((snapshot) => this.#onSnapshot(snapshot));
+    this.#index = this.#makeIndex();
+    options.snapshots.onChange(() => this.#followIndex());
+    options.drainingVms.onChange(() => this.#followIndex());
     options.permits.setDemandSource(() => this.#demand());
     options.permits.onGranted(() => this.#pumpAll());
     this.#tick();
@@ -222,10 +224,17 @@
     return runner;
   }
 
-  #onSnapshot(snapshot: ports.members.Snapshot): void {
-    if (this.#index.isOf(snapshot.config)) return;
-    this.#index = new requestIndex.RequestIndex(snapshot.config);
-    this.#connections.retain(new Set(Object.keys(snapshot.config.backendServers)));
+  #makeIndex(): requestIndex.RequestIndex {
+    const { snapshots, drainingVms } = this.#options;
+    return new requestIndex.RequestIndex(snapshots.current().config, drainingVms.current().vms);
+  }
+
+  #followIndex(): void {
+    const { snapshots, drainingVms } = this.#options;
+    const { config } = snapshots.current();
+    if (this.#index.isOf(config, drainingVms.current().vms)) return;
+    this.#index = this.#makeIndex();
+    this.#connections.retain(new Set(Object.keys(config.backendServers)));
     for (const runner of this.#runners.values()) runner.onConfigChange();
   }
 
--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -140,6 +140,25 @@
   }
 }
 
+/** The draining VMs that the test names. */
+export class FakeDrainingVms implements ports.members.DrainingVmSource {
+  #draining: ports.members.DrainingVms = { modRevision: 0, vms: new Set() };
+  readonly #callbacks: ((draining: ports.members.DrainingVms) => void)[] = [];
+
+  current(): ports.members.DrainingVms {
+    return this.#draining;
+  }
+
+  onChange(callback: (draining: ports.members.DrainingVms) => void): void {
+    this.#callbacks.push(callback);
+  }
+
+  mark(vms: readonly string[]): void {
+    this.#draining = { modRevision: this.#draining.modRevision + 1, vms: new Set(vms) };
+    for (const callback of this.#callbacks) callback(this.#draining);
+  }
+}
+
 /** The secret of the one key. */
 export const SECRET = "secret-of-billing";
 
@@ -192,6 +211,7 @@
   readonly claims = new FakeClaims();
   readonly membership = new FakeMembership();
   readonly snapshots: FakeSnapshots;
+  readonly drainingVms = new FakeDrainingVms();
   readonly registry = new promClient.Registry();
   readonly lines: LogLine[] = [];
   readonly path: requests.requestPath.RequestPath;
@@ -214,6 +234,7 @@
       claims: this.claims,
       membership: this.membership,
       snapshots: this.snapshots,
+      drainingVms: this.drainingVms,
       registry: this.registry,
       seed: 1,
     });
--- a/packages/entry/test/request_path_test.ts
+++ b/packages/entry/test/request_path_test.ts
@@ -170,6 +170,13 @@
       status: 503,
       type: "waitedTooLong",
     },
+    {
+      name: "a backend server on a draining VM alone",
+      options: { queue: { maxWaitMs: 100 } },
+      prepare: ({ drainingVms }) => drainingVms.mark(["vm-a"]),
+      status: 503,
+      type: "waitedTooLong",
+    },
     {
       name: "a claim that is unavailable",
       headers: { "idempotency-key": uuid.v7() },
--- a/packages/ports/src/members.ts
+++ b/packages/ports/src/members.ts
@@ -31,3 +31,17 @@
   /** The fences that still make permits count as in use, with this process's time of their acceptance. */
   acceptedFenceAtMs(incarnation: string): number | null;
 }
+
+/** The VMs that get nothing new, as of the store revision `modRevision`; zero before the first read. */
+export interface DrainingVms {
+  readonly modRevision: number;
+  readonly vms: ReadonlySet<string>;
+}
+
+/** Follows the list of draining VMs. */
+export interface DrainingVmSource {
+  /** The newest list held. */
+  current(): DrainingVms;
+  /** Calls back after each move to a newer list. */
+  onChange(callback: (draining: DrainingVms) => void): void;
+}
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -33,6 +33,21 @@
   /** Listed members that the sender has not heard within its suspicion time. */
   unheardMemberIds: v.array(nameSchema),
   draining: v.boolean(),
+  /** The store revision of the list of draining VMs that the sender holds. */
+  drainingVmsRevision: v.optional(countSchema),
+});
+
+/** Asks a peer for the list of draining VMs where it holds a newer one. */
+export const drainingVmsRequestSchema = v.object({
+  type: v.literal("drainingVmsRequest"),
+  modRevision: countSchema,
+});
+
+/** The VMs that get nothing new, as of a store revision. */
+export const drainingVmsSchema = v.object({
+  type: v.literal("drainingVms"),
+  modRevision: countSchema,
+  vms: v.array(nameSchema),
 });
 
 /** Asks a peer with a higher revision for the head and the configuration chunks not yet held. */
@@ -190,6 +205,8 @@
   heartbeatSchema,
   catchUpRequestSchema,
   catchUpAnswerSchema,
+  drainingVmsRequestSchema,
+  drainingVmsSchema,
   permitReportRequestSchema,
   permitReportSchema,
   permitGrantSchema,
@@ -206,6 +223,8 @@
 export type Heartbeat = v.InferOutput<typeof heartbeatSchema>;
 export type CatchUpRequest = v.InferOutput<typeof catchUpRequestSchema>;
 export type CatchUpAnswer = v.InferOutput<typeof catchUpAnswerSchema>;
+export type DrainingVmsRequest = v.InferOutput<typeof drainingVmsRequestSchema>;
+export type DrainingVmsMessage = v.InferOutput<typeof drainingVmsSchema>;
 export type PermitReportRequest = v.InferOutput<typeof permitReportRequestSchema>;
 export type PermitReport = v.InferOutput<typeof permitReportSchema>;
 export type PermitGrant = v.InferOutput<typeof permitGrantSchema>;
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -113,6 +113,7 @@
     const round = await this.#startRound();
     if (round.isErr()) {
       this.#round = undefined;
+      this.vms.restartSettling();
       this.decisions.add("Round put off", ["steward"], { reason: round.error.message });
       return err(round.error);
     }
--- a/packages/steward/src/vm_manager.ts
+++ b/packages/steward/src/vm_manager.ts
@@ -84,6 +84,11 @@
     });
   }
 
+  /** Entries may have lost the store with this steward, so marks need their whole time again. */
+  restartSettling(): void {
+    this.#phaseSeenAtMs.clear();
+  }
+
   /** Ends the drain that an operator asked for. */
   release(vm: string): Outcome<boolean> {
     const { state } = this.#options;
--- a/packages/testing/src/test_system.ts
+++ b/packages/testing/src/test_system.ts
@@ -12,11 +12,13 @@
 import * as toml from "smol-toml";
 import * as backendServerClient from "./backend_server_client.ts";
 import * as faultProxy from "./fault_proxy.ts";
+import type { WitnessEvent } from "./fleet_model.ts";
 import { freePorts } from "./free_ports.ts";
 import * as platformFaults from "./platform_faults.ts";
 import * as processes from "./processes.ts";
 import { waitFor } from "./wait_for.ts";
 import type * as v from "valibot";
+import type { VmSetup } from "./vm_model.ts";
 import { Witness } from "./witness.ts";
 
 /** What a command of the operators' command line printed, and how it ended. */
@@ -108,6 +110,51 @@
     });
   }
 
+  /** Gives the platform a VM for each that the configuration names. */
+  async startFleet(
+    config: schema.config.ConfigInput,
+    times: Pick<VmSetup, "drainMs" | "rebootMs"> = {},
+  ): Promise<void> {
+    const servers = Object.values(config.backendServers ?? {});
+    const vms = new Map(
+      servers.map(({ vm, availabilityZone, rack = "rack" }) =>
+        [vm, { vm, availabilityZone, rack, ...times }] as const
+      ),
+    );
+    await fetch(`${this.platformUrl}/fleet`, {
+      method: "PUT",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ vms: [...vms.values()] }),
+    });
+  }
+
+  /** Starts a steward that reaches the platform directly. */
+  async startSteward(
+    stewardId: string,
+    settings: Readonly<Record<string, unknown>> = {},
+  ): Promise<processes.ChildProgram> {
+    const file = path.join(this.directory, `${stewardId}.toml`);
+    fs.writeFileSync(
+      file,
+      toml.stringify({
+        stewardId,
+        availabilityZone: this.#options.availabilityZones[0]!,
+        operatorAddress: "127.0.0.1:0",
+        callerAddress: "127.0.0.1:0",
+        platformUrl: this.platformUrl,
+        store: { url: this.platformUrl },
+        ...settings,
+      }),
+    );
+    return await this.processes.start("jackdawlink-steward", { args: ["--settings", file] });
+  }
+
+  /** What the platform saw of its VMs. */
+  async fleetEvents(): Promise<readonly WitnessEvent[]> {
+    const answer = await fetch(`${this.platformUrl}/fleet/witness`);
+    return (await answer.json() as { events: readonly WitnessEvent[] }).events;
+  }
+
   /** Starts one stand-in for each backend server and writes its address into the configuration. */
   async startBackendServers(
     config: schema.config.ConfigInput,
