Add the commands for jobs and VMs, and test the settle time after an outage

`jackdawlink job submit|status|cancel` works as a submitter: the team's key comes from JACKDAWLINK_KEY, because a command line shows in process lists, and the job id is chosen by the client so that a repeated submission is the same job. `jackdawlink vm reboot|move|drain|release` asks the stewards of the settings. Stewards that are out of reach or without the store are passed over; a refusal is final and exits with 1.

The unit test of a steward's settle time after an outage of the store closes the gap that the process test left: with restartSettling removed it fails, with it it passes. A first form of it did not find that, because the outage began before the steward had seen the phase.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -11,8 +11,10 @@
 import { ExplainCommand } from "./commands/explain_command.ts";
 import { GetCommand } from "./commands/get_command.ts";
 import { HistoryCommand } from "./commands/history_command.ts";
+import * as jobs from "./commands/job_commands.ts";
 import { KeyGrantCommand, KeyWithdrawCommand } from "./commands/key_commands.ts";
 import { StatusCommand } from "./commands/status_command.ts";
+import * as vms from "./commands/vm_commands.ts";
 import * as waves from "./commands/wave_commands.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
@@ -34,6 +36,13 @@
   waves.WaveStartCommand,
   waves.WavePauseCommand,
   waves.WaveResumeCommand,
+  jobs.JobSubmitCommand,
+  jobs.JobStatusCommand,
+  jobs.JobCancelCommand,
+  vms.VmRebootCommand,
+  vms.VmMoveCommand,
+  vms.VmDrainCommand,
+  vms.VmReleaseCommand,
 ];
 
 /** Runs one command line and gives its exit code. */
--- a/packages/steward/src/steward_test.ts
+++ b/packages/steward/src/steward_test.ts
@@ -45,6 +45,32 @@
   });
 });
 
+describe("a marked VM", () => {
+  const SETTLE_ROUNDS = 10;
+  it("is drained only after the whole settle time since the store's outage", async () => {
+    const world = new World(NO_FAULTS);
+    const markSettleMs = SETTLE_ROUNDS * ROUND_MS;
+    const steward = world.steward(0, { ...OPTIONS, markSettleMs });
+    const runRounds = async (max: number, isDone: () => boolean) => {
+      let rounds = 0;
+      for (; rounds < max && !isDone(); rounds += 1) {
+        world.clock.advance(ROUND_MS);
+        await steward.runRound();
+      }
+      return rounds;
+    };
+    const isMarked = () => Object.keys(steward.state.draining.operations).length > 0;
+    await runRounds(MAX_ROUNDS, isMarked);
+    await runRounds(2, () => false);
+    world.isOut = true;
+    await runRounds(2 * SETTLE_ROUNDS, () => false);
+    world.isOut = false;
+    const rounds = await runRounds(MAX_ROUNDS, () => world.model.plannedOut().length > 0);
+    expect(rounds).toBeGreaterThanOrEqual(SETTLE_ROUNDS);
+    expect(rounds).toBeLessThan(MAX_ROUNDS);
+  });
+});
+
 describe("records", () => {
   it.each([
     { vm: "gone", rounds: 1_300, isKept: false },
--- a/packages/steward/test/steward_world.ts
+++ b/packages/steward/test/steward_world.ts
@@ -83,9 +83,10 @@
   }
 
   /** A steward whose every call waits for the scheduler; `held` is awaited at its pausing point. */
-  steward(index: number, { schedule, held }: {
+  steward(index: number, { schedule, held, markSettleMs = ROUND_MS }: {
     readonly schedule: (label: string) => Promise<void>;
     readonly held: Promise<void>;
+    readonly markSettleMs?: number;
   }): Steward {
     const name = `steward-${index}`;
     let calls = 0;
@@ -111,7 +112,7 @@
       configSource: { read: () => Promise.resolve(ok(this.config)) },
       leaseSeconds: 6,
       maxPlacementsPerRound: 10,
-      markSettleMs: ROUND_MS,
+      markSettleMs,
     });
   }
 
