Measure waves, sizing, jobs and placement rounds on the bench

The fleet's figures stood only in unit tests.

The replay of the sizing trace moved from its test to the testing package, so that both use one copy; the test's checks are unchanged.

--- a/packages/bench/src/experiment_table.ts
+++ b/packages/bench/src/experiment_table.ts
@@ -4,6 +4,10 @@
  * @module
  */
 import type * as experiment from "./experiment.ts";
+import { jobsExperiment } from "./fleet/jobs.ts";
+import { placementExperiment } from "./fleet/placement.ts";
+import { sizingExperiment } from "./fleet/sizing.ts";
+import { waveExperiment } from "./fleet/wave.ts";
 import { idleExperiment } from "./experiments/idle.ts";
 import { overheadExperiment } from "./experiments/overhead.ts";
 import { overloadExperiment } from "./experiments/overload.ts";
@@ -21,4 +25,8 @@
   propagation: propagationExperiment,
   "store-calls": storeCallsExperiment,
   idle: idleExperiment,
+  wave: waveExperiment,
+  sizing: sizingExperiment,
+  jobs: jobsExperiment,
+  placement: placementExperiment,
 };
--- /dev/null
+++ b/packages/bench/src/fleet/job_trace.ts
@@ -0,0 +1,222 @@
+/**
+ * A trace of jobs whose declared sizes and run times are off by up to three, and its replay on workers.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import { SeededRandom } from "./seeded_random.ts";
+
+export const STEP_MS = 1_000;
+const STEPS = 1_800;
+const WORKER_COUNT = 40;
+const WORKER_CORES = 16;
+const WORKER_MEMORY_MB = 64_000;
+const MAX_PLACEMENTS = 500;
+const MAX_CORES = 12;
+
+/** Renewals with a cutoff, urgent confirmations, and two teams whose background work comes in bursts. */
+const SOURCES = [
+  { team: "billing", urgency: "normal", everySteps: 1, count: 2, slackMs: 60_000 },
+  { team: "confirmations", urgency: "urgent", everySteps: 3, count: 1, slackMs: undefined },
+  { team: "syncs", urgency: "background", everySteps: 300, count: 450, slackMs: undefined },
+  { team: "catalogue", urgency: "background", everySteps: 300, count: 450, slackMs: undefined },
+] as const;
+
+/** The teams that always have work waiting after a burst, with their weights. */
+export const SHARING_WEIGHTS: Readonly<Record<string, number>> = { syncs: 1, catalogue: 2 };
+
+type WaitingJob = policy.fleet.placement.WaitingJob;
+
+/** A job as it really is beside what was declared. */
+export interface TraceJob {
+  readonly declared: WaitingJob;
+  readonly trueRunMs: number;
+  readonly trueCores: number;
+}
+
+/** How placement sees the jobs. */
+export interface View {
+  readonly jobOf: (job: TraceJob) => WaitingJob;
+  readonly weights: Readonly<Record<string, number>>;
+  /** Takes in the use of a job that has ended. */
+  readonly onEnd?: (job: TraceJob) => void;
+}
+
+/** What a replay shows. */
+export interface Outcome {
+  readonly missed: ReadonlySet<string>;
+  readonly withDeadline: number;
+  readonly urgentDelayMs: number;
+  /** The mean distance of the sharing teams from their share of running tasks, relative to it. */
+  readonly shareDistance: number;
+}
+
+interface Running {
+  readonly job: TraceJob;
+  readonly worker: string;
+  readonly placedCores: number;
+  leftMs: number;
+}
+
+/** The jobs in the order of their submission. */
+export function makeTrace(seed: number): readonly TraceJob[] {
+  const random = new SeededRandom(seed);
+  const jobs: TraceJob[] = [];
+  for (let step = 0; step < STEPS; step += 1) {
+    for (const source of SOURCES) {
+      const count = step % source.everySteps === 0 ? source.count : 0;
+      for (let index = 0; index < count; index += 1) {
+        jobs.push(makeJob(random, { source, step, index }));
+      }
+    }
+  }
+  return jobs;
+}
+
+function makeJob(
+  random: SeededRandom,
+  { source, step, index }: {
+    source: typeof SOURCES[number];
+    step: number;
+    index: number;
+  },
+): TraceJob {
+  const { team, urgency, slackMs } = source;
+  const runMs = random.between(10, 60) * STEP_MS;
+  const trueRunMs = Math.round(runMs * random.factor());
+  const cores = random.between(1, 4);
+  const submittedAtMs = step * STEP_MS;
+  const deadline = slackMs === undefined
+    ? {}
+    : { deadlineAtMs: submittedAtMs + trueRunMs + slackMs };
+  return {
+    trueRunMs,
+    trueCores: Math.min(MAX_CORES, cores * random.factor()),
+    declared: {
+      jobId: `${team}-${step}-${index}`,
+      team,
+      urgency,
+      size: { cores, memoryMb: 1_000, accelerators: 0 },
+      runMs,
+      submittedAtMs,
+      ...deadline,
+    },
+  };
+}
+
+/** Plays a trace in steps. Tasks of a worker that is asked for more cores than it has run slower. */
+export function play(trace: readonly TraceJob[], view: View): Outcome {
+  const byId = new Map(trace.map((job) => [job.declared.jobId, job]));
+  const missed = new Set<string>();
+  const distances: number[] = [];
+  let urgentDelayMs = 0;
+  let next = 0;
+  let waiting: TraceJob[] = [];
+  let running: Running[] = [];
+  for (
+    let nowMs = 0;
+    nowMs < STEPS * STEP_MS || waiting.length + running.length > 0;
+    nowMs += STEP_MS
+  ) {
+    for (const { job } of advance(running)) {
+      view.onEnd?.(job);
+      const { jobId, deadlineAtMs = Infinity } = job.declared;
+      if (nowMs > deadlineAtMs) missed.add(jobId);
+    }
+    running = running.filter(({ leftMs }) => leftMs > 0);
+    for (; trace[next] !== undefined && trace[next]!.declared.submittedAtMs <= nowMs; next += 1) {
+      waiting.push(trace[next]!);
+    }
+    const jobs = waiting.map(view.jobOf);
+    const sizes = new Map(jobs.map(({ jobId, size }) => [jobId, size.cores]));
+    const { placements } = policy.fleet.placement.placeRound({
+      jobs,
+      workers: workersOf(running),
+      teams: teamsOf(running, view.weights),
+      nowMs,
+      maxPlacements: MAX_PLACEMENTS,
+    });
+    for (const { jobId, worker } of placements) {
+      const job = byId.get(jobId)!;
+      const { urgency, submittedAtMs } = job.declared;
+      running.push({ job, worker, placedCores: sizes.get(jobId)!, leftMs: job.trueRunMs });
+      if (urgency === "urgent") urgentDelayMs = Math.max(urgentDelayMs, nowMs - submittedAtMs);
+    }
+    const placed = new Set(placements.map(({ jobId }) => jobId));
+    waiting = waiting.filter(({ declared }) => !placed.has(declared.jobId));
+    const distance = shareDistance(running, waiting);
+    if (distance !== null) distances.push(distance);
+  }
+  const withDeadline = trace.filter(({ declared }) => declared.deadlineAtMs !== undefined).length;
+  const sum = distances.reduce((total, distance) => total + distance, 0);
+  return {
+    missed,
+    withDeadline,
+    urgentDelayMs,
+    shareDistance: sum / Math.max(1, distances.length),
+  };
+}
+
+/** Lets one step pass, and gives the tasks that have ended in it. */
+function advance(running: readonly Running[]): readonly Running[] {
+  const askedByWorker = new Map<string, number>();
+  for (const { worker, job } of running) {
+    askedByWorker.set(worker, (askedByWorker.get(worker) ?? 0) + job.trueCores);
+  }
+  for (const task of running) {
+    const asked = askedByWorker.get(task.worker) ?? 0;
+    task.leftMs -= STEP_MS * Math.min(1, WORKER_CORES / asked);
+  }
+  return running.filter(({ leftMs }) => leftMs <= 0);
+}
+
+function workersOf(running: readonly Running[]): policy.fleet.placement.PlacementWorker[] {
+  const placedByWorker = new Map<string, number>();
+  for (const { worker, placedCores } of running) {
+    placedByWorker.set(worker, (placedByWorker.get(worker) ?? 0) + placedCores);
+  }
+  return Array.from({ length: WORKER_COUNT }, (_, index) => {
+    const worker = `worker-${index}`;
+    return {
+      worker,
+      availabilityZone: `zone-${index % 4}`,
+      rack: `rack-${index >> 2}`,
+      cores: WORKER_CORES - (placedByWorker.get(worker) ?? 0),
+      memoryMb: WORKER_MEMORY_MB,
+      accelerators: 0,
+      usable: true,
+      total: { cores: WORKER_CORES, memoryMb: WORKER_MEMORY_MB, accelerators: 0 },
+    };
+  });
+}
+
+function teamsOf(
+  running: readonly Running[],
+  weights: Readonly<Record<string, number>>,
+): ReadonlyMap<string, policy.fleet.placement.PlacementTeam> {
+  return new Map(SOURCES.map(({ team }) => [team, {
+    weight: weights[team] ?? 1,
+    running: running.filter(({ job }) => job.declared.team === team).length,
+  }]));
+}
+
+/** Null while one of the sharing teams has nothing waiting, since it then has all it asks for. */
+function shareDistance(
+  running: readonly Running[],
+  waiting: readonly TraceJob[],
+): number | null {
+  const teams = Object.keys(SHARING_WEIGHTS);
+  const isFull = teams.every((team) => waiting.some(({ declared }) => declared.team === team));
+  const counts = teams.map((team) =>
+    running.filter(({ job }) => job.declared.team === team).length
+  );
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  if (!isFull || total === 0) return null;
+  const weights = teams.map((team) => SHARING_WEIGHTS[team]!);
+  const weightSum = weights.reduce((sum, weight) => sum + weight, 0);
+  const distances = counts.map((count, index) => {
+    const share = weights[index]! / weightSum;
+    return Math.abs(count / total - share) / share;
+  });
+  return Math.max(...distances);
+}
--- /dev/null
+++ b/packages/bench/src/fleet/jobs.ts
@@ -0,0 +1,96 @@
+/**
+ * Deadlines, shares and urgent starts of jobs, with declared sizes and run times off by three.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import type * as experiment from "../experiment.ts";
+import * as jobTrace from "./job_trace.ts";
+
+const TARGET_MISSED_PERCENT = 2;
+const TARGET_URGENT_DELAY_S = 4.3;
+const PERCENT = 100;
+const MS_PER_SECOND = 1_000;
+const FCFS_TEAM = "all";
+
+export const jobsExperiment: experiment.Experiment = {
+  description: "Deadlines, shares and urgent starts of jobs, against first come, first served",
+  runSeed: ({ seed, progress }) => {
+    const trace = jobTrace.makeTrace(seed);
+    progress("placement");
+    const placed = jobTrace.play(trace, correctedView());
+    progress("perfect knowledge");
+    const perfect = jobTrace.play(trace, PERFECT_VIEW);
+    progress("first come, first served");
+    const served = jobTrace.play(trace, FCFS_VIEW);
+    return Promise.resolve({ figures: figuresOf({ placed, perfect, served }) });
+  },
+};
+
+/** Sizes as declared, corrected from the use of ended jobs of the same team. */
+function correctedView(): jobTrace.View {
+  const estimates = new policy.fleet.sizeEstimates.SizeEstimates();
+  return {
+    weights: jobTrace.SHARING_WEIGHTS,
+    jobOf: ({ declared }) => ({
+      ...declared,
+      size: { ...declared.size, ...estimates.estimate(declared.team, declared.size) },
+    }),
+    onEnd: ({ declared, trueCores }) => {
+      const { memoryMb } = declared.size;
+      const used = { cores: trueCores, memoryMb };
+      estimates.observe(declared.team, { declared: declared.size, used });
+    },
+  };
+}
+
+const PERFECT_VIEW: jobTrace.View = {
+  weights: jobTrace.SHARING_WEIGHTS,
+  jobOf: ({ declared, trueRunMs, trueCores }) => ({
+    ...declared,
+    runMs: trueRunMs,
+    size: { ...declared.size, cores: trueCores },
+  }),
+};
+
+/** One team, one urgency and no deadlines leave the order of submission. */
+const FCFS_VIEW: jobTrace.View = {
+  weights: {},
+  jobOf: ({ declared: { deadlineAtMs: _deadlineAtMs, ...declared } }) => ({
+    ...declared,
+    team: FCFS_TEAM,
+    urgency: "urgent",
+  }),
+};
+
+function figuresOf(
+  { placed, perfect, served }: Record<"placed" | "perfect" | "served", jobTrace.Outcome>,
+): experiment.Figure[] {
+  const percentBeyond = (outcome: jobTrace.Outcome) => {
+    const beyond = [...outcome.missed].filter((jobId) => !perfect.missed.has(jobId)).length;
+    return PERCENT * beyond / outcome.withDeadline;
+  };
+  return [
+    {
+      name: "deadlines missed that perfect knowledge met",
+      unit: "%",
+      value: percentBeyond(placed),
+      baseline: { name: "first come, first served", value: percentBeyond(served) },
+      target: { kind: "atMost", value: TARGET_MISSED_PERCENT },
+    },
+    { name: "deadlines missed by perfect knowledge", unit: "jobs", value: perfect.missed.size },
+    {
+      name: "longest delay of an urgent start",
+      unit: "s",
+      value: placed.urgentDelayMs / MS_PER_SECOND,
+      baseline: { name: "first come, first served", value: served.urgentDelayMs / MS_PER_SECOND },
+      target: { kind: "atMost", value: TARGET_URGENT_DELAY_S },
+    },
+    {
+      name: "mean distance from the share of running tasks while both teams wait",
+      unit: "%",
+      value: PERCENT * placed.shareDistance,
+      baseline: { name: "first come, first served", value: PERCENT * served.shareDistance },
+    },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/fleet/wave.ts
@@ -0,0 +1,110 @@
+/**
+ * The roll-out of a wave over 40 VMs, played with the wave's order and budgets.
+ *
+ * @module
+ */
+import * as policy from "@jackdawlink/policy";
+import type * as experiment from "../experiment.ts";
+import { SeededRandom } from "./seeded_random.ts";
+
+const VM_COUNT = 40;
+const ZONE_COUNT = 4;
+const RACK_COUNT = 10;
+const LIMITS: policy.fleet.budgets.BudgetLimits = {
+  maxUnavailable: 4,
+  maxUnavailablePerAvailabilityZone: 2,
+  maxUnavailablePerRack: 1,
+};
+const MAX_RUNNING = 8;
+const DRAIN_MS_PER_REQUEST = 4_000;
+const REBOOT_MS = { from: 60_000, to: 120_000 };
+/** What a steward adds to each VM: the settle time, and four phases of one round and a lagging list. */
+const OVERHEAD_MS = 4_000 + 4 * (500 + 500);
+const TARGET_RATIO = 1.25;
+const MS_PER_SECOND = 1_000;
+const POOL = "boards";
+
+interface Vm extends policy.fleet.waveOrder.WaveCandidate {
+  /** Drain and reboot, without what stewards add. */
+  readonly maintenanceMs: number;
+}
+
+export const waveExperiment: experiment.Experiment = {
+  description:
+    "Roll-out time of a wave over 40 VMs, against the shortest possible and serial waves",
+  runSeed: ({ seed }) => {
+    const vms = makeVms(new SeededRandom(seed));
+    const shortestMs = shortestOf(vms);
+    const rollOutMs = rollOut(vms);
+    const serialMs = sumOf(vms) + VM_COUNT * OVERHEAD_MS;
+    const figures: experiment.Figure[] = [
+      {
+        name: "roll-out time, relative to the shortest that the budgets allow",
+        unit: "x",
+        value: rollOutMs / shortestMs,
+        baseline: { name: "one VM after another", value: serialMs / shortestMs },
+        target: { kind: "atMost", value: TARGET_RATIO },
+      },
+      { name: "roll-out time", unit: "s", value: rollOutMs / MS_PER_SECOND },
+      { name: "shortest time", unit: "s", value: shortestMs / MS_PER_SECOND },
+    ];
+    return Promise.resolve({ figures });
+  },
+};
+
+/** The order knows how many requests run, but neither how long they take nor the reboot. */
+function makeVms(random: SeededRandom): readonly Vm[] {
+  return Array.from({ length: VM_COUNT }, (_, index) => {
+    const running = random.between(0, MAX_RUNNING);
+    const drainMs = running * DRAIN_MS_PER_REQUEST * random.factor();
+    return {
+      vm: `vm-${index}`,
+      availabilityZone: `zone-${index % RACK_COUNT % ZONE_COUNT}`,
+      rack: `rack-${index % RACK_COUNT}`,
+      pool: POOL,
+      expectedDrainMs: running,
+      maintenanceMs: drainMs + random.between(REBOOT_MS.from, REBOOT_MS.to),
+    };
+  });
+}
+
+/** A bound that no order can beat: the work of the pool, a zone and a rack over what may be out. */
+function shortestOf(vms: readonly Vm[]): number {
+  const { maxUnavailable, maxUnavailablePerAvailabilityZone = 1, maxUnavailablePerRack = 1 } =
+    LIMITS;
+  const ofGroups = (keyOf: (vm: Vm) => string, atOnce: number) =>
+    [...new Set(vms.map(keyOf))].map((key) =>
+      sumOf(vms.filter((vm) => keyOf(vm) === key)) / atOnce
+    );
+  return Math.max(
+    sumOf(vms) / maxUnavailable,
+    ...ofGroups((vm) => vm.availabilityZone, maxUnavailablePerAvailabilityZone),
+    ...ofGroups((vm) => vm.rack, maxUnavailablePerRack),
+  );
+}
+
+/** Plays the wave: whenever a VM is back, the order chooses the next. */
+function rollOut(vms: readonly Vm[]): number {
+  const byName = new Map(vms.map((vm) => [vm.vm, vm]));
+  const out = new Map<string, number>();
+  let left = vms;
+  let nowMs = 0;
+  while (left.length > 0 || out.size > 0) {
+    const unavailable = [...out.keys()].map((vm) => byName.get(vm)!);
+    const pools = new Map([[POOL, { limits: LIMITS, unavailable }]]);
+    const chosen = new Set(
+      policy.fleet.waveOrder.nextOfWave(left, pools).map(({ vm }) => vm),
+    );
+    for (const vm of chosen) out.set(vm, nowMs + OVERHEAD_MS + byName.get(vm)!.maintenanceMs);
+    left = left.filter(({ vm }) => !chosen.has(vm));
+    nowMs = Math.min(...out.values());
+    for (const [vm, untilMs] of out) {
+      if (untilMs <= nowMs) out.delete(vm);
+    }
+  }
+  return nowMs;
+}
+
+function sumOf(vms: readonly Vm[]): number {
+  return vms.reduce((sum, vm) => sum + vm.maintenanceMs, 0);
+}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -23,6 +23,7 @@
 export * as platformStore from "./platform_store.ts";
 export * as processes from "./processes.ts";
 export * as runTimes from "./run_times.ts";
+export * as sizingTrace from "./sizing_trace.ts";
 export * as testClock from "./test_clock.ts";
 export * as testSystem from "./test_system.ts";
 export * as traffic from "./traffic.ts";
