Work out the shortest roll-out of a pool in one place

The check of a wave's time and the progress of a wave each had a copy of the rounds that a budget needs. The check now asks waveProgress.shortestRollOutMs. Passing limitsOfPool, as stewards do, was tried first: with two budgets of one pool it adds a finding to the one that names the doubled budget, and "finds 'two budgets of one pool'" failed; the check keeps the first budget. Behaviour is the same as before; the tests are unchanged and pass.

--- a/packages/policy/src/checks/maintenance.ts
+++ b/packages/policy/src/checks/maintenance.ts
@@ -5,6 +5,7 @@
  */
 import type * as schema from "@jackdawlink/schema";
 import type { Finding } from "../findings.ts";
+import * as waveProgress from "../fleet/wave_progress.ts";
 import { error, groupBy, type Place, vmsOf, warning } from "./check.ts";
 
 /** One pool lends its VMs to the others. */
@@ -104,7 +105,7 @@
   if (finishWithinMs === undefined) return [];
   const place: Place = { ...wavePlace(name, "finishWithinMs"), promise: "on-time" };
   return wave.pools.flatMap((pool) => {
-    const shortestMs = roundsOf(config, pool) * wave.vmMaintenanceMs;
+    const shortestMs = shortestRollOutMs(config, { pool, vmMs: wave.vmMaintenanceMs });
     if (finishWithinMs >= shortestMs) return [];
     const message = `pool "${pool}" takes at least ${shortestMs} ms under its budget`;
     return [error(place, message)];
@@ -124,20 +125,14 @@
     );
 }
 
-/** How many rounds of reboots the budget of a pool needs at least. */
-function roundsOf(config: schema.config.Config, pool: string): number {
-  const vms = vmsOf(config, pool);
-  const budget = budgetOf(config, pool);
-  if (budget === undefined) return 0;
-  const { maxUnavailable, maxUnavailablePerAvailabilityZone, maxUnavailablePerRack } = budget;
-  const roundsFor = (size: number, atOnce = size) => size === 0 ? 0 : Math.ceil(size / atOnce);
-  const zones = [...groupBy(vms, (vm) => vm.availabilityZone).values()];
-  const racks = [...groupBy(vms, (vm) => `${vm.availabilityZone} ${vm.rack}`).values()];
-  return Math.max(
-    roundsFor(vms.length, maxUnavailable),
-    ...zones.map((zone) => roundsFor(zone.length, maxUnavailablePerAvailabilityZone)),
-    ...racks.map((rack) => roundsFor(rack.length, maxUnavailablePerRack)),
-  );
+/** Zero for a pool without a budget, which is a finding of its own. */
+function shortestRollOutMs(
+  config: schema.config.Config,
+  { pool, vmMs }: { pool: string; vmMs: number },
+): number {
+  const limits = budgetOf(config, pool);
+  if (limits === undefined) return 0;
+  return waveProgress.shortestRollOutMs(limits, { vms: vmsOf(config, pool), vmMs });
 }
 
 function budgetOf(
