Refuse a backend server that changes its service while it serves

Slots of another service are another resource, so requests of the old service that still run are not counted against the new permits. checkChange compares the published configuration with the next; publishing refuses its errors. A backend server has to be draining in the published configuration; draining and changing at once is refused too. It doesn't wait until the drain is over, and removing a backend server and adding it anew in two changes is not found.

--- a/packages/adapters/src/config_repository.ts
+++ b/packages/adapters/src/config_repository.ts
@@ -140,7 +140,9 @@
     const { config } = publication;
     const parsed = v.safeParse(schema.config.configSchema, config);
     if (!parsed.success) return err(invalidConfig(parsed.issues));
-    const findings = policy.configCheck.checkConfig(config).filter(policy.configCheck.isError);
+    const { checkChange, checkConfig, isError } = policy.configCheck;
+    const findings = [...checkConfig(config), ...checkChange(publication.base.config, config)]
+      .filter(isError);
     if (findings.length > 0) return err(checkError(findings));
     let base: HeadRecord = publication.base;
     for (let attempt = 0; attempt <= MAX_REBASES; attempt += 1) {
--- a/packages/adapters/src/config_repository_test.ts
+++ b/packages/adapters/src/config_repository_test.ts
@@ -2,6 +2,7 @@
 import * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
 import * as fc from "fast-check";
+import * as v from "valibot";
 import { describe, expect, it } from "vitest";
 import {
   ConfigCheckError,
@@ -66,6 +67,26 @@
     ]);
   });
 
+  it("refuses a backend server that changes its service while it serves", async () => {
+    const { configRepository } = makeRepositories(new testing.memoryStore.MemoryStore());
+    const configOf = (service: string, draining: boolean) =>
+      v.parse(schema.config.configSchema, {
+        pools: { packs: {} },
+        services: { packs: { pool: "packs" }, booking: { pool: "packs" } },
+        backendServers: {
+          a: { service, draining, address: "127.0.0.1:1", vm: "a", availabilityZone: "z" },
+        },
+      });
+    let base = (await configRepository.read())._unsafeUnwrap();
+    base = (await publish(configRepository, { base, config: configOf("packs", false) }))
+      ._unsafeUnwrap();
+    const refused = await publish(configRepository, { base, config: configOf("booking", true) });
+    expect(refused._unsafeUnwrapErr()).toMatchObject({ name: "ConfigCheckError" });
+    for (const config of [configOf("packs", true), configOf("booking", false)]) {
+      base = (await publish(configRepository, { base, config }))._unsafeUnwrap();
+    }
+  });
+
   it("publishes over a change of members, which the check doesn't depend on", async () => {
     const store = new testing.memoryStore.MemoryStore();
     const { headRepository, configRepository } = makeRepositories(store);
--- a/packages/policy/src/checks/backend_servers.ts
+++ b/packages/policy/src/checks/backend_servers.ts
@@ -5,7 +5,7 @@
  */
 import type * as schema from "@jackdawlink/schema";
 import type { Finding } from "../findings.ts";
-import { error, groupBy, warning } from "./check.ts";
+import { error, groupBy, type Place, warning } from "./check.ts";
 
 type Named = readonly [string, schema.config.BackendServer];
 
@@ -45,6 +45,23 @@
     );
 }
 
+/**
+ * A backend server that changes its service gets new permits, which don't count requests of the old
+ * service that still run; so it has to drain first.
+ */
+export function checkServiceChanges(
+  before: schema.config.Config,
+  after: schema.config.Config,
+): readonly Finding[] {
+  return Object.entries(after.backendServers).flatMap(([name, { service }]) => {
+    const old = before.backendServers[name];
+    if (old === undefined || old.service === service || old.draining) return [];
+    const place = { kind: "backendServers", name, field: "service", promise: "graceful-stop" };
+    const message = `it still serves "${old.service}" and has to be draining before it changes`;
+    return [error(place as Place, message)];
+  });
+}
+
 /** Two backend servers at one address would share their slots unknowingly. */
 export function checkAddresses(config: schema.config.Config): readonly Finding[] {
   const named: Named[] = Object.entries(config.backendServers);
--- a/packages/policy/src/config_check.ts
+++ b/packages/policy/src/config_check.ts
@@ -35,6 +35,14 @@
   return [...findings.filter(isError), ...findings.filter((finding) => !isError(finding))];
 }
 
+/** What is wrong with the step from the published configuration to the next, beside its own findings. */
+export function checkChange(
+  before: schema.config.Config,
+  after: schema.config.Config,
+): readonly Finding[] {
+  return backendServers.checkServiceChanges(before, after);
+}
+
 /** Whether a finding prevents publishing. */
 export function isError(finding: Finding): boolean {
   return finding.severity === "error";
--- a/packages/policy/src/config_check_test.ts
+++ b/packages/policy/src/config_check_test.ts
@@ -2,7 +2,7 @@
 import * as schema from "@jackdawlink/schema";
 import * as v from "valibot";
 import { describe, expect, it } from "vitest";
-import { checkConfig } from "./config_check.ts";
+import { checkChange, checkConfig } from "./config_check.ts";
 import { parseConfig } from "./config_text.ts";
 
 type Tables = Record<string, Record<string, object>>;
@@ -317,3 +317,40 @@
     expect(Object.keys(config.services)).toHaveLength(5);
   });
 });
+
+describe("checkChange", () => {
+  const named = (fields: object) => change({ backendServers: { "packs-1": server(1, fields) } });
+  it.each([
+    { name: "nothing", before: {}, after: {}, found: [] },
+    { name: "the slots", before: {}, after: { slots: 4 }, found: [] },
+    {
+      name: "the service while it serves",
+      before: {},
+      after: { service: "booking" },
+      found: ["packs-1"],
+    },
+    {
+      name: "the service and draining at once",
+      before: {},
+      after: { service: "booking", draining: true },
+      found: ["packs-1"],
+    },
+    {
+      name: "the service while it drains",
+      before: { draining: true },
+      after: { service: "booking" },
+      found: [],
+    },
+  ])("decides on a backend server that changes $name", ({ before, after, found }) => {
+    const findings = checkChange(named(before), named(after));
+    expect(findings.map(({ name }) => name)).toEqual(found);
+    expect(findings.every(({ severity }) => severity === "error")).toBe(true);
+  });
+
+  it("lets backend servers come and go", () => {
+    const without = change({});
+    const { "packs-1": _gone, ...backendServers } = without.backendServers;
+    const after = { ...without, backendServers };
+    expect([...checkChange(without, after), ...checkChange(after, without)]).toEqual([]);
+  });
+});
