--- a/packages/adapters/src/mod.ts
+++ b/packages/adapters/src/mod.ts
@@ -7,6 +7,7 @@
 // Public: other packages use these.
 export * as clock from "./clock.ts";
 export * as configRepository from "./config_repository.ts";
+export * as drainingList from "./draining_list.ts";
 export * as headRepository from "./head_repository.ts";
 export * as history from "./history.ts";
 export * as log from "./log.ts";
@@ -20,6 +21,5 @@
 
 // Internal: for tests, stand-ins and experiments only.
 export * as backOff from "./back_off.ts";
-export * as drainingList from "./draining_list.ts";
 export * as peerCodec from "./peer_codec.ts";
 export * as storedJson from "./stored_json.ts";
--- a/packages/entry/src/membership/member.ts
+++ b/packages/entry/src/membership/member.ts
@@ -8,6 +8,7 @@
 import type * as ports from "@jackdawlink/ports";
 import * as policy from "@jackdawlink/policy";
 import type * as schema from "@jackdawlink/schema";
+import { DrainingVmManager } from "./draining_vm_manager.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
 import { MembershipManager } from "./membership_manager.ts";
 import { SnapshotManager } from "./snapshot_manager.ts";
@@ -27,6 +28,7 @@
 /** The parts that keep this process in the member list and follow the head. */
 export interface Member {
   readonly snapshots: SnapshotManager;
+  readonly drainingVms: DrainingVmManager;
   readonly membership: MembershipManager;
   readonly leaseKeeper: LeaseKeeper;
 }
@@ -47,6 +49,13 @@
     operatorAddress: options.operatorAddress,
   };
   const assembler = new policy.configAssembler.ConfigAssembler();
+  const drainingVms = new DrainingVmManager({
+    store,
+    links,
+    clock,
+    log: log("draining"),
+    headPollMs: timing.headPollMs,
+  });
   const snapshots = new SnapshotManager({
     store,
     headRepository,
@@ -61,6 +70,7 @@
     log: log("snapshot"),
     headPollMs: timing.headPollMs,
     needsAliveKeys: () => membership.needsAliveKeys(),
+    readDrainingVms: () => drainingVms.read(),
     onRead: (read) => membership.recordRead(read),
   });
   const leaseKeeper = new LeaseKeeper({
@@ -80,11 +90,12 @@
       rules: policy.memberState.rulesOf(timing),
     }),
     snapshots,
+    drainingVms,
     headRepository,
     leaseKeeper,
     links,
     clock,
     log: log("members"),
   });
-  return { snapshots, membership, leaseKeeper };
+  return { snapshots, drainingVms, membership, leaseKeeper };
 }
--- a/packages/testing/src/replay/test/replayed_entry.ts
+++ b/packages/testing/src/replay/test/replayed_entry.ts
@@ -61,6 +61,7 @@
       availabilityZone: options.availabilityZone,
       permits: this.permits,
       claims: NO_CLAIMS,
+      drainingVms: NO_DRAINING_VMS,
       registry: new promClient.Registry(),
       seed: options.seed,
       connections: new ReplayedConnections(options.backends, () => this.#isDead),
@@ -154,4 +155,8 @@
 }
 
 /** Traces have no idempotency keys. */
+const NO_DRAINING_VMS: ports.members.DrainingVmSource = {
+  current: () => ({ modRevision: 0, vms: new Set() }),
+  onChange: () => {},
+};
 const NO_CLAIMS = {} as ports.claims.Claims;
