Let stewards read only what has changed

Each steward read all of fleet/ after each change, and the whole list of VMs every round. The store port gets listChanges, additive, which limits a list to a modification revision and tells the number of keys and the revision of the read. A key count that differs from the copy's shows a deletion, after which all is read. A record that a late answer shows older than a commit of one's own is skipped.

The platform's lists are asked for with the entity tag of the last one. Platforms without entity tags work as before.

--- a/packages/adapters/src/gateway_codec.ts
+++ b/packages/adapters/src/gateway_codec.ts
@@ -27,6 +27,7 @@
 export const rangeAnswerSchema = v.object({
   header: headerSchema,
   kvs: v.optional(v.array(keyValueSchema), []),
+  count: v.optional(int64Schema, 0),
 });
 
 export const transactionAnswerSchema = v.object({
--- a/packages/adapters/src/platform_client.ts
+++ b/packages/adapters/src/platform_client.ts
@@ -9,6 +9,7 @@
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 
+const HTTP_NOT_MODIFIED = 304;
 const HTTP_CONFLICT = 409;
 const DEFAULT_TIMEOUT_MS = 2_000;
 
@@ -44,6 +45,25 @@
   outcome: v.picklist(["never-started", "stopped", "succeeded", "failed"]),
 });
 
+/** A list with the entity tag under which the platform sent it. */
+interface TaggedList {
+  readonly entityTag: string;
+  readonly list: readonly unknown[];
+}
+
+/** What a call sends; the entity tag asks for an answer only if the list has changed. */
+interface CallOptions {
+  readonly body?: object;
+  readonly entityTag?: string;
+}
+
+/** An answer; the body is null where nothing has changed. */
+interface PlatformAnswer {
+  readonly statusCode: number;
+  readonly entityTag: string | undefined;
+  readonly body: unknown;
+}
+
 type PlatformResult<T> = ResultAsync<T, schema.errors.JackdawlinkError>;
 
 /** Calls the platform; a call without a whole answer may have taken effect and can be repeated. */
@@ -51,6 +71,7 @@
   readonly #url: string;
   readonly #timeoutMs: number;
   readonly #agent = new undici.Agent({ connections: 8 });
+  readonly #lists = new Map<string, TaggedList>();
 
   constructor(url: string, timeoutMs: number = DEFAULT_TIMEOUT_MS) {
     this.#url = url.replace(/\/$/, "");
@@ -62,9 +83,7 @@
   }
 
   listVms(): PlatformResult<readonly ports.platform.ListedVm[]> {
-    return this.#call("GET", "/fleet/vms", {}).andThen((body) =>
-      parse(v.array(listedVmSchema), body)
-    );
+    return this.#list("/fleet/vms", listedVmSchema);
   }
 
   drainVm(vm: string, operationId: string): PlatformResult<void> {
@@ -80,9 +99,7 @@
   }
 
   listWorkers(): PlatformResult<readonly ports.platform.ListedWorker[]> {
-    return this.#call("GET", "/fleet/workers", {}).andThen((body) =>
-      parse(v.array(listedWorkerSchema), body)
-    );
+    return this.#list("/fleet/workers", listedWorkerSchema);
   }
 
   startTask(worker: string, spec: ports.platform.TaskSpec): PlatformResult<void> {
@@ -92,7 +109,7 @@
   stopTask(worker: string, taskId: string): PlatformResult<ports.platform.StopOutcome> {
     const path = `/fleet/workers/${worker}/tasks/${taskId}/stop`;
     return this.#call("POST", path, { body: {} })
-      .andThen((body) => parse(stopSchema, body))
+      .andThen(({ body }) => parse(stopSchema, body))
       .map(({ outcome }) => outcome);
   }
 
@@ -104,6 +121,25 @@
     return this.#post(`/fleet/workers/${worker}/tasks/${taskId}/throttle`, { cores });
   }
 
+  /** Platforms that send entity tags are asked for a list only where it has changed. */
+  #list<TSchema extends v.GenericSchema>(
+    path: string,
+    itemSchema: TSchema,
+  ): PlatformResult<readonly v.InferOutput<TSchema>[]> {
+    const held = this.#lists.get(path);
+    return this.#call("GET", path, { entityTag: held?.entityTag }).andThen((answer) => {
+      if (answer.statusCode === HTTP_NOT_MODIFIED && held !== undefined) {
+        return okAsync(held.list as readonly v.InferOutput<TSchema>[]);
+      }
+      return parse(v.array(itemSchema), answer.body).map((list) => {
+        const { entityTag } = answer;
+        if (entityTag === undefined) this.#lists.delete(path);
+        else this.#lists.set(path, { entityTag, list });
+        return list;
+      });
+    });
+  }
+
   #post(path: string, body: object): PlatformResult<void> {
     return this.#call("POST", path, { body }).map(() => undefined);
   }
@@ -111,17 +147,24 @@
   #call(
     method: "GET" | "POST",
     path: string,
-    { body }: { readonly body?: object },
-  ): PlatformResult<unknown> {
-    const request = async () => {
+    { body, entityTag }: CallOptions,
+  ): PlatformResult<PlatformAnswer> {
+    const condition = entityTag === undefined ? {} : { "if-none-match": entityTag };
+    const request = async (): Promise<PlatformAnswer> => {
       const response = await undici.request(`${this.#url}${path}`, {
         method,
         dispatcher: this.#agent,
         signal: AbortSignal.timeout(this.#timeoutMs),
-        headers: { "content-type": "application/json" },
+        headers: { "content-type": "application/json", ...condition },
         body: body === undefined ? undefined : JSON.stringify(body),
       });
-      return { statusCode: response.statusCode, body: await response.body.json() };
+      const { statusCode, headers } = response;
+      const text = await response.body.text();
+      return {
+        statusCode,
+        entityTag: typeof headers["etag"] === "string" ? headers["etag"] : undefined,
+        body: statusCode === HTTP_NOT_MODIFIED ? null : JSON.parse(text),
+      };
     };
     const answer = ResultAsync.fromPromise(
       request(),
@@ -134,9 +177,10 @@
 
 /** Turns a status into an error of its own. */
 function checkStatus(
-  { statusCode, body }: { statusCode: number; body: unknown },
+  answer: PlatformAnswer,
   path: string,
-): PlatformResult<unknown> {
+): PlatformResult<PlatformAnswer> {
+  const { statusCode } = answer;
   if (statusCode === HTTP_CONFLICT) {
     return errAsync(new schema.errors.StaleOperationError(`The platform refused ${path}`));
   }
@@ -144,7 +188,7 @@
     const message = `The platform answered ${path} with status ${statusCode}`;
     return errAsync(new schema.errors.PlatformUnavailableError(message));
   }
-  return okAsync(body);
+  return okAsync(answer);
 }
 
 /** An answer that fits its schema. */
--- a/packages/adapters/src/platform_store.ts
+++ b/packages/adapters/src/platform_store.ts
@@ -102,9 +102,22 @@
   list(
     prefix: string,
   ): ResultAsync<readonly ports.store.StoredValue[], schema.errors.JackdawlinkError> {
-    const body = { key: codec.encodeBytes(prefix), range_end: codec.prefixEnd(prefix) };
+    return this.listChanges(prefix, 0).map(({ values }) => values);
+  }
+
+  listChanges(
+    prefix: string,
+    minModRevision: number,
+  ): ResultAsync<ports.store.ListedChanges, schema.errors.JackdawlinkError> {
+    const condition = minModRevision > 0 ? { min_mod_revision: String(minModRevision) } : {};
+    const range = { key: codec.encodeBytes(prefix), range_end: codec.prefixEnd(prefix) };
+    const body = { ...range, ...condition };
     return this.#call("/v3/kv/range", { kind: "read", body, answer: codec.rangeAnswerSchema })
-      .map((answer) => answer.kvs);
+      .map((answer) => ({
+        values: answer.kvs,
+        keyCount: answer.count,
+        storeRevision: answer.header.revision,
+      }));
   }
 
   transact(
--- a/packages/bench/src/experiment_table.ts
+++ b/packages/bench/src/experiment_table.ts
@@ -7,6 +7,7 @@
 import { jobsExperiment } from "./fleet/jobs.ts";
 import { placementExperiment } from "./fleet/placement.ts";
 import { sizingExperiment } from "./fleet/sizing.ts";
+import { stewardReadsExperiment } from "./fleet/steward_reads.ts";
 import { waveExperiment } from "./fleet/wave.ts";
 import { idleExperiment } from "./experiments/idle.ts";
 import { overheadExperiment } from "./experiments/overhead.ts";
@@ -29,4 +30,5 @@
   sizing: sizingExperiment,
   jobs: jobsExperiment,
   placement: placementExperiment,
+  "steward-reads": stewardReadsExperiment,
 };
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -34,6 +34,15 @@
   readonly minModRevision?: number;
 }
 
+/** The values below a prefix that a limited read found. */
+export interface ListedChanges {
+  readonly values: readonly StoredValue[];
+  /** How many keys there are below the prefix, unchanged ones included; tells of deletions. */
+  readonly keyCount: number;
+  /** The store's revision at the read. */
+  readonly storeRevision: number;
+}
+
 /** Whether the conditions of a transaction held, and the store's revision after it. */
 export interface TransactionOutcome {
   readonly succeeded: boolean;
@@ -53,6 +62,11 @@
   ): ResultAsync<StoredValue | null, errors.JackdawlinkError>;
   /** All values below a prefix, in the order of their keys. */
   list(prefix: string): ResultAsync<readonly StoredValue[], errors.JackdawlinkError>;
+  /** The values below a prefix that were changed at or after `minModRevision`; zero means all. */
+  listChanges(
+    prefix: string,
+    minModRevision: number,
+  ): ResultAsync<ListedChanges, errors.JackdawlinkError>;
   transact(
     compares: readonly Compare[],
     writes: readonly Write[],
--- a/packages/steward/src/fleet_state.ts
+++ b/packages/steward/src/fleet_state.ts
@@ -1,6 +1,6 @@
 /**
  * A steward's working copy of the fleet's records. It is read from the store in one consistent list,
- * and changed only through compare-and-swap on the versions read.
+ * later ones limited to what has changed, and changed only through compare-and-swap on the versions read.
  *
  * @module
  */
@@ -34,6 +34,8 @@
   #tables: Tables = emptyTables();
   #draining: schema.fleet.DrainingRecord = { operations: {} };
   #isStale = true;
+  /** The store's revision at the last read. */
+  #readRevision = 0;
 
   constructor(store: ports.store.Store, log: ports.log.Log) {
     this.#store = store;
@@ -80,11 +82,19 @@
     return [...this.#tables.vms.values()].filter((record) => record.pool === name);
   }
 
-  /** Reads all records anew. */
+  /** Reads what has changed since the last read, or all records where one was deleted since. */
   read(): StoreResult<void> {
     this.#isStale = false;
-    return this.#store.list(schema.storeKeys.FLEET_PREFIX)
-      .map((values) => this.#replace(values))
+    const { FLEET_PREFIX } = schema.storeKeys;
+    return this.#store.listChanges(FLEET_PREFIX, this.#readRevision + 1)
+      .andThen((changes) => {
+        this.#takeAll(changes);
+        if (changes.keyCount === this.#versions.size) return okAsync(undefined);
+        return this.#store.listChanges(FLEET_PREFIX, 0).map((all) => {
+          this.#forget();
+          this.#takeAll(all);
+        });
+      })
       .mapErr((error) => {
         this.#isStale = true;
         return error;
@@ -144,19 +154,28 @@
     return true;
   }
 
-  #replace(values: readonly ports.store.StoredValue[]): void {
+  #forget(): void {
     this.#versions.clear();
     this.#corruptKeys.clear();
     this.#tables = emptyTables();
     this.#draining = { operations: {} };
+  }
+
+  /** A commit that was answered before the read may be newer than what the read found. */
+  #takeAll({ values, storeRevision }: ports.store.ListedChanges): void {
     for (const stored of values) {
+      if (stored.modRevision <= (this.#versions.get(stored.key) ?? 0)) continue;
       this.#versions.set(stored.key, stored.modRevision);
+      this.#corruptKeys.delete(stored.key);
       this.#take(stored);
     }
+    this.#readRevision = Math.max(this.#readRevision, storeRevision);
   }
 
+  /** A record that does not fit is forgotten rather than kept as it was. */
   #take(stored: ports.store.StoredValue): void {
     if (stored.key === schema.storeKeys.DRAINING) {
+      this.#draining = { operations: {} };
       this.#parse(schema.fleet.drainingRecordSchema, stored, (record) => this.#draining = record);
       return;
     }
@@ -166,6 +185,7 @@
     }
     const name = stored.key.slice(KINDS[kind].prefix.length);
     const table = this.#tables[kind] as Map<string, unknown>;
+    table.delete(name);
     this.#parse(KINDS[kind].schema, stored, (record) => table.set(name, record));
   }
 
--- a/packages/steward/src/metrics.ts
+++ b/packages/steward/src/metrics.ts
@@ -38,6 +38,9 @@
   return {
     get: (key, options) => (count("get"), store.get(key, options)),
     list: (prefix) => (count("list"), store.list(prefix)),
+    listChanges: (prefix, minModRevision) => (
+      count("list"), store.listChanges(prefix, minModRevision)
+    ),
     transact: (compares, writes) => (count("transact"), store.transact(compares, writes)),
     grantLease: (ttlSeconds) => (count("lease"), store.grantLease(ttlSeconds)),
     keepLeaseAlive: (leaseId) => (count("lease"), store.keepLeaseAlive(leaseId)),
--- a/packages/testing/src/fleet_model.ts
+++ b/packages/testing/src/fleet_model.ts
@@ -8,6 +8,8 @@
 import { VmModel, type VmSetup } from "./vm_model.ts";
 import { TaskTable, type WorkerSetup } from "./task_table.ts";
 
+export type { VmSetup } from "./vm_model.ts";
+
 /** The fleet that the stand-in platform starts with, and its times and faults. */
 export interface FleetSetup {
   readonly vms?: readonly VmSetup[];
--- a/packages/testing/src/memory_store.ts
+++ b/packages/testing/src/memory_store.ts
@@ -52,7 +52,21 @@
   }
 
   list(prefix: string): ResultAsync<readonly ports.store.StoredValue[], JackdawlinkError> {
-    return this.#call("read", () => this.table.range({ key: prefix, end: `${prefix}\uffff` }));
+    return this.listChanges(prefix, 0).map(({ values }) => values);
+  }
+
+  listChanges(
+    prefix: string,
+    minModRevision: number,
+  ): ResultAsync<ports.store.ListedChanges, JackdawlinkError> {
+    return this.#call("read", () => {
+      const all = this.table.range({ key: prefix, end: `${prefix}\uffff` });
+      return {
+        values: all.filter(({ modRevision }) => modRevision >= minModRevision),
+        keyCount: all.length,
+        storeRevision: this.table.revision,
+      };
+    });
   }
 
   transact(
--- a/packages/testing/src/platform_fleet.ts
+++ b/packages/testing/src/platform_fleet.ts
@@ -1,5 +1,5 @@
 /**
- * The stand-in platform's VMs and workers over HTTP.
+ * The stand-in platform's VMs and workers over HTTP. Lists carry entity tags.
  *
  * `GET /fleet/vms`, `POST /fleet/vms/<vm>/<drain|reboot|return>` with `{ operationId }`,
  * `GET /fleet/workers`, `POST /fleet/workers/<worker>/tasks` with a task, `POST
@@ -10,6 +10,7 @@
  */
 import type { HttpBindings } from "@hono/node-server";
 import { Hono } from "hono";
+import { etag } from "hono/etag";
 import type * as ports from "@jackdawlink/ports";
 import { FleetModel, type FleetSetup } from "./fleet_model.ts";
 
@@ -57,6 +58,7 @@
   }
 
   #addVms(): void {
+    this.app.use("/fleet/vms", etag());
     this.app.get("/fleet/vms", (context) => context.json(this.model.listVms(Date.now())));
     for (const action of VM_ACTIONS) {
       this.app.post(`/fleet/vms/:vm/${action}`, async (context) => {
@@ -70,6 +72,7 @@
 
   #addWorkers(): void {
     const path = "/fleet/workers/:worker/tasks";
+    this.app.use("/fleet/workers", etag());
     this.app.get("/fleet/workers", (context) => context.json(this.model.listWorkers(Date.now())));
     this.app.post(path, async (context) => {
       const spec = await context.req.json<ports.platform.TaskSpec>();
--- a/packages/testing/src/test_system.ts
+++ b/packages/testing/src/test_system.ts
@@ -121,10 +121,15 @@
         [vm, { vm, availabilityZone, rack, ...times }] as const
       ),
     );
+    await this.setFleet([...vms.values()]);
+  }
+
+  /** Replaces the VMs of the platform. */
+  async setFleet(vms: readonly VmSetup[]): Promise<void> {
     await fetch(`${this.platformUrl}/fleet`, {
       method: "PUT",
       headers: { "content-type": "application/json" },
-      body: JSON.stringify({ vms: [...vms.values()] }),
+      body: JSON.stringify({ vms }),
     });
   }
 
