Bundle only the used parts of the HTTP client into entry and steward

Cause: undici was 1,081 KB of the entry's 2,074 KB; its index loads fetch, web sockets, caches and mocks.

The build gives both servers a module with Agent, Client, Pool and the request methods. Tools and the bench keep the whole package.

--- a/packages/adapters/src/platform_client.ts
+++ b/packages/adapters/src/platform_client.ts
@@ -114,9 +114,11 @@
     { body }: { readonly body?: object },
   ): PlatformResult<unknown> {
     const request = async () => {
-      const response = await undici.request(`${this.#url}${path}`, {
+      const { origin, pathname } = new URL(`${this.#url}${path}`);
+      const response = await this.#agent.request({
+        origin,
+        path: pathname,
         method,
-        dispatcher: this.#agent,
         signal: AbortSignal.timeout(this.#timeoutMs),
         headers: { "content-type": "application/json" },
         body: body === undefined ? undefined : JSON.stringify(body),
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,12 +3,16 @@
  *
  * @module
  */
+import { fileURLToPath } from "node:url";
 import * as esbuild from "esbuild";
 
-const PROGRAMS = {
-  "jackdawlink": "packages/cli/src/main.ts",
+/** Programs that run all the time beside others; they load only the parts of the HTTP client that they use. */
+const SERVERS = {
   "jackdawlink-entry": "packages/entry/src/main.ts",
   "jackdawlink-steward": "packages/steward/src/main.ts",
+};
+const TOOLS = {
+  "jackdawlink": "packages/cli/src/main.ts",
   "jackdawlink-bench": "packages/bench/src/main.ts",
   "jackdawlink-quickstart": "packages/bench/src/quickstart_main.ts",
   "stand-in-platform": "packages/testing/src/platform_main.ts",
@@ -20,8 +24,7 @@
 const REQUIRE_BANNER =
   'import { createRequire as createRequireForBundle } from "node:module"; const require = createRequireForBundle(import.meta.url);';
 
-await esbuild.build({
-  entryPoints: PROGRAMS,
+const OPTIONS = {
   outdir: "dist",
   bundle: true,
   platform: "node",
@@ -31,4 +34,11 @@
   banner: { js: REQUIRE_BANNER },
   external: ["msgpackr-extract", "bufferutil", "utf-8-validate"],
   logLevel: "warning",
+};
+
+await esbuild.build({ ...OPTIONS, entryPoints: TOOLS });
+await esbuild.build({
+  ...OPTIONS,
+  entryPoints: SERVERS,
+  alias: { undici: fileURLToPath(new URL("http_client.cjs", import.meta.url)) },
 });
