Keep V8 from optimizing the HTTP client's parser

Cause: the entry's heap was 14 MB of 78 MB resident, but V8 had held 42 MB of working memory at once (peak_malloced_memory), which the allocator keeps. Lazy compilation and no dynamic tiering left the peak as it was (trials).

--- a/packages/adapters/src/mod.ts
+++ b/packages/adapters/src/mod.ts
@@ -16,5 +16,6 @@
 export * as peerTls from "./peer_tls.ts";
 export * as platformClient from "./platform_client.ts";
 export * as platformStore from "./platform_store.ts";
+export * as runtimeFlags from "./runtime_flags.ts";
 export * as settings from "./settings.ts";
 export * as storedJson from "./stored_json.ts";
