Restore the tests of quarantine and size estimates

An edit of place_test.ts had cut off everything behind the case that it replaced; the linter's unused imports showed it.

--- a/packages/policy/src/fleet/placement/place_test.ts
+++ b/packages/policy/src/fleet/placement/place_test.ts
@@ -126,3 +126,93 @@
     expect(looks).toBeLessThan(0.05 * workers.length * round.placements.length);
   });
 });
+
+describe("FailureHistory", () => {
+  it.each([
+    { name: "three jobs on one worker", ends: ["w1 a", "w1 b", "w1 c"], faulty: true },
+    { name: "one job that fails again", ends: ["w1 a", "w1 a", "w1 a"], faulty: false },
+    {
+      name: "jobs that fail elsewhere",
+      ends: ["w2 a", "w3 b", "w1 a", "w1 b", "w1 c"],
+      faulty: false,
+    },
+    { name: "a success in between", ends: ["w1 a", "w1 b", "w1 ok +", "w1 c"], faulty: false },
+  ])("judges $name", ({ ends, faulty }) => {
+    const history = new quarantine.FailureHistory();
+    for (const [name = "", jobId = "", success] of ends.map((end) => end.split(" "))) {
+      history.add({ worker: name, jobId, succeeded: success === "+" });
+    }
+    expect(history.isFaulty("w1")).toBe(faulty);
+  });
+});
+
+describe("sizes", () => {
+  it("follow usage that is three times off", () => {
+    const sizes = new sizeEstimates.SizeEstimates();
+    const declared = { cores: 1, memoryMb: 100 };
+    for (let count = 0; count < 20; count += 1) {
+      sizes.observe("g", { declared, used: { cores: 3, memoryMb: 300 } });
+    }
+    const { cores, memoryMb } = sizes.estimate("g", declared);
+    expect(cores).toBeGreaterThan(3);
+    expect(memoryMb).toBe(345);
+  });
+
+  it.each(
+    [
+      {
+        used: 1,
+        last: "none",
+        sinceLastMs: 99,
+        checkpointed: false,
+        repeatable: true,
+        next: "none",
+      },
+      {
+        used: 2,
+        last: "none",
+        sinceLastMs: 9,
+        checkpointed: false,
+        repeatable: true,
+        next: "none",
+      },
+      {
+        used: 2,
+        last: "none",
+        sinceLastMs: 99,
+        checkpointed: false,
+        repeatable: true,
+        next: "throttle",
+      },
+      {
+        used: 2,
+        last: "throttle",
+        sinceLastMs: 99,
+        checkpointed: false,
+        repeatable: true,
+        next: "checkpoint",
+      },
+      {
+        used: 2,
+        last: "checkpoint",
+        sinceLastMs: 99,
+        checkpointed: true,
+        repeatable: true,
+        next: "stop",
+      },
+      {
+        used: 2,
+        last: "throttle",
+        sinceLastMs: 99,
+        checkpointed: false,
+        repeatable: false,
+        next: "none",
+      },
+    ] as const,
+  )("over-user: used $used after $last leads to $next", (row) => {
+    const allotted = { cores: 1, memoryMb: 100 };
+    const task = { ...row, allotted, used: { cores: row.used, memoryMb: 100 } };
+    const action = sizeEstimates.overuseAction(task, { ...row, lagMs: 50 });
+    expect(action).toBe(row.next);
+  });
+});
