--- a/packages/entry/test/bad_input_test.ts
+++ b/packages/entry/test/bad_input_test.ts
@@ -24,14 +24,12 @@
 
   beforeAll(async () => {
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: ["zone-a"],
       services: [QUEUE],
       backendServersPerService: 1,
       teams: { [TEAM]: { weight: 1 } },
-    }));
-    const { code, output } = await system.apply(config);
-    expect(code, output).toBe(0);
+    });
   });
 
   afterAll(async () => {
--- a/packages/entry/test/faults_test.ts
+++ b/packages/entry/test/faults_test.ts
@@ -189,25 +189,20 @@
       seed: SEED,
     });
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    const services = { [SERVICE]: { pool: SERVICE, maxRunMs: DEADLINE_MS } };
+    await system.publishExample({
       availabilityZones: AVAILABILITY_ZONES,
       services: [SERVICE],
       backendServersPerService: 3,
       teams: TEAMS,
-    }));
-    const services = { [SERVICE]: { pool: SERVICE, maxRunMs: DEADLINE_MS } };
-    const { code, output } = await system.apply({ ...config, services });
-    expect(code, output).toBe(0);
+    }, (config) => ({ ...config, services }));
   });
 
   beforeEach(() => {
     traffic = new testing.traffic.Traffic({
       entryUrls: system.entries.map(({ callerUrl }) => callerUrl),
       queues: [SERVICE],
-      teams: Object.keys(TEAMS).map((team) => ({
-        team,
-        key: testing.exampleConfig.exampleSecret(team),
-      })),
+      teams: testing.exampleConfig.exampleKeys(Object.keys(TEAMS)),
       loopsPerEntryAndTeam: 2,
       runMs: RUN_MS,
       deadlineMs: DEADLINE_MS,
--- a/packages/entry/test/frozen_runs_test.ts
+++ b/packages/entry/test/frozen_runs_test.ts
@@ -21,18 +21,16 @@
 
   beforeAll(async () => {
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: ["zone-a"],
       services: [SERVICE],
       backendServersPerService: 1,
       teams: { [TEAM]: { weight: 1, maxRunningRequests: LIMIT } },
-    }));
-    const { code, output } = await system.apply({
+    }, (config) => ({
       ...config,
       services: { [SERVICE]: { pool: SERVICE, maxRunMs: MAX_RUN_MS } },
       queues: { [SERVICE]: { service: SERVICE, maxWaitMs: CALLER_DEADLINE_MS } },
-    });
-    expect(code, output).toBe(0);
+    }));
   });
 
   afterAll(async () => {
--- a/packages/entry/test/graceful_stop_test.ts
+++ b/packages/entry/test/graceful_stop_test.ts
@@ -21,14 +21,12 @@
 
   beforeAll(async () => {
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: AVAILABILITY_ZONES,
       services: [SERVICE],
       backendServersPerService: 3,
       teams: TEAMS,
-    }));
-    const { code, output } = await system.apply(config);
-    expect(code, output).toBe(0);
+    });
     balancer = new testing.balancer.Balancer(system.entries);
   });
 
@@ -45,10 +43,7 @@
     const traffic = new testing.traffic.Traffic({
       entryUrls: system.entries.map(({ callerUrl }) => callerUrl),
       queues: [SERVICE],
-      teams: Object.keys(TEAMS).map((team) => ({
-        team,
-        key: testing.exampleConfig.exampleSecret(team),
-      })),
+      teams: testing.exampleConfig.exampleKeys(Object.keys(TEAMS)),
       loopsPerEntryAndTeam: 2,
       runMs: RUN_MS,
       deadlineMs: 20_000,
--- a/packages/entry/test/idempotency_test.ts
+++ b/packages/entry/test/idempotency_test.ts
@@ -79,14 +79,12 @@
 
   beforeAll(async () => {
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: AVAILABILITY_ZONES,
       services: [SERVICE],
       backendServersPerService: 3,
       teams: { [TEAM]: { weight: 1 } },
-    }));
-    const { code, output } = await system.apply(config);
-    expect(code, output).toBe(0);
+    });
   });
 
   afterAll(async () => {
--- a/packages/entry/test/tls_test.ts
+++ b/packages/entry/test/tls_test.ts
@@ -143,14 +143,12 @@
     ]);
     await Promise.all(ENTRY_HOSTS.map((_, index) => writeCertificate(`entry-${index + 1}`)));
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: ["zone-a", "zone-b", "zone-c"],
       services: [QUEUE],
       backendServersPerService: 3,
       teams: { [TEAM]: { weight: 1 } },
-    }));
-    const { code, output } = await system.apply(config);
-    expect(code, output).toBe(0);
+    });
   });
 
   afterEach(() => meshes.splice(0).forEach((mesh) => mesh.close()));
--- a/packages/entry/test/whole_path_test.ts
+++ b/packages/entry/test/whole_path_test.ts
@@ -12,10 +12,6 @@
 const LIMITS = { billing: 64, reminders: 64, catalogue: 4 };
 const REQUESTS = 600;
 
-function keysOf(teams: readonly string[]) {
-  return teams.map((team) => ({ team, key: testing.exampleConfig.exampleSecret(team) }));
-}
-
 describe("nine entries without faults", () => {
   const system = new testing.testSystem.TestSystem({
     availabilityZones: AVAILABILITY_ZONES,
@@ -25,14 +21,12 @@
 
   beforeAll(async () => {
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: AVAILABILITY_ZONES,
       services: ["renewals"],
       backendServersPerService: 2,
       teams: TEAMS,
-    }));
-    const { code, output } = await system.apply(config);
-    expect(code, output).toBe(0);
+    });
   });
 
   afterAll(() => system.stop());
@@ -41,7 +35,7 @@
     const traffic = new testing.traffic.Traffic({
       entryUrls: system.entries.map(({ callerUrl }) => callerUrl),
       queues: ["renewals"],
-      teams: keysOf(Object.keys(TEAMS)),
+      teams: testing.exampleConfig.exampleKeys(Object.keys(TEAMS)),
       loopsPerEntryAndTeam: 2,
       runMs: 10,
       seed: SEED,
--- a/packages/entry/test/withdrawn_key_test.ts
+++ b/packages/entry/test/withdrawn_key_test.ts
@@ -69,14 +69,12 @@
       seed: SEED,
     });
     await system.start();
-    const config = await system.startBackendServers(testing.exampleConfig.exampleConfig({
+    await system.publishExample({
       availabilityZones: AVAILABILITY_ZONES,
       services: [SERVICE],
       backendServersPerService: 1,
       teams: { [TEAM]: { weight: 1 } },
-    }));
-    const { code, output } = await system.apply(config);
-    expect(code, output).toBe(0);
+    });
   });
 
   afterEach(async () => {
--- a/packages/steward/test/wave_under_load_test.ts
+++ b/packages/steward/test/wave_under_load_test.ts
@@ -80,10 +80,7 @@
     const traffic = new testing.traffic.Traffic({
       entryUrls: system.entries.map(({ callerUrl }) => callerUrl),
       queues: [SERVICE],
-      teams: Object.keys(TEAMS).map((team) => ({
-        team,
-        key: testing.exampleConfig.exampleSecret(team),
-      })),
+      teams: testing.exampleConfig.exampleKeys(Object.keys(TEAMS)),
       loopsPerEntryAndTeam: 2,
       runMs: RUN_MS,
       deadlineMs: 20_000,
--- a/packages/testing/src/example_config.ts
+++ b/packages/testing/src/example_config.ts
@@ -20,6 +20,11 @@
   return `example-secret-${team}`;
 }
 
+/** Teams with the secrets of their keys, as traffic needs them. */
+export function exampleKeys(teams: readonly string[]): { team: string; key: string }[] {
+  return teams.map((team) => ({ team, key: exampleSecret(team) }));
+}
+
 /** One workspace, one pool and one queue for each service, and one key for each team. */
 export function exampleConfig(options: ExampleOptions): schema.config.ConfigInput {
   const { services, teams } = options;
--- a/packages/testing/src/test_system.ts
+++ b/packages/testing/src/test_system.ts
@@ -11,6 +11,7 @@
 import * as schema from "@jackdawlink/schema";
 import * as toml from "smol-toml";
 import * as backendServerClient from "./backend_server_client.ts";
+import * as exampleConfig from "./example_config.ts";
 import * as faultProxy from "./fault_proxy.ts";
 import type { WitnessEvent } from "./fleet_model.ts";
 import { freePorts } from "./free_ports.ts";
@@ -174,6 +175,18 @@
     return { ...config, backendServers: Object.fromEntries(started) };
   }
 
+  /** Starts the backend servers of an example configuration and publishes it; throws if it is refused. */
+  async publishExample(
+    options: exampleConfig.ExampleOptions,
+    change: (config: schema.config.ConfigInput) => schema.config.ConfigInput = (config) => config,
+  ): Promise<void> {
+    const config = await this.startBackendServers(exampleConfig.exampleConfig(options));
+    const { code, output } = await this.apply(change(config));
+    if (code !== 0) {
+      throw new schema.errors.JackdawlinkError(`The configuration was not published: ${output}`);
+    }
+  }
+
   /** Publishes a configuration through the command line and waits until it is in force. */
   async apply(config: schema.config.ConfigInput): Promise<CommandOutcome> {
     const file = path.join(this.directory, "config.toml");
