--- a/packages/testing/src/free_ports.ts
+++ b/packages/testing/src/free_ports.ts
@@ -1,20 +1,35 @@
 /**
- * Ports of the loopback interface that the system had free a moment ago.
+ * Ports of the loopback interface that were free a moment ago. They lie below those that the system
+ * gives to outgoing connections, so that no connection takes one before its program listens.
  *
  * @module
  */
 import * as net from "node:net";
+import { errors } from "@jackdawlink/schema";
+
+/** No port of the range is free. */
+export const NoFreePortError = errors.JackdawlinkError.subclass("NoFreePortError");
 
 const DEFAULT_HOST = "127.0.0.1";
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+/** Test runs side by side start to look at different ports. */
+const PORTS_PER_PROCESS = 200;
+
+let nextOffset = process.pid * PORTS_PER_PROCESS;
 
-/** Asks the system for free ports of a host; all are held at once, so that they differ from one another. */
+/** Free ports of a host. No port is given twice until the whole range has been tried. */
 export async function freePorts(
   count: number,
   { host = DEFAULT_HOST }: { host?: string } = {},
 ): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => listenAnywhere(host)));
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-  await Promise.all(servers.map(closeServer));
+  const ports: number[] = [];
+  for (let tries = 0; ports.length < count; tries += 1) {
+    if (tries === PORT_COUNT) throw new NoFreePortError(`No free port at ${host}`);
+    const port = FIRST_PORT + nextOffset % PORT_COUNT;
+    nextOffset += 1;
+    if (await canListen(port, host)) ports.push(port);
+  }
   return ports;
 }
 
@@ -24,14 +39,10 @@
   return port!;
 }
 
-function listenAnywhere(host: string): Promise<net.Server> {
-  return new Promise((resolve, reject) => {
+function canListen(port: number, host: string): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = net.createServer();
-    server.once("error", reject);
-    server.listen(0, host, () => resolve(server));
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
   });
 }
-
-function closeServer(server: net.Server): Promise<void> {
-  return new Promise((resolve) => server.close(() => resolve()));
-}
