--- a/packages/entry/src/claims/shard_owner.ts
+++ b/packages/entry/src/claims/shard_owner.ts
@@ -140,8 +140,8 @@
       return null;
     }
     const shard = new OwnedShard({ index, ownerRevision, window: this.#options.window });
-    for (const { key, value } of stored.value) {
-      if (!this.#load(shard, key, value)) {
+    for (const segment of stored.value) {
+      if (!this.#load(shard, segment)) {
         return null;
       }
     }
@@ -170,7 +170,7 @@
   }
 
   /** A segment that can't be read makes the shard unusable: the keys in it must not run again. */
-  #load(shard: OwnedShard, key: string, value: string): boolean {
+  #load(shard: OwnedShard, { key, value }: ports.store.StoredValue): boolean {
     const segment = parseSegment(value);
     if (segment === null) {
       this.#options.log.error("Segment not understood", { shard: shard.index, key });
--- a/packages/entry/src/membership/member.ts
+++ b/packages/entry/src/membership/member.ts
@@ -33,28 +33,41 @@
   readonly leaseKeeper: LeaseKeeper;
 }
 
+type HeadRepository = adapters.headRepository.HeadRepository;
+
 /** Makes the parts; nothing is started yet. */
 export function makeMember(options: MemberOptions): Member {
-  const { settings, store, links, clock, log } = options;
-  const { memberId, availabilityZone, timing } = settings;
+  const { store, clock, log } = options;
   const headRepository = new adapters.headRepository.HeadRepository({
     store,
     clock,
     log: log("head"),
   });
-  const identity = {
-    memberId,
-    availabilityZone,
-    peerAddress: options.peerAddress,
-    operatorAddress: options.operatorAddress,
-  };
+  const followers = makeFollowers(options, { headRepository, membership: () => membership });
+  const leaseKeeper = makeLeaseKeeper(options);
+  const membership: MembershipManager = makeMembership(options, {
+    ...followers,
+    headRepository,
+    leaseKeeper,
+  });
+  return { ...followers, membership, leaseKeeper };
+}
+
+/** What follows the store; the membership, which is made afterwards, hears of each read. */
+function makeFollowers(
+  options: MemberOptions,
+  parts: { headRepository: HeadRepository; membership: () => MembershipManager },
+): Pick<Member, "snapshots" | "drainingVms"> {
+  const { store, links, clock, log } = options;
+  const { headPollMs } = options.settings.timing;
+  const { headRepository, membership } = parts;
   const assembler = new policy.configAssembler.ConfigAssembler();
   const drainingVms = new DrainingVmManager({
     store,
     links,
     clock,
     log: log("draining"),
-    headPollMs: timing.headPollMs,
+    headPollMs,
   });
   const snapshots = new SnapshotManager({
     store,
@@ -68,34 +81,44 @@
     links,
     clock,
     log: log("snapshot"),
-    headPollMs: timing.headPollMs,
-    needsAliveKeys: () => membership.needsAliveKeys(),
+    headPollMs,
+    needsAliveKeys: () => membership().needsAliveKeys(),
     readDrainingVms: () => drainingVms.read(),
-    onRead: (read) => membership.recordRead(read),
+    onRead: (read) => membership().recordRead(read),
   });
-  const leaseKeeper = new LeaseKeeper({
-    memberId,
+  return { snapshots, drainingVms };
+}
+
+function makeLeaseKeeper({ settings, store, clock, log }: MemberOptions): LeaseKeeper {
+  return new LeaseKeeper({
+    memberId: settings.memberId,
     store,
     clock,
     log: log("lease"),
-    leaseSeconds: timing.memberLeaseSeconds,
+    leaseSeconds: settings.timing.memberLeaseSeconds,
   });
-  const membership: MembershipManager = new MembershipManager({
+}
+
+function makeMembership(
+  options: MemberOptions,
+  parts: Omit<Member, "membership"> & { headRepository: HeadRepository },
+): MembershipManager {
+  const { settings, links, clock, log } = options;
+  const { memberId, availabilityZone, timing, seedPeerAddresses } = settings;
+  const { peerAddress, operatorAddress } = options;
+  const identity = { memberId, availabilityZone, peerAddress, operatorAddress };
+  return new MembershipManager({
+    ...parts,
     identity,
-    seedPeerAddresses: settings.seedPeerAddresses,
+    seedPeerAddresses,
     timing,
     state: new policy.memberState.MemberState({
       identity,
       incarnation: randomUUID(),
       rules: policy.memberState.rulesOf(timing),
     }),
-    snapshots,
-    drainingVms,
-    headRepository,
-    leaseKeeper,
     links,
     clock,
     log: log("members"),
   });
-  return { snapshots, drainingVms, membership, leaseKeeper };
 }
