Ask for the right to place jobs again when a task's end is refused

Cause: a steward that sees only itself for a moment takes the placer record over and leaves it again. The earlier placer kept the old version; all its writes of ended tasks were refused, silently, and as every worker was full it placed nothing, which was the only step that asked for the right anew. Jobs stood still for good.

Ruled out: rounds in step with a fault that loses every third answer.

--- a/packages/steward/src/job_manager.ts
+++ b/packages/steward/src/job_manager.ts
@@ -110,7 +110,7 @@
 
   /** One round: follows the tasks and places waiting jobs, if this steward is the placer. */
   async step(round: Round): Promise<void> {
-    const { placer, segments, platform } = this.#options;
+    const { placer, segments, platform, decisions } = this.#options;
     if (!round.actsFor(JOBS_SUBJECT)) {
       placer.drop();
       return;
@@ -132,10 +132,12 @@
       return;
     }
     const listed = await platform.listWorkers();
-    if (listed.isOk()) {
-      await this.#follower.step(listed.value);
-      await this.#placement.step(listed.value, round);
+    if (listed.isErr()) {
+      decisions.add("Jobs put off", [JOBS_SUBJECT], { reason: listed.error.message });
+      return;
     }
+    await this.#follower.step(listed.value);
+    await this.#placement.step(listed.value, round);
   }
 }
 
--- a/packages/steward/src/steward_test.ts
+++ b/packages/steward/src/steward_test.ts
@@ -105,3 +105,29 @@
     expect(world.model.plannedOut().filter(({ vm }) => vm === "vm-1")).toEqual([]);
   });
 });
+
+describe("a placer", () => {
+  const RUN_ROUNDS = 5;
+  it("ends its jobs after another steward took the placer record over and left it", async () => {
+    const world = new World(NO_FAULTS);
+    const steward = world.steward(0, OPTIONS);
+    const runRounds = async (rounds: number) => {
+      for (let round = 0; round < rounds; round += 1) {
+        world.clock.advance(ROUND_MS);
+        await steward.runRound();
+      }
+    };
+    const runMs = RUN_ROUNDS * ROUND_MS;
+    const spec = v.parse(schema.fleet.jobSpecSchema, { cores: 0.1, memoryMb: 64, runMs });
+    await steward.runRound();
+    await steward.jobs.submit("boards", { jobId: "renewal", spec });
+    await runRounds(2);
+    const key = schema.storeKeys.JOB_PLACER;
+    const value = JSON.stringify({ stewardId: "other", incarnation: "other" });
+    await world.store.transact([], [{ kind: "put", key, value }]);
+    await runRounds(4 * RUN_ROUNDS);
+    const job = (await steward.jobs.find("renewal"))._unsafeUnwrap();
+    expect(job?.state).toBe("succeeded");
+    expect(world.model.tasks.starts.get("renewal.1")).toBe(1);
+  });
+});
--- a/packages/steward/src/task_follower.ts
+++ b/packages/steward/src/task_follower.ts
@@ -159,6 +159,8 @@
           : err(new JobConflictError(`Attempt ${job.attempt} is over already`)),
     });
     if (result.isErr()) {
+      // Another steward may have taken the placer record over and left it; the next round asks again.
+      this.#options.placer.drop();
       return;
     }
     const { jobId, worker = "", attempt } = job;
