--- a/packages/bench/src/capacity/planned_size.ts
+++ b/packages/bench/src/capacity/planned_size.ts
@@ -20,13 +20,6 @@
   keysPerTeam: 5,
 } as const;
 
-/** The bounds for control on one node. */
-export const NODE_BOUNDS = {
-  cpuFraction: 0.015,
-  memoryBytes: 64 * 1_024 * 1_024,
-  bytesPerSecond: 10_000,
-} as const;
-
 /** Numbers of teams that slopes are measured at. */
 export const TEAM_COUNTS: readonly number[] = [10, 100, 370, 1_000];
 
--- a/packages/testing/src/free_ports.ts
+++ b/packages/testing/src/free_ports.ts
@@ -33,12 +33,6 @@
   return ports;
 }
 
-/** One free port. */
-export async function freePort(): Promise<number> {
-  const [port] = await freePorts(1);
-  return port!;
-}
-
 function canListen(port: number, host: string): Promise<boolean> {
   return new Promise((resolve) => {
     const server = net.createServer();
--- a/packages/testing/src/replay/outcomes.ts
+++ b/packages/testing/src/replay/outcomes.ts
@@ -84,16 +84,6 @@
   );
 }
 
-/** The delays from arrival to first run of urgent requests; those never started have none. */
-export function urgentDelays(record: ReplayRecord): readonly number[] {
-  const runs = runsByRequest(record);
-  return record.requests.flatMap(({ requestId, arrival }) => {
-    const first = runs.get(requestId)?.[0];
-    if (arrival.urgency !== "urgent" || first === undefined) return [];
-    return [first.startMs - arrival.atMs];
-  });
-}
-
 /** Only the loss of an entry or a withdrawn key excuses a request that never started. */
 function urgentInTime(record: ReplayRecord): readonly string[] {
   const runs = runsByRequest(record);
