--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -3,13 +3,17 @@
  *
  * @module
  */
+export * as evacuation from "./evacuation.ts";
 export * as jobRecord from "./job_record.ts";
 export * as mandate from "./mandate.ts";
 export * as order from "./order.ts";
 export * as pacing from "./pacing.ts";
 export * as placement from "./placement.ts";
+export * as poolPlan from "./pool_plan.ts";
 export * as resources from "./resources.ts";
 export * as run from "./run.ts";
 export * as scheduler from "./scheduler.ts";
 export * as taskNames from "./task_names.ts";
+export * as vmView from "./vm_view.ts";
+export * as wavePlan from "./wave_plan.ts";
 export * as workerRecord from "./worker_record.ts";
--- a/packages/policy/src/scheduling/placement.ts
+++ b/packages/policy/src/scheduling/placement.ts
@@ -11,6 +11,10 @@
 const OTHER_RACK_PENALTY = 100;
 /** A worker on which the task has failed is the last resort. */
 const FAILED_HERE_PENALTY = 1_000;
+/** A worker that is due for maintenance is left to fall idle. */
+const LEAVING_PENALTY = 5;
+/** Two lasting tasks of a step on one worker would be lost together. */
+const SAME_STEP_PENALTY = 2;
 /** For each failure in a row on the worker. */
 const FAILURE_PENALTY = 10;
 
@@ -60,14 +64,15 @@
 /** Whether the worker may take one more task of the step. */
 export function hasSpreadRoom(step: StepRecord, worker: WorkerRecord): boolean {
   const limit = step.spec.maxTasksPerWorker;
-  if (limit === 0) {
-    return true;
-  }
+  return limit === 0 || sameStepCount(step, worker) < limit;
+}
+
+function sameStepCount(step: StepRecord, worker: WorkerRecord): number {
   let count = 0;
   for (const run of worker.runs.values()) {
     count += run.step === step ? 1 : 0;
   }
-  return count < limit;
+  return count;
 }
 
 function scoreOf({ step, task, preferredRack }: PlacementRequest, worker: WorkerRecord): number {
@@ -77,5 +82,7 @@
   return freeShare +
     (rack !== undefined && !labels.includes(rack) ? OTHER_RACK_PENALTY : 0) +
     (task.failedOn.has(workerId) ? FAILED_HERE_PENALTY : 0) +
-    worker.failureStreak * FAILURE_PENALTY;
+    worker.failureStreak * FAILURE_PENALTY +
+    (worker.isLeavingSoon ? LEAVING_PENALTY : 0) +
+    (step.spec.isLasting ? sameStepCount(step, worker) * SAME_STEP_PENALTY : 0);
 }
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -159,24 +159,29 @@
     readonly receivedAtMs: number;
   }): void {
     worker.setClock(report.workerClockMs, at.receivedAtMs);
+    const unknownRuns = new Set<string>();
     for (const end of report.ends) {
+      if (this.#find(end.task) === undefined) {
+        // The job will come to be known; its end must not be acknowledged before.
+        unknownRuns.add(end.task);
+        break;
+      }
       if (end.endNumber > worker.processedEnd) {
         worker.processedEnd = end.endNumber;
         this.#takeEnd(worker, end, at.receivedAtMs);
       }
     }
     const listed = new Set<string>();
-    let unknownRunCount = 0;
     for (const reported of report.running) {
       listed.add(runKey(reported.task, reported.runId));
       const run = this.#runOf(worker, reported, at.receivedAtMs);
       if (run === undefined) {
-        unknownRunCount++;
+        unknownRuns.add(reported.task);
       } else {
         takeReport(run, reported, at.receivedAtMs);
       }
     }
-    worker.unknownRunCount = unknownRunCount;
+    worker.unknownRuns = unknownRuns;
     for (const run of [...worker.runs.values()]) {
       const isKnownAbsent = (run.verifyAfterMs ?? run.confirmedAtMs ?? Infinity) < at.sentAtMs;
       if (isKnownAbsent && !listed.has(runKey(run.task.name, run.runId))) {
@@ -295,8 +300,36 @@
   /** Whether an earlier owner may have a run of the job's tasks that isn't known yet. */
   mayRunUnseen(job: JobRecord): boolean {
     const { revision, atMs, staleOwnerMs } = this.#options.takeover;
-    return !this.isSettled &&
-      (job.acceptedRevision <= revision || job.seenAtMs <= atMs + staleOwnerMs);
+    const isOld = job.acceptedRevision <= revision || job.seenAtMs <= atMs + staleOwnerMs;
+    return (!this.isSettled && isOld) || this.#isAmongUnknownRuns(job);
+  }
+
+  /** Whether a worker has reported tasks of the job before the job was known here. */
+  #isAmongUnknownRuns(job: JobRecord): boolean {
+    const prefix = `${job.job.jobId}.`;
+    return [...this.workers.values()].some(({ unknownRuns }) =>
+      unknownRuns.size > 0 && [...unknownRuns].some((task) => task.startsWith(prefix))
+    );
+  }
+
+  /** What the tasks that run, or could run shortly, ask of each pool. */
+  demandByPool(now: Now, aheadMs: number): Map<string, schema.scheduling.Resources> {
+    const demand = new Map<string, schema.scheduling.Resources>();
+    for (const job of this.#active) {
+      const pool = this.queueOf(job)?.pool;
+      if (pool === undefined) {
+        continue;
+      }
+      let sum = demand.get(pool) ?? resources.NO_RESOURCES;
+      for (const step of job.readySteps(now.wallMs + aheadMs)) {
+        sum = resources.add(sum, resources.roomOf(step.spec), step.waitingTasks().length);
+      }
+      for (const run of job.runs()) {
+        sum = resources.add(sum, run.room);
+      }
+      demand.set(pool, sum);
+    }
+    return demand;
   }
 
   #place(now: Now): void {
--- /dev/null
+++ b/packages/policy/src/scheduling/wave_plan.ts
@@ -0,0 +1,76 @@
+/**
+ * The next steps of a maintenance wave: which VMs go down now, and which are emptied for it.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import { isIdle, type VmView } from "./vm_view.ts";
+
+/** The time to empty a VM and to maintain it, on the long side. */
+const ROUND_MS = 5_000;
+/** With less than this left beyond the rounds that are needed, busy VMs are emptied as well. */
+const COMFORT_MS = 8_000;
+/** With less than this left beyond the rounds that are needed, tasks are stopped. */
+const URGENT_MS = 2_500;
+/** A pool that has this share of its room free can spare a VM. */
+const SPARE_SHARE = 0.35;
+
+/** A wave as it stands. */
+export interface WaveState {
+  readonly wave: ports.scheduling.MaintenanceWave;
+  readonly startedAtMs: number;
+  readonly done: ReadonlySet<string>;
+  /** VMs that are down for the wave right now. */
+  readonly down: ReadonlySet<string>;
+}
+
+export interface WavePlan {
+  /** To go down at once; nothing runs on them. */
+  readonly maintain: readonly string[];
+  /** To get no new tasks, so that they fall idle. */
+  readonly empty: readonly string[];
+  /** Whether tasks on those are to be stopped. */
+  readonly isUrgent: boolean;
+}
+
+/** Plans within the wave's bound of VMs that may be down at once. */
+export function planWave(
+  { wave, startedAtMs, done, down }: WaveState,
+  { vms, nowMs }: { readonly vms: readonly VmView[]; readonly nowMs: number },
+): WavePlan {
+  const waveVms = new Set(wave.vms);
+  const left = vms.filter((view) => waveVms.has(view.vm) && !done.has(view.vm));
+  const slotCount = Math.max(0, wave.maxConcurrent - down.size);
+  const roundCount = Math.ceil(left.length / wave.maxConcurrent);
+  const slackMs = startedAtMs + wave.durationMs - nowMs - roundCount * ROUND_MS;
+  const idle = left.filter(isIdle);
+  const maintain = idle.slice(0, slotCount).map(({ vm }) => vm);
+  const busy = left.filter((view) => view.state === "up" && !view.isUncertain && !isIdle(view));
+  const candidates = slackMs < COMFORT_MS ? busy : busy.filter((view) => canSpare(view, vms));
+  const empty = candidates
+    .sort((a, b) => loadOf(a) - loadOf(b))
+    .slice(0, Math.max(0, slotCount - maintain.length))
+    .map(({ vm }) => vm);
+  return { maintain, empty, isUrgent: slackMs < URGENT_MS };
+}
+
+/** VMs that are being emptied already come first, so that their emptying is not in vain. */
+function loadOf({ worker }: VmView): number {
+  if (worker === undefined) {
+    return 0;
+  }
+  const lastingCount = [...worker.runs.values()].filter(({ step }) => step.spec.isLasting).length;
+  return (worker.cordon === undefined ? 1_000 : 0) + lastingCount * 10 + worker.runs.size;
+}
+
+function canSpare(view: VmView, vms: readonly VmView[]): boolean {
+  let total = 0;
+  let free = 0;
+  for (const { pool, worker } of vms) {
+    if (pool === view.pool && worker !== undefined && worker.cordon === undefined) {
+      total += worker.info.total.cpuMillicores;
+      free += worker.free.cpuMillicores;
+    }
+  }
+  return view.worker?.cordon !== undefined || free >= SPARE_SHARE * total;
+}
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -24,8 +24,10 @@
   used: schema.scheduling.Resources = resources.NO_RESOURCES;
   /** True once the worker has reported under the current fencing token. */
   hasReported = false;
-  /** Tasks that the worker has and that belong to no known job; its room is not known. */
-  unknownRunCount = 0;
+  /** Runs and ends of jobs that are not known yet; until they are, the worker's room is not known. */
+  unknownRuns: ReadonlySet<string> = new Set();
+  /** Due for maintenance or a move; other workers are preferred for tasks. */
+  isLeavingSoon = false;
   /** Why the worker gets no new tasks: a drain, a move, or maintenance. */
   cordon: string | undefined;
   /** True while its entry stands in the platform's list. */
@@ -115,6 +117,6 @@
   isOpen(nowMs: number): boolean {
     return this.isListed && this.hasReported && !this.info.isDraining &&
       this.cordon === undefined &&
-      this.unknownRunCount === 0 && !this.isQuarantined(nowMs);
+      this.unknownRuns.size === 0 && !this.isQuarantined(nowMs);
   }
 }
--- a/packages/scheduler/src/store_keys.ts
+++ b/packages/scheduler/src/store_keys.ts
@@ -37,3 +37,10 @@
     ? { kind: "cancel", jobId: key.slice(CANCEL_PREFIX.length) }
     : undefined;
 }
+
+/** Which VMs are done with each maintenance wave. */
+export const WAVE_PREFIX = "jackdawlink/wave/";
+
+export function waveKey(wave: number): string {
+  return `${WAVE_PREFIX}${wave}`;
+}
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -3,9 +3,28 @@
  *
  * @module
  */
-import type * as policy from "@jackdawlink/policy";
+import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
+import { pause } from "./pause.ts";
+import { decodeWaveDone, WaveBook } from "./wave_book.ts";
+import * as storeKeys from "./store_keys.ts";
+
+type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
+type VmView = policy.scheduling.vmView.VmView;
+
+const LOOK_INTERVAL_MS = 250;
+/** Waves come rarely, and last for many seconds. */
+const WAVE_READ_INTERVAL_MS = 1_000;
+/** VMs refuse another holder's orders for the length of its lease. */
+const HANDOVER_MS = 3_300;
+/** An order without an answer may still be carried out until then. */
+const LATE_ORDER_MS = 13_000;
+/** Tasks with a timetable are made room for so long ahead: a move, and the time to notice. */
+const AHEAD_MS = 2_500;
+/** Why a worker gets no new tasks. */
+const MOVING = "its VM is moving";
+const MAINTENANCE = "its VM is due for maintenance";
 
 export interface VmManagerOptions {
   readonly scheduler: policy.scheduling.scheduler.Scheduler;
@@ -16,21 +35,286 @@
   readonly log: ports.log.Log;
   readonly holder: ports.scheduling.VmOrderHolder;
   readonly startedAtMs: number;
+  /** An earlier owner may have given orders until just now. */
   readonly hadOwner: boolean;
   readonly mayOrder: () => boolean;
   readonly onFenced: () => void;
   readonly onChange: () => void;
 }
 
-/** To be filled in by the next change. */
+/** Looks at all VMs in a loop, and orders what the plans say. */
 export class VmManager {
   readonly #options: VmManagerOptions;
+  readonly #waves: WaveBook;
+  /** VMs on their way to a pool. */
+  readonly #moving = new Map<string, string>();
+  readonly #uncertainUntilMs = new Map<string, number>();
+  readonly #busyOrders = new Set<string>();
+  #config: schema.scheduling.SchedulingConfig | undefined;
+  #wavesReadAtMs = Number.NEGATIVE_INFINITY;
+  #isStopped = false;
+
   constructor(options: VmManagerOptions) {
     this.#options = options;
+    this.#waves = new WaveBook(options);
+  }
+
+  setConfig(config: schema.scheduling.SchedulingConfig): void {
+    this.#config = config;
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#waves.stop();
+  }
+
+  async run(config: schema.scheduling.SchedulingConfig): Promise<void> {
+    this.#config = config;
+    while (!this.#isStopped) {
+      await this.#look();
+      await pause(LOOK_INTERVAL_MS);
+    }
+  }
+
+  async #look(): Promise<void> {
+    const { clock, vms, log } = this.#options;
+    if (clock.nowMs() - this.#wavesReadAtMs >= WAVE_READ_INTERVAL_MS) {
+      await this.#readWaves();
+    }
+    const listed = await vms.list();
+    if (listed.isErr()) {
+      log.info("VMs not listed", { reason: listed.error.message });
+      return;
+    }
+    if (this.#isStopped) {
+      return;
+    }
+    const views = this.#views(listed.value);
+    const mayOrder = this.#options.mayOrder() && this.#isHandedOver();
+    this.#waves.noteStates(views);
+    this.#markLeaving(views);
+    if (mayOrder) {
+      this.#stepWaves(views);
+      this.#stepDraining();
+      this.#stepPools(views);
+    }
+    void this.#waves.store();
+  }
+
+  /** Whether no earlier owner's order can be on its way. */
+  #isHandedOver(): boolean {
+    const { hadOwner, clock, startedAtMs } = this.#options;
+    return !hadOwner || clock.nowMs() - startedAtMs >= HANDOVER_MS;
+  }
+
+  async #readWaves(): Promise<void> {
+    const { store, documents, clock, log } = this.#options;
+    const [waves, done] = await Promise.all([
+      store.list(documents.wavePrefix),
+      store.list(storeKeys.WAVE_PREFIX),
+    ]);
+    if (waves.isErr() || done.isErr()) {
+      return;
+    }
+    this.#wavesReadAtMs = clock.nowMs();
+    const doneByWave = new Map(
+      done.value.items.map((item) => [item.key, decodeWaveDone(item.value)]),
+    );
+    for (const item of waves.value.items) {
+      const wave = documents.decodeWave(item.value);
+      if (wave.isErr()) {
+        log.warn("Wave not understood", { key: item.key, reason: wave.error.message });
+        continue;
+      }
+      this.#waves.put(wave.value, doneByWave.get(storeKeys.waveKey(wave.value.wave)));
+    }
+  }
+
+  #views(listed: readonly ports.scheduling.ListedVm[]): VmView[] {
+    const nowMs = this.#options.clock.nowMs();
+    const standby = new Set(
+      this.#config?.pools.filter(({ isStandby }) => isStandby).map(({ name }) => name),
+    );
+    const workers = new Map<string, WorkerRecord>();
+    for (const worker of this.#options.scheduler.workers.values()) {
+      workers.set(worker.info.workerId, worker);
+    }
+    return listed.map((vm) => {
+      const target = this.#moving.get(vm.vm);
+      if (target === vm.pool && vm.state === "up") {
+        this.#moving.delete(vm.vm);
+      }
+      const worker = vm.workerId === undefined ? undefined : workers.get(vm.workerId);
+      const isMoving = this.#moving.has(vm.vm);
+      return {
+        vm: vm.vm,
+        // A VM on its way counts for where it goes.
+        pool: this.#moving.get(vm.vm) ?? vm.pool,
+        state: isMoving ? "moving" : vm.state,
+        isStandby: standby.has(vm.pool),
+        total: vm.total,
+        worker,
+        isUncertain: nowMs < (this.#uncertainUntilMs.get(vm.vm) ?? 0) ||
+          this.#busyOrders.has(vm.vm),
+      };
+    });
+  }
+
+  /** Workers of VMs that are due for maintenance are the last choice for tasks. */
+  #markLeaving(views: readonly VmView[]): void {
+    const left = this.#waves.vmsLeft();
+    for (const { vm, worker } of views) {
+      if (worker !== undefined) {
+        worker.isLeavingSoon = left.has(vm);
+      }
+    }
+  }
+
+  #stepWaves(views: readonly VmView[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    const emptied = new Set<string>();
+    for (const state of this.#waves.active()) {
+      const plan = policy.scheduling.wavePlan.planWave(state, { vms: views, nowMs });
+      const byVm = new Map(views.map((view) => [view.vm, view]));
+      for (const vm of plan.maintain) {
+        void this.#maintain(byVm.get(vm)!, state.wave.wave);
+      }
+      for (const vm of plan.empty) {
+        emptied.add(vm);
+        const { worker } = byVm.get(vm)!;
+        if (worker !== undefined) {
+          this.#empty(worker, { nowMs, isUrgent: plan.isUrgent });
+        }
+      }
+    }
+    for (const { vm, worker } of views) {
+      if (worker?.cordon === MAINTENANCE && !emptied.has(vm) && !this.#busyOrders.has(vm)) {
+        worker.cordon = undefined;
+      }
+    }
+  }
+
+  #empty(
+    worker: WorkerRecord,
+    { nowMs, isUrgent }: { readonly nowMs: number; readonly isUrgent: boolean },
+  ): void {
+    const { scheduler, log, onChange } = this.#options;
+    if (worker.cordon === undefined) {
+      log.info("Worker is being emptied", {
+        worker: worker.info.workerId,
+        runs: worker.runs.size,
+        urgent: isUrgent,
+      });
+      worker.cordon = MAINTENANCE;
+    }
+    for (const run of policy.scheduling.evacuation.runsToEvacuate(worker, { nowMs, isUrgent })) {
+      scheduler.evacuate(run, worker.cordon);
+    }
+    onChange();
+  }
+
+  /** Tasks that last or save their progress leave workers that are about to go. */
+  #stepDraining(): void {
+    const { scheduler, clock } = this.#options;
+    for (const worker of scheduler.workers.values()) {
+      if (worker.info.isDraining && worker.isListed && worker.runs.size > 0) {
+        const context = { nowMs: clock.nowMs(), isUrgent: false };
+        for (const run of policy.scheduling.evacuation.runsToEvacuate(worker, context)) {
+          scheduler.evacuate(run, "the worker is draining");
+        }
+      }
+    }
+    this.#options.onChange();
+  }
+
+  #stepPools(views: readonly VmView[]): void {
+    const { scheduler, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const demand = scheduler.demandByPool({ nowMs, wallMs: clock.wallMs() }, AHEAD_MS);
+    const demands = (this.#config?.pools ?? []).map(({ name, isStandby }) => ({
+      pool: name,
+      isStandby,
+      demand: demand.get(name) ?? policy.scheduling.resources.NO_RESOURCES,
+    }));
+    const frozen = new Set(
+      views.filter(({ worker, vm }) => worker?.cordon !== undefined || this.#busyOrders.has(vm))
+        .map(({ vm }) => vm),
+    );
+    const byVm = new Map(views.map((view) => [view.vm, view]));
+    for (
+      const move of policy.scheduling.poolPlan.planMoves(demands, { vms: views, frozen, nowMs })
+    ) {
+      void this.#move(byVm.get(move.vm)!, move);
+    }
+  }
+
+  async #move(view: VmView, move: policy.scheduling.poolPlan.PoolMove): Promise<void> {
+    const { vms, holder } = this.#options;
+    this.#moving.set(view.vm, move.toPool);
+    const isDone = await this.#order(
+      view,
+      { kind: "move", why: move.reason, cordon: MOVING },
+      () => vms.move(view.vm, move.toPool, holder),
+    );
+    if (!isDone) {
+      this.#moving.delete(view.vm);
+    }
+  }
+
+  async #maintain(view: VmView, wave: number): Promise<void> {
+    const { vms, holder } = this.#options;
+    this.#waves.noteDown(wave, view);
+    const isDone = await this.#order(
+      view,
+      { kind: "maintenance", why: `wave ${wave}`, cordon: MAINTENANCE },
+      () => vms.maintain(view.vm, wave, holder),
+    );
+    if (isDone) {
+      this.#waves.noteDone(wave, view.vm);
+    } else if (!this.#uncertainUntilMs.has(view.vm)) {
+      this.#waves.noteNotDown(wave, view.vm);
+    }
   }
-  setConfig(_config: schema.scheduling.SchedulingConfig): void {}
-  run(_config: schema.scheduling.SchedulingConfig): Promise<void> {
-    return Promise.resolve();
+
+  /** Gives one order; while its outcome is unknown, it is repeated and the VM is left alone. */
+  async #order(
+    view: VmView,
+    what: { readonly kind: string; readonly why: string; readonly cordon: string },
+    send: () => Promise<ports.scheduling.VmOrderOutcome>,
+  ): Promise<boolean> {
+    const { log, clock, scheduler, onFenced } = this.#options;
+    const { vm, worker } = view;
+    this.#busyOrders.add(vm);
+    if (worker !== undefined) {
+      worker.cordon = what.cordon;
+    }
+    let outcome = await send();
+    while (outcome.kind === "unknown" && !this.#isStopped) {
+      this.#uncertainUntilMs.set(vm, clock.nowMs() + LATE_ORDER_MS);
+      log.info("VM order without an answer", { vm, order: what.kind, reason: outcome.reason });
+      await pause(LOOK_INTERVAL_MS);
+      outcome = this.#options.mayOrder() ? await send() : outcome;
+    }
+    this.#busyOrders.delete(vm);
+    log.info("VM order", {
+      vm,
+      worker: worker?.info.workerId,
+      pool: view.pool,
+      order: what.kind,
+      why: what.why,
+      outcome: outcome.kind,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+    });
+    if (outcome.kind === "fenced") {
+      onFenced();
+    }
+    if (worker !== undefined) {
+      if (outcome.kind === "done") {
+        scheduler.dropWorker(worker, clock.nowMs(), `${what.kind} of its VM`);
+      } else if (outcome.kind === "refused") {
+        worker.cordon = undefined;
+      }
+    }
+    return outcome.kind === "done";
   }
-  stop(): void {}
 }
--- /dev/null
+++ b/packages/scheduler/src/wave_book.ts
@@ -0,0 +1,173 @@
+/**
+ * How far each maintenance wave has come, kept in the store for the next owner.
+ *
+ * @module
+ */
+import type * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as v from "valibot";
+import { decodeRecord } from "./records.ts";
+import * as storeKeys from "./store_keys.ts";
+
+type VmView = policy.scheduling.vmView.VmView;
+
+/** The list of VMs may still show the state before an order for this long. */
+const LIST_LAG_MS = 800;
+
+const doneSchema = v.object({ doneVms: v.array(v.string()) });
+
+/** The VMs that are done with a wave; an unreadable record counts as none, and orders are harmless twice. */
+export function decodeWaveDone(text: string): readonly string[] {
+  return decodeRecord(doneSchema, text).match(({ doneVms }) => doneVms, () => []);
+}
+
+interface WaveRecord {
+  readonly wave: ports.scheduling.MaintenanceWave;
+  readonly startedAtMs: number;
+  readonly done: Set<string>;
+  /** When each VM that is down was ordered down. */
+  readonly down: Map<string, number>;
+  storedDoneCount: number;
+  storedState: "active" | "complete" | undefined;
+}
+
+export interface WaveBookOptions {
+  readonly store: ports.scheduling.SchedulingStore;
+  readonly documents: ports.scheduling.Documents;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly holder: ports.scheduling.VmOrderHolder;
+}
+
+/** All waves of the operator. */
+export class WaveBook {
+  readonly #options: WaveBookOptions;
+  readonly #waves = new Map<number, WaveRecord>();
+  #listedVms: ReadonlySet<string> | undefined;
+  #isStoring = false;
+  #isStopped = false;
+
+  constructor(options: WaveBookOptions) {
+    this.#options = options;
+  }
+
+  put(wave: ports.scheduling.MaintenanceWave, doneVms: readonly string[] | undefined): void {
+    if (!this.#waves.has(wave.wave)) {
+      this.#waves.set(wave.wave, {
+        wave,
+        startedAtMs: this.#options.clock.nowMs(),
+        done: new Set(doneVms),
+        down: new Map(),
+        storedDoneCount: doneVms?.length ?? 0,
+        storedState: undefined,
+      });
+      this.#options.log.info("Wave is due", {
+        wave: wave.wave,
+        vms: wave.vms.length,
+        done: doneVms?.length ?? 0,
+        maxConcurrent: wave.maxConcurrent,
+        durationMs: wave.durationMs,
+      });
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** The waves that are not complete. */
+  active(): {
+    wave: ports.scheduling.MaintenanceWave;
+    startedAtMs: number;
+    done: Set<string>;
+    down: Set<string>;
+  }[] {
+    return [...this.#waves.values()]
+      .filter((record) => !this.#isComplete(record))
+      .map((record) => ({ ...record, down: new Set(record.down.keys()) }));
+  }
+
+  /** The VMs that are still due for maintenance. */
+  vmsLeft(): Set<string> {
+    return new Set(
+      [...this.#waves.values()].flatMap(({ wave, done }) => wave.vms.filter((vm) => !done.has(vm))),
+    );
+  }
+
+  noteDown(wave: number, view: VmView): void {
+    this.#waves.get(wave)?.down.set(view.vm, this.#options.clock.nowMs());
+  }
+
+  noteNotDown(wave: number, vm: string): void {
+    this.#waves.get(wave)?.down.delete(vm);
+  }
+
+  noteDone(wave: number, vm: string): void {
+    this.#waves.get(wave)?.done.add(vm);
+  }
+
+  /** Takes over from the list which VMs are up again, and which an earlier owner has sent down. */
+  noteStates(views: readonly VmView[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#listedVms = new Set(views.map(({ vm }) => vm));
+    for (const { wave, down } of this.#waves.values()) {
+      const waveVms = new Set(wave.vms);
+      for (const { vm, state, isUncertain } of views) {
+        if (state === "upkeep" && waveVms.has(vm)) {
+          down.set(vm, down.get(vm) ?? nowMs);
+        } else if (
+          state === "up" && !isUncertain && nowMs - (down.get(vm) ?? nowMs) > LIST_LAG_MS
+        ) {
+          down.delete(vm);
+        }
+      }
+      for (const vm of down.keys()) {
+        if (!this.#listedVms.has(vm)) {
+          down.delete(vm);
+        }
+      }
+    }
+  }
+
+  /** Stores what has changed; one write at a time. */
+  async store(): Promise<void> {
+    if (this.#isStoring || this.#listedVms === undefined) {
+      return;
+    }
+    this.#isStoring = true;
+    for (const record of this.#waves.values()) {
+      await this.#storeWave(record);
+    }
+    this.#isStoring = false;
+  }
+
+  /** VMs that have left the platform need no maintenance. */
+  #isComplete({ wave, done }: WaveRecord): boolean {
+    return wave.vms.every((vm) => done.has(vm) || this.#listedVms?.has(vm) === false);
+  }
+
+  async #storeWave(record: WaveRecord): Promise<void> {
+    const { store, documents, log, holder } = this.#options;
+    const state = this.#isComplete(record) ? "complete" : "active";
+    const doneCount = record.done.size;
+    if (this.#isStopped || (record.storedState === state && record.storedDoneCount === doneCount)) {
+      return;
+    }
+    const answer = await store.transact({
+      conditions: [{ key: storeKeys.OWNER_KEY, revision: holder.fencingToken }],
+      puts: [
+        documents.waveStateItem(record.wave.wave, state),
+        {
+          key: storeKeys.waveKey(record.wave.wave),
+          value: JSON.stringify({ doneVms: [...record.done] }),
+        },
+      ],
+      removes: [],
+    });
+    if (answer.isOk() && answer.value.kind === "done") {
+      record.storedState = state;
+      record.storedDoneCount = doneCount;
+      log.info("Wave's state stored", { wave: record.wave.wave, state, done: doneCount });
+    }
+  }
+}
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -175,7 +175,7 @@
 
   #needsReport(): boolean {
     const { worker, clock, needsProof } = this.#options;
-    return !worker.hasReported || worker.runs.size > 0 ||
+    return !worker.hasReported || worker.runs.size > 0 || worker.unknownRuns.size > 0 ||
       Math.min(this.#storedEnd, worker.processedEnd) > this.#acknowledgedEnd ||
       (needsProof() && clock.nowMs() - this.#askedAtMs >= PROOF_INTERVAL_MS);
   }
