Take workers' lives from the list of VMs, and repeat writes without an answer

The list of VMs names a crashed worker as down within 0.3 s; a write without an answer is repeated until the caller's deadline, and new submissions are refused at once while the store is out. Ruled out: slow takeover (0.1 to 0.4 s) and slow placing (waits began at it).

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -139,6 +139,38 @@
     }
   }
 
+  /**
+   * Takes in the platform's list of VMs, which tells at once which workers live. A worker that was known
+   * before the list was asked for and isn't on it is gone, with all that it ran; and once all workers on it
+   * have reported, nothing of an earlier owner can be unseen.
+   */
+  noteVms(
+    listed: readonly ports.scheduling.ListedVm[],
+    { askedAtMs, nowMs }: { readonly askedAtMs: number; readonly nowMs: number },
+  ): void {
+    const alive = new Set(
+      listed.flatMap(({ state, workerId }) => state === "up" && workerId ? [workerId] : []),
+    );
+    for (const worker of [...this.workers.values()]) {
+      if (worker.knownSinceMs < askedAtMs && !alive.has(worker.info.workerId)) {
+        this.dropWorker(worker, nowMs, "its VM is down");
+      }
+    }
+    const unseen = [...alive].filter((id) => !this.workers.get(id)?.hasReported);
+    if (!this.isSettled && askedAtMs >= this.#options.takeover.atMs && unseen.length === 0) {
+      this.settle(nowMs, "all workers have reported");
+    }
+  }
+
+  /** Nothing of an earlier owner can be unseen any more. */
+  settle(nowMs: number, reason: string): void {
+    this.isSettled = true;
+    this.#options.log.info("Takeover settled", {
+      waitedMs: Math.round(nowMs - this.#options.takeover.atMs),
+      reason,
+    });
+  }
+
   /** Gives up the runs of workers whose leases have ended without an answer. */
   expireLeases(nowMs: number): void {
     for (const worker of [...this.workers.values()]) {
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -43,8 +43,12 @@
   /** The last end that was taken into account. */
   processedEnd = 0;
 
+  /** When the worker came to be known. */
+  readonly knownSinceMs: number;
+
   constructor(info: ports.scheduling.WorkerInfo, nowMs: number) {
     this.info = info;
+    this.knownSinceMs = nowMs;
     this.idleSinceMs = nowMs;
   }
 
--- a/packages/scheduler/src/caller_service.ts
+++ b/packages/scheduler/src/caller_service.ts
@@ -134,7 +134,7 @@
     if (spec.isErr()) {
       return { status: 400, reason: spec.error.message };
     }
-    if (configs.ageMs() > MAX_KEY_AGE_SHARE * this.#options.revokeMs) {
+    if (jobs.isOut(configs.confirmedAtMs)) {
       return {
         status: 503,
         reason: "the store is out; nothing was done",
@@ -148,7 +148,8 @@
       acceptedUnixMs: clock.wallMs(),
       spec: spec.value,
     };
-    const stored = await withTimeout(jobs.add(job), request.deadlineMs - ANSWER_MARGIN_MS);
+    const waitMs = request.deadlineMs - ANSWER_MARGIN_MS;
+    const stored = await withTimeout(jobs.add(job, clock.nowMs() + waitMs), waitMs);
     if (stored === undefined || stored.kind === "unknown") {
       return { status: 504, reason: "the store did not confirm the job in time; submit it again" };
     }
--- a/packages/scheduler/src/config_follower.ts
+++ b/packages/scheduler/src/config_follower.ts
@@ -38,6 +38,11 @@
     return this.#config;
   }
 
+  /** When the store was last asked and confirmed that the configuration is the newest one. */
+  get confirmedAtMs(): number {
+    return this.#confirmedAtMs;
+  }
+
   /** The age of the knowledge that the configuration is the newest one. */
   ageMs(): number {
     return this.#options.clock.nowMs() - this.#confirmedAtMs;
--- a/packages/scheduler/src/job_store.ts
+++ b/packages/scheduler/src/job_store.ts
@@ -26,34 +26,52 @@
   | { readonly kind: "missing" }
   | { readonly kind: "unreadable"; readonly reason: string };
 
+/** The store answers again soon after most failures. */
+const RETRY_INTERVAL_MS = 150;
+
 interface PendingJob {
   readonly job: schema.scheduling.Job;
+  readonly deadlineAtMs: number;
+  /** A write of the job had no answer, so that it may be stored or come to be. */
+  isUncertain: boolean;
   readonly settle: (outcome: StoreOutcome) => void;
 }
 
 /** Writes jobs under the condition that they don't exist, so that a repeated submission stays one job. */
 export class JobStore {
   readonly #store: ports.scheduling.SchedulingStore;
+  readonly #clock: ports.clock.Clock;
   readonly #isRefusal: (error: schema.errors.JackdawlinkError) => boolean;
   readonly #pending: PendingJob[] = [];
   #isWriting = false;
+  #failedAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(
-    store: ports.scheduling.SchedulingStore,
-    isRefusal: (error: schema.errors.JackdawlinkError) => boolean,
-  ) {
+  constructor({ store, clock, isRefusal }: {
+    readonly store: ports.scheduling.SchedulingStore;
+    readonly clock: ports.clock.Clock;
+    readonly isRefusal: (error: schema.errors.JackdawlinkError) => boolean;
+  }) {
     this.#store = store;
+    this.#clock = clock;
     this.#isRefusal = isRefusal;
   }
 
-  /** Jobs that come while a transaction is on its way go together in the next one. */
-  add(job: schema.scheduling.Job): Promise<StoreOutcome> {
+  /**
+   * Jobs that come while a transaction is on its way go together in the next one. A write without an answer
+   * is repeated until the deadline, as only then it is known whether the job is stored.
+   */
+  add(job: schema.scheduling.Job, deadlineAtMs: number): Promise<StoreOutcome> {
     return new Promise((settle) => {
-      this.#pending.push({ job, settle });
+      this.#pending.push({ job, deadlineAtMs, isUncertain: false, settle });
       void this.#write();
     });
   }
 
+  /** Whether the last write failed, and the store has not answered any call since. */
+  isOut(lastAnswerAtMs: number): boolean {
+    return this.#failedAtMs > lastAnswerAtMs;
+  }
+
   /** Marks a job as cancelled; true once that is durable. */
   async cancel(jobId: string): Promise<boolean> {
     const answer = await this.#store.transact({
@@ -111,10 +129,11 @@
       removes: [],
     });
     if (answer.isErr()) {
-      const kind = this.#isRefusal(answer.error) ? "refused" : "unknown";
-      group.forEach(({ settle }) => settle({ kind, reason: answer.error.message }));
+      this.#failedAtMs = this.#clock.nowMs();
+      group.forEach((pending) => this.#noteFailure(pending, answer.error));
       return;
     }
+    this.#failedAtMs = Number.NEGATIVE_INFINITY;
     if (answer.value.kind === "done") {
       const { revision } = answer.value;
       group.forEach(({ settle }) => settle({ kind: "stored", revision }));
@@ -135,4 +154,21 @@
       }
     }
   }
+
+  #noteFailure(pending: PendingJob, error: schema.errors.JackdawlinkError): void {
+    const reason = error.message;
+    if (!pending.isUncertain && this.#isRefusal(error)) {
+      pending.settle({ kind: "refused", reason });
+      return;
+    }
+    pending.isUncertain = true;
+    if (this.#clock.nowMs() + RETRY_INTERVAL_MS >= pending.deadlineAtMs) {
+      pending.settle({ kind: "unknown", reason });
+      return;
+    }
+    this.#clock.after(RETRY_INTERVAL_MS, () => {
+      this.#pending.push(pending);
+      void this.#write();
+    });
+  }
 }
--- a/packages/scheduler/src/node.ts
+++ b/packages/scheduler/src/node.ts
@@ -77,7 +77,7 @@
     });
     this.callers = new CallerService({
       configs: this.#configs,
-      jobs: new JobStore(store, options.isStoreRefusal),
+      jobs: new JobStore({ store, clock, isRefusal: options.isStoreRefusal }),
       documents,
       peers: this.#peers,
       clock,
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -51,8 +51,6 @@
   readonly #vmManager: VmManager;
   readonly #startedAtMs: number;
   readonly #unlistedSinceMs = new Map<string, number>();
-  /** Workers that may have tasks of an earlier owner, and have not reported yet. */
-  readonly #unseenWorkers = new Set<string>();
   /** Cancellations, kept for jobs that come to be known only afterwards. */
   readonly #cancelled = new Set<string>();
   #isLoaded = false;
@@ -151,12 +149,11 @@
   }
 
   async #load(): Promise<boolean> {
-    const { store, documents, vms, start, log, config, clock } = this.#options;
-    const [intake, progress, workers, listedVms] = await Promise.all([
+    const { store, documents, start, log, config, clock } = this.#options;
+    const [intake, progress, workers] = await Promise.all([
       store.list(storeKeys.INTAKE_PREFIX),
       store.list(storeKeys.PROGRESS_PREFIX),
       store.list(documents.workerPrefix),
-      start.hadOwner ? vms.list() : undefined,
     ]);
     if (intake.isErr() || progress.isErr() || workers.isErr()) {
       const error = [intake, progress, workers].find((read) => read.isErr())?._unsafeUnwrapErr();
@@ -170,7 +167,9 @@
     this.#takeIntake(intake.value.items, progressItems);
     workers.value.items.forEach((item) => this.#takeWorker(item.key, item.value));
     this.#isLoaded = true;
-    this.#noteUnseenWorkers(listedVms, config);
+    if (!start.hadOwner) {
+      this.scheduler.settle(clock.nowMs(), "there was no earlier owner");
+    }
     void this.#journal.run();
     void this.#follow(storeKeys.INTAKE_PREFIX, intake.value.asOfRevision, {
       relist: (items) => this.#takeIntake(items, new Map()),
@@ -188,53 +187,15 @@
       jobs: this.scheduler.jobs.size,
       active: this.scheduler.activeJobs.size,
       workers: this.scheduler.workers.size,
-      unseen: this.#unseenWorkers.size,
       tookMs: Math.round(clock.nowMs() - this.#startedAtMs),
     });
     return true;
   }
 
-  /** Every worker that is up may have tasks of an earlier owner. */
-  #noteUnseenWorkers(
-    listedVms: Awaited<ReturnType<ports.scheduling.VmClient["list"]>> | undefined,
-    config: schema.scheduling.SchedulingConfig,
-  ): void {
-    if (!this.#options.start.hadOwner) {
-      this.scheduler.isSettled = true;
-      return;
-    }
-    const standby = new Set(
-      config.pools.filter(({ isStandby }) => isStandby).map(({ name }) => name),
-    );
-    const listed = listedVms?.isOk() ? listedVms.value : undefined;
-    if (listed === undefined) {
-      // Without the list there may be workers that nobody names; only time settles what they run.
-      this.#unseenWorkers.add("");
-    }
-    for (const { workerId, state, pool } of listed ?? []) {
-      if (workerId !== undefined && state !== "down" && !standby.has(pool)) {
-        this.#unseenWorkers.add(workerId);
-      }
-    }
-    this.scheduler.workers.forEach((_, workerId) => this.#unseenWorkers.add(workerId));
-  }
-
+  /** Leases end without an answer as well, so that time settles what no list and no report tells. */
   #settle(nowMs: number): void {
-    if (this.scheduler.isSettled) {
-      return;
-    }
-    for (const workerId of this.#unseenWorkers) {
-      if (this.scheduler.workers.get(workerId)?.hasReported) {
-        this.#unseenWorkers.delete(workerId);
-      }
-    }
-    const waitedMs = nowMs - this.#startedAtMs;
-    if (this.#unseenWorkers.size === 0 || waitedMs > UNSEEN_RUN_MS) {
-      this.scheduler.isSettled = true;
-      this.#options.log.info("Takeover settled", {
-        waitedMs: Math.round(waitedMs),
-        unseen: [...this.#unseenWorkers].join(" "),
-      });
+    if (!this.scheduler.isSettled && nowMs - this.#startedAtMs > UNSEEN_RUN_MS) {
+      this.scheduler.settle(nowMs, "all leases of an earlier owner have ended");
     }
   }
 
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -50,6 +50,7 @@
   readonly #moving = new Map<string, string>();
   readonly #uncertainUntilMs = new Map<string, number>();
   readonly #busyOrders = new Set<string>();
+  readonly #states = new Map<string, ports.scheduling.VmState>();
   #config: schema.scheduling.SchedulingConfig | undefined;
   #wavesReadAtMs = Number.NEGATIVE_INFINITY;
   #isStopped = false;
@@ -77,10 +78,11 @@
   }
 
   async #look(): Promise<void> {
-    const { clock, vms, log } = this.#options;
+    const { clock, vms, log, scheduler, onChange } = this.#options;
     if (clock.nowMs() - this.#wavesReadAtMs >= WAVE_READ_INTERVAL_MS) {
       await this.#readWaves();
     }
+    const askedAtMs = clock.nowMs();
     const listed = await vms.list();
     if (listed.isErr()) {
       log.info("VMs not listed", { reason: listed.error.message });
@@ -89,6 +91,9 @@
     if (this.#isStopped) {
       return;
     }
+    this.#logStates(listed.value);
+    scheduler.noteVms(listed.value, { askedAtMs, nowMs: clock.nowMs() });
+    onChange();
     const views = this.#views(listed.value);
     const mayOrder = this.#options.mayOrder() && this.#isHandedOver();
     this.#waves.noteStates(views);
@@ -101,6 +106,16 @@
     void this.#waves.store();
   }
 
+  #logStates(listed: readonly ports.scheduling.ListedVm[]): void {
+    for (const { vm, state, pool, workerId } of listed) {
+      const known = this.#states.get(vm);
+      if (known !== undefined && known !== state) {
+        this.#options.log.info("VM is now", { vm, state, before: known, pool, worker: workerId });
+      }
+      this.#states.set(vm, state);
+    }
+  }
+
   /** Whether no earlier owner's order can be on its way. */
   #isHandedOver(): boolean {
     const { hadOwner, clock, startedAtMs } = this.#options;
