--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -97,11 +97,16 @@
   /** The state that is stored and may be told. */
   storedState: JobState = "queued";
 
-  constructor(job: Job, { acceptedRevision, seenAtMs }: {
+  /** Its workspace sent more than its share when the job came. */
+  readonly isBeyondShare: boolean;
+
+  constructor(job: Job, { acceptedRevision, seenAtMs, isBeyondShare = false }: {
     readonly acceptedRevision: number;
     readonly seenAtMs: number;
+    readonly isBeyondShare?: boolean;
   }) {
     this.job = job;
+    this.isBeyondShare = isBeyondShare;
     this.acceptedRevision = acceptedRevision;
     this.seenAtMs = seenAtMs;
     this.#chainsMs = chainsMs(job.spec.steps);
--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -10,6 +10,7 @@
 export * as pacing from "./pacing.ts";
 export * as placement from "./placement.ts";
 export * as poolPlan from "./pool_plan.ts";
+export * as rateShare from "./rate_share.ts";
 export * as resources from "./resources.ts";
 export * as run from "./run.ts";
 export * as scheduler from "./scheduler.ts";
--- a/packages/policy/src/scheduling/order.ts
+++ b/packages/policy/src/scheduling/order.ts
@@ -12,7 +12,10 @@
 
 /** How urgent a step is; lower goes first. */
 export interface Urgency {
-  /** 0 for lasting tasks, 1 where the objective can be met, 2 where the job will be late, 3 beyond that. */
+  /**
+   * 0 for lasting tasks; 1 where the objective can be met, 2 where it can and the workspace is beyond its
+   * share; 3 where the job will be late, 4 where it is too late to be of use.
+   */
   readonly tier: number;
   readonly priority: number;
   readonly dueAtMs: number;
@@ -28,11 +31,12 @@
 /** Rates a step at a time; an occurrence of a timetable counts from its due time. */
 export function urgencyOf(
   step: StepRecord,
-  { view, nowMs, sinceMs }: {
+  { view, nowMs, sinceMs, isBeyondShare }: {
     readonly view: QueueView;
     readonly nowMs: number;
     /** When the job, or its occurrence, came due. */
     readonly sinceMs: number;
+    readonly isBeyondShare: boolean;
   },
 ): Urgency {
   const { queue, durationRatio } = view;
@@ -44,14 +48,20 @@
     (queue?.objectiveSlackMs ?? 0);
   const readyAtMs = nowMs + step.job.chainFromMs(step.number) * durationRatio;
   const dueAtMs = sinceMs + objectiveMs;
-  return { tier: tierOf(readyAtMs - sinceMs, objectiveMs), priority, dueAtMs };
+  return { tier: tierOf(readyAtMs - sinceMs, { objectiveMs, isBeyondShare }), priority, dueAtMs };
 }
 
-function tierOf(tookMs: number, objectiveMs: number): number {
+function tierOf(
+  tookMs: number,
+  { objectiveMs, isBeyondShare }: {
+    readonly objectiveMs: number;
+    readonly isBeyondShare: boolean;
+  },
+): number {
   if (tookMs <= objectiveMs) {
-    return 1;
+    return isBeyondShare ? 2 : 1;
   }
-  return tookMs <= LATE_FACTOR * objectiveMs ? 2 : 3;
+  return tookMs <= LATE_FACTOR * objectiveMs ? 3 : 4;
 }
 
 export function compareUrgency(a: Urgency, b: Urgency): number {
--- a/packages/policy/src/scheduling/resources.ts
+++ b/packages/policy/src/scheduling/resources.ts
@@ -39,3 +39,23 @@
 export function roomOf(step: schema.scheduling.Step): Resources {
   return step.usesSpareCpu ? { ...step.resources, cpuMillicores: 0 } : step.resources;
 }
+
+/** How many tasks a workspace may start beyond what it has; zero in a limit stands for none. */
+export function countWithin(
+  need: Resources,
+  { before, limit, most }: {
+    readonly before: Resources;
+    readonly limit: Resources;
+    readonly most: number;
+  },
+): number {
+  const countFor = (each: number, has: number, bound: number) =>
+    bound === 0 || each === 0 ? most : Math.floor((bound - has) / each);
+  const count = Math.min(
+    most,
+    countFor(need.cpuMillicores, before.cpuMillicores, limit.cpuMillicores),
+    countFor(need.memoryMb, before.memoryMb, limit.memoryMb),
+    countFor(need.gpuCount, before.gpuCount, limit.gpuCount),
+  );
+  return Math.max(0, count);
+}
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -13,6 +13,7 @@
 import * as resources from "./resources.ts";
 import { type Run, runKey } from "./run.ts";
 import { parseTask } from "./task_names.ts";
+import { RateShare } from "./rate_share.ts";
 import { WorkerRecord } from "./worker_record.ts";
 
 /** Run ids of a term lie above those of all earlier terms; no task is started so often in one term. */
@@ -59,6 +60,7 @@
   readonly #dirty = new Set<JobRecord>();
   readonly #orders: Order[] = [];
   readonly #durationRatios = new Map<string, number>();
+  readonly #shares = new Map<string, RateShare>();
   readonly #workspaceUse = new Map<string, schema.scheduling.Resources>();
   readonly #tickets = new Map<string, { tickets: ReadonlyMap<string, string>; untilMs: number }>();
   readonly #advising = new Set<string>();
@@ -94,7 +96,10 @@
     if (present !== undefined) {
       return present;
     }
-    const record = new JobRecord(job, known);
+    const record = new JobRecord(job, {
+      ...known,
+      isBeyondShare: !this.#takeShare(job.workspace, known.seenAtMs),
+    });
     if (known.progress !== undefined) {
       record.restore(known.progress);
     }
@@ -309,7 +314,8 @@
       return job.readySteps(wallMs).map((step) => {
         const dueMs = job.dueUnixMs(step.occurrence);
         const sinceMs = dueMs === 0 ? job.seenAtMs : nowMs - (wallMs - dueMs);
-        return { step, urgency: order.urgencyOf(step, { view, nowMs, sinceMs }) };
+        const { isBeyondShare } = job;
+        return { step, urgency: order.urgencyOf(step, { view, nowMs, sinceMs, isBeyondShare }) };
       });
     });
     return ready.sort((a, b) => order.compareUrgency(a.urgency, b.urgency));
@@ -344,22 +350,36 @@
     );
   }
 
-  /** What the tasks that run, or could run shortly, ask of each pool. */
+  /**
+   * What the tasks that run, or could run shortly, ask of each pool. What a workspace's limit keeps waiting
+   * does not count, since more VMs would not start it.
+   */
   demandByPool(now: Now, aheadMs: number): Map<string, schema.scheduling.Resources> {
     const demand = new Map<string, schema.scheduling.Resources>();
+    const charge = (pool: string, room: schema.scheduling.Resources, count: number) =>
+      demand.set(pool, resources.add(demand.get(pool) ?? resources.NO_RESOURCES, room, count));
     for (const job of this.#active) {
       const pool = this.queueOf(job)?.pool;
-      if (pool === undefined) {
-        continue;
+      for (const run of pool === undefined ? [] : job.runs()) {
+        charge(pool!, run.room, 1);
       }
-      let sum = demand.get(pool) ?? resources.NO_RESOURCES;
-      for (const step of job.readySteps(now.wallMs + aheadMs)) {
-        sum = resources.add(sum, resources.roomOf(step.spec), step.waitingTasks().length);
-      }
-      for (const run of job.runs()) {
-        sum = resources.add(sum, run.room);
+    }
+    const used = new Map(this.#workspaceUse);
+    for (const { step } of this.readySteps({ ...now, wallMs: now.wallMs + aheadMs })) {
+      const { queue, workspace } = step.job.job;
+      const pool = this.#queues.get(queue)?.pool;
+      const limit = this.#workspaces.get(workspace)?.limit ?? resources.NO_RESOURCES;
+      const before = used.get(workspace) ?? resources.NO_RESOURCES;
+      const waitingCount = step.waitingTasks().length;
+      const count = resources.countWithin(step.spec.resources, {
+        before,
+        limit,
+        most: waitingCount,
+      });
+      used.set(workspace, resources.add(before, step.spec.resources, count));
+      if (pool !== undefined) {
+        charge(pool, resources.roomOf(step.spec), count);
       }
-      demand.set(pool, sum);
     }
     return demand;
   }
@@ -479,6 +499,17 @@
     this.#advising.delete(step.name);
   }
 
+  /** Whether the workspace is within the rate of jobs that its weight stands for. */
+  #takeShare(workspace: string, nowMs: number): boolean {
+    const weight = this.#workspaces.get(workspace)?.weight;
+    if (weight === undefined) {
+      return true;
+    }
+    const share = this.#shares.get(workspace) ?? new RateShare(nowMs);
+    this.#shares.set(workspace, share);
+    return share.take(weight, nowMs);
+  }
+
   #isWithinLimit(step: StepRecord): boolean {
     const name = step.job.job.workspace;
     const limit = this.#workspaces.get(name)?.limit;
--- a/packages/policy/src/scheduling/vm_view.ts
+++ b/packages/policy/src/scheduling/vm_view.ts
@@ -21,10 +21,13 @@
   readonly isUncertain: boolean;
 }
 
-/** Whether nothing runs or may run on the VM, as far as its worker is known. */
+/** Whether the VM can go down without loss: nothing runs or may run on it, and all ends are stored. */
 export function isIdle(view: VmView): boolean {
   return view.state === "up" && !view.isUncertain &&
-    (view.isStandby ||
-      (view.worker !== undefined && view.worker.hasReported && view.worker.runs.size === 0 &&
-        view.worker.unknownRuns.size === 0));
+    (view.isStandby || (view.worker !== undefined && isWorkerIdle(view.worker)));
+}
+
+function isWorkerIdle(worker: WorkerRecord): boolean {
+  return worker.hasReported && worker.runs.size === 0 && worker.unknownRuns.size === 0 &&
+    worker.storedEnd >= worker.processedEnd;
 }
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -42,6 +42,8 @@
   idleSinceMs = 0;
   /** The last end that was taken into account. */
   processedEnd = 0;
+  /** The last end whose effect is stored. Later ones would be lost with the worker. */
+  storedEnd = 0;
 
   /** When the worker came to be known. */
   readonly knownSinceMs: number;
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -31,6 +31,7 @@
   readonly #options: JournalOptions;
   readonly #wakeUp = new WakeUp();
   #isStopped = false;
+  #lastFlush: Promise<boolean> = Promise.resolve(true);
 
   constructor(options: JournalOptions) {
     this.#options = options;
@@ -55,8 +56,13 @@
     }
   }
 
-  /** Stores all that is new; true where nothing is left. */
-  async flush(): Promise<boolean> {
+  /** Stores all that is new, after what is being stored already; true where nothing is left. */
+  flush(): Promise<boolean> {
+    this.#lastFlush = this.#lastFlush.then(() => this.#flush());
+    return this.#lastFlush;
+  }
+
+  async #flush(): Promise<boolean> {
     const { scheduler, snapshotEnds } = this.#options;
     const acknowledge = snapshotEnds();
     for (let jobs = scheduler.takeDirtyJobs(MAX_JOBS_PER_TRANSACTION); jobs.length > 0;) {
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -89,7 +89,8 @@
       holder: { node: options.node, fencingToken: start.fencingToken },
       startedAtMs: this.#startedAtMs,
       hadOwner: start.hadOwner,
-      mayOrder: () => this.#mayOrder(),
+      // Workers answer for themselves only, so an order to a VM needs the store's proof.
+      mayOrder: () => this.#mayOrder() && this.mandate.isStoreProven(clock.nowMs()),
       onFenced: () => options.onFenced("a VM has seen a higher token"),
       onChange: () => this.#wake(),
     });
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -45,8 +45,6 @@
   readonly #options: WorkerSessionOptions;
   readonly #wakeUp = new WakeUp();
   #isStopped = false;
-  /** The last end that is stored, and may be forgotten by the worker. */
-  #storedEnd = 0;
   #acknowledgedEnd = 0;
   #isAnswering = true;
   #askedAtMs = 0;
@@ -65,8 +63,8 @@
 
   /** All ends up to this one are stored. */
   noteStoredEnd(endNumber: number): void {
-    if (endNumber > this.#storedEnd) {
-      this.#storedEnd = endNumber;
+    if (endNumber > this.worker.storedEnd) {
+      this.worker.storedEnd = endNumber;
       this.#wakeUp.wake();
     }
   }
@@ -176,7 +174,7 @@
   #needsReport(): boolean {
     const { worker, clock, needsProof } = this.#options;
     return !worker.hasReported || worker.runs.size > 0 || worker.unknownRuns.size > 0 ||
-      Math.min(this.#storedEnd, worker.processedEnd) > this.#acknowledgedEnd ||
+      worker.storedEnd > this.#acknowledgedEnd ||
       (needsProof() && clock.nowMs() - this.#askedAtMs >= PROOF_INTERVAL_MS);
   }
 
@@ -186,7 +184,7 @@
     this.#askedAtMs = askedAtMs;
     // A worker that does not answer must not get longer leases, or its tasks would never count as over.
     const renews = this.#isAnswering && worker.hasClock && mayOrder();
-    const acknowledgedEnd = this.#storedEnd;
+    const acknowledgedEnd = worker.storedEnd;
     const answer = await client.hold(this.#address(), {
       fencingToken,
       acknowledgedEnd,
