Leave VMs that are about to go out of a pool's room

Cause: a lasting task stopped for maintenance found no second worker in its pool, so the last VM of a wave stayed until its deadline. Pools now count only VMs that stay, and hold as many as spread tasks need. A line a second tells each pool's demand and room.

--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -22,6 +22,8 @@
   readonly pool: string;
   readonly isStandby: boolean;
   readonly demand: schema.scheduling.Resources;
+  /** Tasks that must be spread need at least so many VMs. */
+  readonly minVms: number;
 }
 
 /** One move, and why. */
@@ -79,12 +81,13 @@
 }
 
 function isOf(view: VmView, pool: string): boolean {
-  return view.pool === pool && view.state !== "down" &&
-    !(view.worker?.info.isDraining ?? false);
+  const isLeaving = view.worker !== undefined &&
+    (view.worker.info.isDraining || view.worker.cordon !== undefined);
+  return view.pool === pool && view.state !== "down" && view.state !== "upkeep" && !isLeaving;
 }
 
-/** How much of the wanted room is missing, in VMs; at least the smallest number of VMs is wanted. */
-function missingShare({ demand }: PoolDemand, held: readonly VmView[]): number {
+/** How much of the wanted room is missing; VMs that are about to go down don't count. */
+function missingShare({ demand, minVms }: PoolDemand, held: readonly VmView[]): number {
   const room = held.reduce((sum, { total }) => resources.add(sum, total), resources.NO_RESOURCES);
   const lacks = (wanted: number, has: number) => wanted * HEADROOM > has;
   const lacksRoom = lacks(demand.cpuMillicores, room.cpuMillicores) ||
@@ -93,7 +96,7 @@
     const share = demand.cpuMillicores * HEADROOM / Math.max(1, room.cpuMillicores);
     return Math.max(share, Number.EPSILON);
   }
-  return held.length < MIN_VMS ? Number.EPSILON : 0;
+  return held.length < Math.max(MIN_VMS, minVms) ? Number.EPSILON : 0;
 }
 
 function isSurplus(
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -384,6 +384,21 @@
     return demand;
   }
 
+  /** How many workers the lasting tasks of each pool need at least, where they must be spread. */
+  minWorkersByPool(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const job of this.#active) {
+      const pool = this.queueOf(job)?.pool;
+      for (const { isLasting, maxTasksPerWorker, taskCount } of job.job.spec.steps) {
+        if (pool !== undefined && isLasting && maxTasksPerWorker > 0) {
+          const count = Math.ceil(taskCount / maxTasksPerWorker);
+          counts.set(pool, Math.max(counts.get(pool) ?? 0, count));
+        }
+      }
+    }
+    return counts;
+  }
+
   #place(now: Now): void {
     const workersByPool = new Map<string, WorkerRecord[]>();
     for (const worker of this.workers.values()) {
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -22,6 +22,7 @@
 const LATE_ORDER_MS = 13_000;
 /** Tasks with a timetable are made room for so long ahead: a move, and the time to notice. */
 const AHEAD_MS = 2_500;
+const DEMAND_LOG_INTERVAL_MS = 1_000;
 /** Why a worker gets no new tasks. */
 const MOVING = "its VM is moving";
 const MAINTENANCE = "its VM is due for maintenance";
@@ -52,6 +53,7 @@
   readonly #busyOrders = new Set<string>();
   readonly #states = new Map<string, ports.scheduling.VmState>();
   #config: schema.scheduling.SchedulingConfig | undefined;
+  #demandLoggedAtMs = Number.NEGATIVE_INFINITY;
   #wavesReadAtMs = Number.NEGATIVE_INFINITY;
   #isStopped = false;
 
@@ -246,11 +248,14 @@
     const { scheduler, clock } = this.#options;
     const nowMs = clock.nowMs();
     const demand = scheduler.demandByPool({ nowMs, wallMs: clock.wallMs() }, AHEAD_MS);
+    const minWorkers = scheduler.minWorkersByPool();
     const demands = (this.#config?.pools ?? []).map(({ name, isStandby }) => ({
       pool: name,
       isStandby,
+      minVms: minWorkers.get(name) ?? 0,
       demand: demand.get(name) ?? policy.scheduling.resources.NO_RESOURCES,
     }));
+    this.#logDemand(demands, views);
     const frozen = new Set(
       views.filter(({ worker, vm }) => worker?.cordon !== undefined || this.#busyOrders.has(vm))
         .map(({ vm }) => vm),
@@ -263,6 +268,29 @@
     }
   }
 
+  /** One line a second on what each pool asks for and has. */
+  #logDemand(
+    demands: readonly policy.scheduling.poolPlan.PoolDemand[],
+    views: readonly VmView[],
+  ): void {
+    const { clock, log } = this.#options;
+    if (clock.nowMs() - this.#demandLoggedAtMs < DEMAND_LOG_INTERVAL_MS) {
+      return;
+    }
+    this.#demandLoggedAtMs = clock.nowMs();
+    for (const { pool, demand } of demands) {
+      const vms = views.filter((view) => view.pool === pool);
+      log.info("Pool", {
+        pool,
+        vms: vms.length,
+        up: vms.filter(({ state }) => state === "up").length,
+        demandMillicores: demand.cpuMillicores,
+        demandMb: demand.memoryMb,
+        freeMillicores: vms.reduce((sum, { worker }) => sum + (worker?.free.cpuMillicores ?? 0), 0),
+      });
+    }
+  }
+
   async #move(view: VmView, move: policy.scheduling.poolPlan.PoolMove): Promise<void> {
     const { vms, holder } = this.#options;
     this.#moving.set(view.vm, move.toPool);
