--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -16,8 +16,11 @@
 const LOOK_INTERVAL_MS = 250;
 /** Waves come rarely, and last for many seconds. */
 const WAVE_READ_INTERVAL_MS = 1_000;
-/** VMs refuse another holder's orders for the length of its lease. */
-const HANDOVER_MS = 3_300;
+/**
+ * An earlier owner stops ordering VMs 2 s after its last proof, and loses its lease 2.5 s after it; this
+ * covers orders that were on their way.
+ */
+const HANDOVER_MS = 300;
 /** An order without an answer may still be carried out until then. */
 const LATE_ORDER_MS = 13_000;
 /** Tasks with a timetable are made room for so long ahead: a move, and the time to notice. */
@@ -51,6 +54,7 @@
   readonly #moving = new Map<string, string>();
   readonly #uncertainUntilMs = new Map<string, number>();
   readonly #busyOrders = new Set<string>();
+  readonly #trend = new policy.scheduling.demandTrend.DemandTrend();
   readonly #states = new Map<string, ports.scheduling.VmState>();
   #config: schema.scheduling.SchedulingConfig | undefined;
   #demandLoggedAtMs = Number.NEGATIVE_INFINITY;
@@ -253,7 +257,11 @@
       pool: name,
       isStandby,
       minVms: minWorkers.get(name) ?? 0,
-      demand: demand.get(name) ?? policy.scheduling.resources.NO_RESOURCES,
+      demand: this.#trend.project(
+        name,
+        demand.get(name) ?? policy.scheduling.resources.NO_RESOURCES,
+        nowMs,
+      ),
     }));
     this.#logDemand(demands, views);
     const frozen = new Set(
