--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -9,11 +9,11 @@
 import { isIdle, type VmView } from "./vm_view.ts";
 
 /** Room for this many times the demand, as tasks don't fill workers to the brim. */
-const HEADROOM = 1.3;
+const HEADROOM = 1.1;
 /** A pool keeps so many VMs, so that lasting tasks do not all depend on one, and first tasks start at once. */
 const MIN_VMS = 2;
 /** An idle VM costs as much as a move within about a second, so it does not wait for long. */
-const IDLE_BEFORE_STANDBY_MS = 400;
+const IDLE_BEFORE_STANDBY_MS = 1_000;
 /** New orders at a time for one pool; the platform bounds the rate of orders. */
 const MAX_MOVES_PER_POOL = 8;
 
