--- a/packages/policy/src/scheduling/mandate.ts
+++ b/packages/policy/src/scheduling/mandate.ts
@@ -6,8 +6,11 @@
  * @module
  */
 
-/** How long a proof lasts. A new owner waits that long before it restarts what it can't see. */
-export const PROOF_MS = 2_000;
+/**
+ * How long a proof lasts; shorter than the owner's lease, so that it has run out when the lease ends. A new
+ * owner waits that long before it restarts what it can't see.
+ */
+export const PROOF_MS = 1_600;
 
 /** The proofs of one term. */
 export class Mandate {
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -68,6 +68,8 @@
   #workspaces = new Map<string, schema.scheduling.Workspace>();
   /** True once every worker that may have tasks of an earlier owner has reported or has lapsed. */
   isSettled = false;
+  /** The list of VMs names workers whose entries have not been seen. */
+  hasUnknownWorkers = false;
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
@@ -161,6 +163,7 @@
         this.dropWorker(worker, nowMs, "its VM is down");
       }
     }
+    this.hasUnknownWorkers = [...alive].some((id) => !this.workers.has(id));
     const unseen = [...alive].filter((id) => !this.workers.get(id)?.hasReported);
     if (!this.isSettled && askedAtMs >= this.#options.takeover.atMs && unseen.length === 0) {
       this.settle(nowMs, "all workers have reported");
--- a/packages/scheduler/src/caller_service.ts
+++ b/packages/scheduler/src/caller_service.ts
@@ -12,6 +12,13 @@
 
 /** Keys may be withdrawn within `revokeMs`; knowledge older than this share of it isn't used. */
 const MAX_KEY_AGE_SHARE = 0.6;
+/**
+ * A store that does not confirm a job in this time may be out of reach for this entry alone; the caller can
+ * still submit the job at another one.
+ */
+const MAX_STORE_WAIT_MS = 1_200;
+/** With two checks of the configuration missed, other entries are likely to serve callers better. */
+const MAX_READY_AGE_MS = 2_000;
 /** The answer has to travel back within the caller's time. */
 const ANSWER_MARGIN_MS = 150;
 /** The store answers within this time again after most outages; a caller gains nothing from coming sooner. */
@@ -72,7 +79,8 @@
 
   /** Whether callers can be served as far as this entry knows. */
   get isReady(): boolean {
-    return this.#options.configs.config !== undefined && this.#isFresh();
+    const { configs } = this.#options;
+    return configs.config !== undefined && configs.ageMs() <= MAX_READY_AGE_MS;
   }
 
   async handle(request: CallerRequest): Promise<CallerAnswer> {
@@ -148,7 +156,7 @@
       acceptedUnixMs: clock.wallMs(),
       spec: spec.value,
     };
-    const waitMs = request.deadlineMs - ANSWER_MARGIN_MS;
+    const waitMs = Math.min(MAX_STORE_WAIT_MS, request.deadlineMs - ANSWER_MARGIN_MS);
     const stored = await withTimeout(jobs.add(job, clock.nowMs() + waitMs), waitMs);
     if (stored === undefined || stored.kind === "unknown") {
       return { status: 504, reason: "the store did not confirm the job in time; submit it again" };
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -18,7 +18,12 @@
 type Order = policy.scheduling.scheduler.Order;
 
 const RETRY_INTERVAL_MS = 200;
-const WATCH_WAIT_MS = 15_000;
+/** A watch may fall silent for good, so that only its return shows that it still hears. */
+const WATCH_WAIT_MS = 2_000;
+/** Watches may miss what was changed while history was dropped; a list shows it. */
+const RELIST_INTERVAL_MS = 5_000;
+/** A worker that the list of VMs names and no entry has shown is looked for so often. */
+const UNKNOWN_WORKER_RELIST_MS = 500;
 /** Events wake decisions at once; this is for what only time brings. */
 const TICK_MS = 100;
 /** An entry that is missing this long after the store's return is gone. */
@@ -176,10 +181,12 @@
       relist: (items) => this.#takeIntake(items, new Map()),
       change: (change) =>
         this.#takeIntakeItem({ ...change, createdRevision: change.revision }, new Map()),
+      mayBeIncomplete: () => false,
     });
     void this.#follow(documents.workerPrefix, workers.value.asOfRevision, {
       relist: (items) => this.#relistWorkers(items),
       change: ({ key, value }) => this.#takeWorker(key, value),
+      mayBeIncomplete: () => this.scheduler.hasUnknownWorkers,
     });
     void this.#vmManager.run(config);
     log.info("Takeover loaded", {
@@ -424,27 +431,37 @@
   async #follow(prefix: string, fromRevision: number, take: {
     readonly relist: (items: readonly ports.scheduling.StoreItem[]) => void;
     readonly change: (change: ports.scheduling.StoreChange) => void;
+    /** Whether something is known to be there that the watch has not shown. */
+    readonly mayBeIncomplete: () => boolean;
   }): Promise<void> {
-    const { store, log } = this.#options;
+    const { store, log, clock } = this.#options;
+    let listedAtMs = clock.nowMs();
     for (let after = fromRevision; !this.#isStopped;) {
-      const watched = await store.watch(prefix, after, WATCH_WAIT_MS);
+      const waitMs = take.mayBeIncomplete() ? UNKNOWN_WORKER_RELIST_MS : WATCH_WAIT_MS;
+      const watched = await store.watch(prefix, after, waitMs);
       if (this.#isStopped) {
         return;
       }
       if (watched.isOk() && watched.value.kind === "changes") {
         watched.value.changes.forEach((change) => take.change(change));
         after = watched.value.asOfRevision;
-        continue;
+        const isHidden = take.mayBeIncomplete() &&
+          clock.nowMs() - listedAtMs >= UNKNOWN_WORKER_RELIST_MS;
+        if (!isHidden && clock.nowMs() - listedAtMs < RELIST_INTERVAL_MS) {
+          continue;
+        }
+      } else {
+        log.info("Watch is read anew", {
+          prefix,
+          reason: watched.isErr() ? watched.error.message : "history dropped",
+        });
       }
-      log.info("Watch is read anew", {
-        prefix,
-        reason: watched.isErr() ? watched.error.message : "history dropped",
-      });
       // A watch that failed may have missed nothing, but only a list proves it.
       const items = await store.list(prefix);
       if (items.isOk() && !this.#isStopped) {
         take.relist(items.value.items);
         after = items.value.asOfRevision;
+        listedAtMs = clock.nowMs();
       } else {
         await pause(RETRY_INTERVAL_MS);
       }
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -9,11 +9,12 @@
 import { decodeRecord } from "./records.ts";
 import { OWNER_KEY, TERM_KEY } from "./store_keys.ts";
 
-/** A dead owner is replaced after this time; workers' leases last longer. */
-const OWNER_LEASE_MS = 2_500;
-const RENEW_INTERVAL_MS = 700;
+/** A dead owner is replaced after this time; a slow store still answers three renewals within it. */
+const OWNER_LEASE_MS = 2_000;
+const RENEW_INTERVAL_MS = 500;
 const RETRY_INTERVAL_MS = 200;
-const WATCH_WAIT_MS = 10_000;
+/** A watch may fall silent for good, so that only its return shows that it still hears. */
+const WATCH_WAIT_MS = 2_000;
 /** A process that has started anew is unlikely to be the next in a rolling restart, so it goes first. */
 const YOUNG_PROCESS_MS = 20_000;
 const OLD_PROCESS_DELAY_MS = 60;
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -17,7 +17,7 @@
 /** Waves come rarely, and last for many seconds. */
 const WAVE_READ_INTERVAL_MS = 1_000;
 /**
- * An earlier owner stops ordering VMs 2 s after its last proof, and loses its lease 2.5 s after it; this
+ * An earlier owner stops ordering VMs 1.6 s after its last proof, and loses its lease 2 s after it; this
  * covers orders that were on their way.
  */
 const HANDOVER_MS = 300;
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -5,6 +5,7 @@
  */
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
+import { OrderGate } from "./order_gate.ts";
 import { pause, WakeUp } from "./pause.ts";
 
 type Run = policy.scheduling.run.Run;
@@ -44,6 +45,7 @@
 export class WorkerSession {
   readonly #options: WorkerSessionOptions;
   readonly #wakeUp = new WakeUp();
+  readonly #gate = new OrderGate();
   #isStopped = false;
   #acknowledgedEnd = 0;
   #isAnswering = true;
@@ -100,16 +102,24 @@
         await pause(RETRY_INTERVAL_MS);
         continue;
       }
-      const askedAtMs = clock.nowMs();
-      const outcome = await client.start(this.#address(), {
-        task: run.task.name,
-        runId: run.runId,
-        payload: run.step.job.job.spec.payload,
-        fencingToken,
-        leaseUntilWorkerMs,
-        ...(run.task.checkpoint === "" ? {} : { checkpoint: run.task.checkpoint }),
-        ...(ticket === undefined ? {} : { ticket }),
+      let askedAtMs = clock.nowMs();
+      const outcome = await this.#gate.run(() => {
+        askedAtMs = clock.nowMs();
+        return this.#mayStillStart(run)
+          ? client.start(this.#address(), {
+            task: run.task.name,
+            runId: run.runId,
+            payload: run.step.job.job.spec.payload,
+            fencingToken,
+            leaseUntilWorkerMs,
+            ...(run.task.checkpoint === "" ? {} : { checkpoint: run.task.checkpoint }),
+            ...(ticket === undefined ? {} : { ticket }),
+          })
+          : undefined;
       });
+      if (outcome === undefined) {
+        continue;
+      }
       if (this.#isStopped) {
         return;
       }
@@ -122,10 +132,14 @@
       }
       this.#logUnknown("start", run, outcome.reason);
       isRepeated = true;
-      await pause(RETRY_INTERVAL_MS);
     }
   }
 
+  /** Whether an order that had to wait is still wanted. */
+  #mayStillStart(run: Run): boolean {
+    return this.#options.mayOrder() && this.#isCurrent(run) && run.state === "starting";
+  }
+
   /** Orders a stop, again until the worker has taken it or the run is over. */
   async stopRun(run: Run, reason: string): Promise<void> {
     const { client, clock, scheduler, fencingToken, log } = this.#options;
