--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -36,9 +36,11 @@
 /** The moves to order now. `frozen` names VMs that must stay, such as those due for maintenance. */
 export function planMoves(
   demands: readonly PoolDemand[],
-  { vms, frozen, nowMs }: {
+  { vms, frozen, due, nowMs }: {
     readonly vms: readonly VmView[];
     readonly frozen: ReadonlySet<string>;
+    /** VMs that are due for maintenance, which is best done while they are off. */
+    readonly due: ReadonlySet<string>;
     readonly nowMs: number;
   },
 ): PoolMove[] {
@@ -46,7 +48,8 @@
   const active = demands.filter(({ isStandby }) => !isStandby);
   const held = new Map(active.map(({ pool }) => [pool, vms.filter((view) => isOf(view, pool))]));
   const movable = vms.filter((view) => isIdle(view) && !frozen.has(view.vm));
-  const off = movable.filter((view) => view.pool === standby?.pool);
+  const off = movable.filter((view) => view.pool === standby?.pool)
+    .sort((a, b) => Number(due.has(a.vm)) - Number(due.has(b.vm)));
   const idle = movable.filter((view) => view.pool !== standby?.pool);
   const moves: PoolMove[] = [];
   const moveTo = (view: VmView, toPool: string, reason: string) => {
--- a/packages/policy/src/scheduling/wave_plan.ts
+++ b/packages/policy/src/scheduling/wave_plan.ts
@@ -36,17 +36,23 @@
 /** Plans within the wave's bound of VMs that may be down at once. */
 export function planWave(
   { wave, startedAtMs, done, down }: WaveState,
-  { vms, nowMs }: { readonly vms: readonly VmView[]; readonly nowMs: number },
+  { vms, wanted, nowMs }: {
+    readonly vms: readonly VmView[];
+    /** Idle VMs that a pool asks for right now; they are left to it while there is time. */
+    readonly wanted: ReadonlySet<string>;
+    readonly nowMs: number;
+  },
 ): WavePlan {
   const waveVms = new Set(wave.vms);
   const left = vms.filter((view) => waveVms.has(view.vm) && !done.has(view.vm));
   const slotCount = Math.max(0, wave.maxConcurrent - down.size);
   const roundCount = Math.ceil(left.length / wave.maxConcurrent);
   const slackMs = startedAtMs + wave.durationMs - nowMs - roundCount * ROUND_MS;
-  const idle = left.filter(isIdle);
+  const isComfortable = slackMs >= COMFORT_MS;
+  const idle = left.filter((view) => isIdle(view) && !(isComfortable && wanted.has(view.vm)));
   const maintain = idle.slice(0, slotCount).map(({ vm }) => vm);
   const busy = left.filter((view) => view.state === "up" && !view.isUncertain && !isIdle(view));
-  const candidates = slackMs < COMFORT_MS ? busy : busy.filter((view) => canSpare(view, vms));
+  const candidates = isComfortable ? busy.filter((view) => canSpare(view, vms)) : busy;
   const empty = candidates
     .sort((a, b) => loadOf(a) - loadOf(b))
     .slice(0, Math.max(0, slotCount - maintain.length))
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -105,9 +105,13 @@
     this.#waves.noteStates(views);
     this.#markLeaving(views);
     if (mayOrder) {
-      this.#stepWaves(views);
+      const moves = this.#planMoves(views);
+      const maintained = this.#stepWaves(views, new Set(moves.map(({ vm }) => vm)));
       this.#stepDraining();
-      this.#stepPools(views);
+      const byVm = new Map(views.map((view) => [view.vm, view]));
+      for (const move of moves.filter(({ vm }) => !maintained.has(vm))) {
+        void this.#move(byVm.get(move.vm)!, move);
+      }
     }
     void this.#waves.store();
   }
@@ -191,13 +195,16 @@
     }
   }
 
-  #stepWaves(views: readonly VmView[]): void {
+  /** The VMs that are sent down now. */
+  #stepWaves(views: readonly VmView[], wanted: ReadonlySet<string>): Set<string> {
     const nowMs = this.#options.clock.nowMs();
     const emptied = new Set<string>();
+    const maintained = new Set<string>();
     for (const state of this.#waves.active()) {
-      const plan = policy.scheduling.wavePlan.planWave(state, { vms: views, nowMs });
+      const plan = policy.scheduling.wavePlan.planWave(state, { vms: views, wanted, nowMs });
       const byVm = new Map(views.map((view) => [view.vm, view]));
       for (const vm of plan.maintain) {
+        maintained.add(vm);
         void this.#maintain(byVm.get(vm)!, state.wave.wave);
       }
       for (const vm of plan.empty) {
@@ -213,6 +220,7 @@
         worker.cordon = undefined;
       }
     }
+    return maintained;
   }
 
   #empty(
@@ -248,7 +256,7 @@
     this.#options.onChange();
   }
 
-  #stepPools(views: readonly VmView[]): void {
+  #planMoves(views: readonly VmView[]): policy.scheduling.poolPlan.PoolMove[] {
     const { scheduler, clock } = this.#options;
     const nowMs = clock.nowMs();
     const demand = scheduler.demandByPool({ nowMs, wallMs: clock.wallMs() }, AHEAD_MS);
@@ -268,12 +276,8 @@
       views.filter(({ worker, vm }) => worker?.cordon !== undefined || this.#busyOrders.has(vm))
         .map(({ vm }) => vm),
     );
-    const byVm = new Map(views.map((view) => [view.vm, view]));
-    for (
-      const move of policy.scheduling.poolPlan.planMoves(demands, { vms: views, frozen, nowMs })
-    ) {
-      void this.#move(byVm.get(move.vm)!, move);
-    }
+    const due = this.#waves.vmsLeft();
+    return policy.scheduling.poolPlan.planMoves(demands, { vms: views, frozen, due, nowMs });
   }
 
   /** One line a second on what each pool asks for and has. */
