Keep late writes of progress from replacing newer ones; model the takeover

A write of progress without an answer was repeated and then replaced by its own late copy. The records of waves depend on theirs.

The data types that policy needs moved from ports to schema, and dependency rules keep the platform's names in platform/.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -4,6 +4,7 @@
   { name: "policy", mayImport: ["schema"] },
   { name: "ports", mayImport: ["schema"] },
   { name: "adapters", mayImport: ["schema", "policy", "ports"] },
+  { name: "scheduler", mayImport: ["schema", "policy", "ports"] },
   { name: "entry", mayImport: ["schema", "policy", "ports", "adapters"] },
   { name: "steward", mayImport: ["schema", "policy", "ports", "adapters"] },
   { name: "cli", mayImport: ["schema", "policy", "ports", "adapters"] },
@@ -22,6 +23,20 @@
       from: {},
       to: { circular: true },
     },
+    {
+      name: "platform-translates",
+      comment: "The platform's protocols stand beside the decisions, and only its main program wires them.",
+      severity: "error",
+      from: { path: "^platform/" },
+      to: { path: "^packages/", pathNot: "^packages/(schema|ports|adapters|scheduler)/" },
+    },
+    {
+      name: "platform-names-stay",
+      comment: "Nothing else knows the platform's names.",
+      severity: "error",
+      from: { path: "^packages/" },
+      to: { path: "^platform/" },
+    },
     ...LAYERS.map(({ name, mayImport }) => ({
       name: `layer-${name}`,
       severity: "error",
--- a/packages/policy/src/scheduling/evacuation.ts
+++ b/packages/policy/src/scheduling/evacuation.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import type { StepRecord } from "./job_record.ts";
-import type { Run } from "./run.ts";
+import type { Run, StepRecord } from "./job_record.ts";
 import type { WorkerRecord } from "./worker_record.ts";
 
 /** A lasting task works at full speed. */
--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -13,7 +13,6 @@
 export * as poolPlan from "./pool_plan.ts";
 export * as rateShare from "./rate_share.ts";
 export * as resources from "./resources.ts";
-export * as run from "./run.ts";
 export * as scheduler from "./scheduler.ts";
 export * as taskNames from "./task_names.ts";
 export * as vmView from "./vm_view.ts";
--- a/packages/policy/src/scheduling/pacing.ts
+++ b/packages/policy/src/scheduling/pacing.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Run } from "./run.ts";
+import type { Run } from "./job_record.ts";
 import type { WorkerRecord } from "./worker_record.ts";
 
 /** Reports cover the last half second, so that an earlier report still shows the old pace. */
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -4,14 +4,12 @@
  *
  * @module
  */
-import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
-import { JobRecord, type StepRecord, type TaskRecord } from "./job_record.ts";
+import { JobRecord, type Run, runKey, type StepRecord, type TaskRecord } from "./job_record.ts";
 import * as order from "./order.ts";
 import { decidePaces } from "./pacing.ts";
 import { chooseWorker } from "./placement.ts";
 import * as resources from "./resources.ts";
-import { type Run, runKey } from "./run.ts";
 import { parseTask } from "./task_names.ts";
 import { RateShare } from "./rate_share.ts";
 import { WorkerRecord } from "./worker_record.ts";
@@ -45,10 +43,19 @@
   readonly staleOwnerMs: number;
 }
 
+/** Where decisions are told. */
+export interface DecisionLog {
+  debug(message: string, fields: DecisionFields): void;
+  info(message: string, fields: DecisionFields): void;
+}
+
+/** What a decision went by; names carry units. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
 export interface SchedulerOptions {
   readonly term: number;
   readonly takeover: TakeoverBounds;
-  readonly log: ports.log.Log;
+  readonly log: DecisionLog;
 }
 
 /** Jobs, workers and runs of one term. */
@@ -121,7 +128,7 @@
   }
 
   /** Takes in a worker's entry; another start time under the same id means that its runs are gone. */
-  putWorker(info: ports.scheduling.WorkerInfo, nowMs: number): WorkerRecord {
+  putWorker(info: schema.scheduling.WorkerInfo, nowMs: number): WorkerRecord {
     const present = this.workers.get(info.workerId);
     if (present !== undefined && present.info.startedUnixMs === info.startedUnixMs) {
       present.info = info;
@@ -152,7 +159,7 @@
    * have reported, nothing of an earlier owner can be unseen.
    */
   noteVms(
-    listed: readonly ports.scheduling.ListedVm[],
+    listed: readonly schema.scheduling.ListedVm[],
     { askedAtMs, nowMs }: { readonly askedAtMs: number; readonly nowMs: number },
   ): void {
     const alive = new Set(
@@ -194,7 +201,7 @@
   }
 
   /** Takes in all that a worker has, as of a time between the two given. */
-  report(worker: WorkerRecord, report: ports.scheduling.WorkerReport, at: {
+  report(worker: WorkerRecord, report: schema.scheduling.WorkerReport, at: {
     readonly sentAtMs: number;
     readonly receivedAtMs: number;
   }): void {
@@ -232,7 +239,7 @@
   }
 
   /** Takes in the answer to a start. */
-  startAnswered(run: Run, outcome: ports.scheduling.OrderOutcome, { nowMs, isRepeated }: {
+  startAnswered(run: Run, outcome: schema.scheduling.OrderOutcome, { nowMs, isRepeated }: {
     readonly nowMs: number;
     /** An earlier try had no answer, so that the run may have existed. */
     readonly isRepeated: boolean;
@@ -600,17 +607,13 @@
     });
   }
 
-  #takeEnd(worker: WorkerRecord, end: ports.scheduling.ReportedEnd, nowMs: number): void {
+  #takeEnd(worker: WorkerRecord, end: schema.scheduling.ReportedEnd, nowMs: number): void {
     const run = worker.runs.get(runKey(end.task, end.runId));
     if (run !== undefined) {
       this.#removeRun(run, nowMs);
     }
     const found = this.#find(end.task);
     if (found === undefined) {
-      this.#options.log.warn("End of an unknown task", {
-        task: end.task,
-        worker: worker.info.workerId,
-      });
       return;
     }
     const { job, step, task } = found;
@@ -706,7 +709,7 @@
   /** The run that a worker reports; one that an earlier owner ordered is taken over or stopped. */
   #runOf(
     worker: WorkerRecord,
-    reported: ports.scheduling.ReportedRun,
+    reported: schema.scheduling.ReportedRun,
     nowMs: number,
   ): Run | undefined {
     const known = worker.runs.get(runKey(reported.task, reported.runId));
@@ -735,7 +738,7 @@
   }
 }
 
-function takeReport(run: Run, reported: ports.scheduling.ReportedRun, nowMs: number): void {
+function takeReport(run: Run, reported: schema.scheduling.ReportedRun, nowMs: number): void {
   run.confirmedAtMs ??= nowMs;
   run.state = run.state === "starting" ? "running" : run.state;
   run.advancedAtMs = reported.percent > run.percent ? nowMs : run.advancedAtMs;
--- a/packages/policy/src/scheduling/vm_view.ts
+++ b/packages/policy/src/scheduling/vm_view.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
 import type { WorkerRecord } from "./worker_record.ts";
 
@@ -11,7 +10,7 @@
 export interface VmView {
   readonly vm: string;
   readonly pool: string;
-  readonly state: ports.scheduling.VmState;
+  readonly state: schema.scheduling.VmState;
   /** In a standby pool: switched off, and without cost. */
   readonly isStandby: boolean;
   readonly total: schema.scheduling.Resources;
--- a/packages/policy/src/scheduling/wave_plan.ts
+++ b/packages/policy/src/scheduling/wave_plan.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
 import { isIdle, type VmView } from "./vm_view.ts";
 
 /** The time to empty a VM and to maintain it, on the long side. */
@@ -17,7 +17,7 @@
 
 /** A wave as it stands. */
 export interface WaveState {
-  readonly wave: ports.scheduling.MaintenanceWave;
+  readonly wave: schema.scheduling.MaintenanceWave;
   readonly startedAtMs: number;
   readonly done: ReadonlySet<string>;
   /** VMs that are down for the wave right now. */
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -3,10 +3,9 @@
  *
  * @module
  */
-import type * as ports from "@jackdawlink/ports";
+import { type Run, runKey } from "./job_record.ts";
 import type * as schema from "@jackdawlink/schema";
 import * as resources from "./resources.ts";
-import { type Run, runKey } from "./run.ts";
 
 /** A worker's clock may be this much slow. */
 const MAX_CLOCK_DRIFT = 0.02;
@@ -19,7 +18,7 @@
 
 /** What the scheduler knows of one worker. */
 export class WorkerRecord {
-  info: ports.scheduling.WorkerInfo;
+  info: schema.scheduling.WorkerInfo;
   readonly runs = new Map<string, Run>();
   used: schema.scheduling.Resources = resources.NO_RESOURCES;
   /** True once the worker has reported under the current fencing token. */
@@ -48,7 +47,7 @@
   /** When the worker came to be known. */
   readonly knownSinceMs: number;
 
-  constructor(info: ports.scheduling.WorkerInfo, nowMs: number) {
+  constructor(info: schema.scheduling.WorkerInfo, nowMs: number) {
     this.info = info;
     this.knownSinceMs = nowMs;
     this.idleSinceMs = nowMs;
@@ -93,7 +92,7 @@
     return this.#clockReadAtMs + leftMs / (1 - MAX_CLOCK_DRIFT) + LEASE_SLACK_MS;
   }
 
-  noteEnd(kind: ports.scheduling.EndKind, jobId: string, nowMs: number): void {
+  noteEnd(kind: schema.scheduling.EndKind, jobId: string, nowMs: number): void {
     if (kind === "done") {
       this.#failureStreak = 0;
       this.#failedJobs.clear();
--- a/packages/ports/src/scheduling.ts
+++ b/packages/ports/src/scheduling.ts
@@ -73,57 +73,6 @@
   endLease(leaseId: number): Answer<void>;
 }
 
-/** What a worker says of itself. */
-export interface WorkerInfo {
-  readonly workerId: string;
-  readonly vm: string;
-  readonly pool: string;
-  readonly address: string;
-  readonly isDraining: boolean;
-  readonly total: scheduling.Resources;
-  readonly labels: readonly string[];
-  /** Unix time of its start; another value means that it has forgotten everything. */
-  readonly startedUnixMs: number;
-}
-
-/** A task that a worker has. */
-export interface ReportedRun {
-  readonly task: string;
-  readonly runId: number;
-  readonly checkpoint: string;
-  /** 100 while the task is at work at full speed. */
-  readonly percent: number;
-  /** The tail of response times in ms where the task serves users, or millicores in use. */
-  readonly load: number;
-}
-
-export type EndKind = "done" | "failed" | "stopped" | "lapsed" | "broken" | "alone";
-
-/** The end of a run; ends of one worker life are numbered from 1. */
-export interface ReportedEnd {
-  readonly endNumber: number;
-  readonly task: string;
-  readonly runId: number;
-  readonly kind: EndKind;
-  readonly checkpoint: string;
-}
-
-/** All that runs on a worker, and the ends that were not acknowledged. */
-export interface WorkerReport {
-  readonly startedUnixMs: number | undefined;
-  readonly workerClockMs: number;
-  readonly running: readonly ReportedRun[];
-  readonly ends: readonly ReportedEnd[];
-}
-
-/** A worker's refusal of an order, or no answer. `unknown`: it may be carried out, also later. */
-export type OrderOutcome =
-  | { readonly kind: "done"; readonly workerClockMs: number }
-  | { readonly kind: "fenced" }
-  | { readonly kind: "refused"; readonly reason: string }
-  | { readonly kind: "other-life" }
-  | { readonly kind: "unknown"; readonly reason: string };
-
 export interface WorkerAddress {
   readonly workerId: string;
   readonly address: string;
@@ -141,11 +90,11 @@
 
 /** One worker's interface. */
 export interface WorkerClient {
-  start(worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome>;
+  start(worker: WorkerAddress, order: StartOrder): Promise<scheduling.OrderOutcome>;
   stop(
     worker: WorkerAddress,
     order: { readonly task: string; readonly runId: number; readonly fencingToken: number },
-  ): Promise<OrderOutcome>;
+  ): Promise<scheduling.OrderOutcome>;
   pace(
     worker: WorkerAddress,
     order: {
@@ -154,7 +103,7 @@
       readonly percent: number;
       readonly fencingToken: number;
     },
-  ): Promise<OrderOutcome>;
+  ): Promise<scheduling.OrderOutcome>;
   /** Renews the lease, acknowledges ends, and reports; waits up to `waitMs` for an end. */
   hold(
     worker: WorkerAddress,
@@ -165,32 +114,11 @@
       readonly waitMs: number;
     },
   ): Promise<
-    | { readonly kind: "report"; readonly report: WorkerReport }
-    | Exclude<OrderOutcome, { kind: "done" }>
+    | { readonly kind: "report"; readonly report: scheduling.WorkerReport }
+    | Exclude<scheduling.OrderOutcome, { kind: "done" }>
   >;
 }
 
-export type VmState = "up" | "moving" | "upkeep" | "down";
-
-/** A VM in the platform's list. */
-export interface ListedVm {
-  readonly vm: string;
-  readonly pool: string;
-  readonly state: VmState;
-  readonly total: scheduling.Resources;
-  readonly labels: readonly string[];
-  /** The worker that runs on it; undefined while it is off. */
-  readonly workerId: string | undefined;
-}
-
-/** A request for maintenance of a set of VMs. */
-export interface MaintenanceWave {
-  readonly wave: number;
-  readonly vms: readonly string[];
-  readonly durationMs: number;
-  readonly maxConcurrent: number;
-}
-
 export type VmOrderOutcome =
   | { readonly kind: "done" }
   | { readonly kind: "fenced" }
@@ -205,7 +133,7 @@
 
 /** The platform's VMs. */
 export interface VmClient {
-  list(): Answer<readonly ListedVm[]>;
+  list(): Answer<readonly scheduling.ListedVm[]>;
   move(vm: string, pool: string, holder: VmOrderHolder): Promise<VmOrderOutcome>;
   maintain(vm: string, wave: number, holder: VmOrderHolder): Promise<VmOrderOutcome>;
 }
@@ -224,8 +152,8 @@
   readonly workerPrefix: string;
   readonly wavePrefix: string;
   decodeConfig(text: string): Result<scheduling.SchedulingConfig, errors.JackdawlinkError>;
-  decodeWorker(key: string, text: string): Result<WorkerInfo, errors.JackdawlinkError>;
-  decodeWave(text: string): Result<MaintenanceWave, errors.JackdawlinkError>;
+  decodeWorker(key: string, text: string): Result<scheduling.WorkerInfo, errors.JackdawlinkError>;
+  decodeWave(text: string): Result<scheduling.MaintenanceWave, errors.JackdawlinkError>;
   decodeSubmission(text: string): Result<scheduling.JobSpec, errors.JackdawlinkError>;
   /** The item that tells the operator how far a wave has come. */
   waveStateItem(
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -10,8 +10,8 @@
 
 type JobRecord = policy.scheduling.jobRecord.JobRecord;
 
-/** A transaction takes 32 entries; one is the condition on the owner's record. */
-const MAX_JOBS_PER_TRANSACTION = 31;
+/** A transaction takes 32 entries; three of them are the conditions and the journal's own item. */
+const MAX_JOBS_PER_TRANSACTION = 29;
 /** Changes that come close together share a transaction. */
 const GATHER_MS = 8;
 const RETRY_INTERVAL_MS = 150;
@@ -31,6 +31,11 @@
   readonly #options: JournalOptions;
   readonly #wakeUp = new WakeUp();
   #isStopped = false;
+  /**
+   * The journal's own item changes with each write. A write without an answer may happen seconds later; it
+   * must not replace newer progress.
+   */
+  #lastRevision = 0;
   #lastFlush: Promise<boolean> = Promise.resolve(true);
 
   constructor(options: JournalOptions) {
@@ -80,11 +85,17 @@
     const { store, log, fencingToken, onConflict } = this.#options;
     const states = jobs.map((job) => job.state);
     const answer = await store.transact({
-      conditions: [{ key: storeKeys.OWNER_KEY, revision: fencingToken }],
-      puts: jobs.map((job) => ({
-        key: storeKeys.progressKey(job.job.jobId),
-        value: JSON.stringify(job.progress()),
-      })),
+      conditions: [
+        { key: storeKeys.OWNER_KEY, revision: fencingToken },
+        { key: storeKeys.JOURNAL_KEY, revision: this.#lastRevision },
+      ],
+      puts: [
+        { key: storeKeys.JOURNAL_KEY, value: String(fencingToken) },
+        ...jobs.map((job) => ({
+          key: storeKeys.progressKey(job.job.jobId),
+          value: JSON.stringify(job.progress()),
+        })),
+      ],
       removes: [],
     });
     if (answer.isErr()) {
@@ -92,12 +103,25 @@
       return false;
     }
     if (answer.value.kind !== "done") {
-      onConflict();
+      this.#takeConflict(answer.value);
       return false;
     }
+    this.#lastRevision = answer.value.revision;
     jobs.forEach((job, index) => {
       job.storedState = states[index]!;
     });
     return true;
   }
+
+  /** Another owner ends the term; a later revision of the journal is that of a write without an answer. */
+  #takeConflict(answer: ports.scheduling.TransactionAnswer): void {
+    const { fencingToken, onConflict } = this.#options;
+    const items = answer.kind === "conflict" ? answer.items : [];
+    const owner = items.find(({ key }) => key === storeKeys.OWNER_KEY);
+    const journal = items.find(({ key }) => key === storeKeys.JOURNAL_KEY);
+    if (owner !== undefined && owner.revision !== fencingToken) {
+      onConflict();
+    }
+    this.#lastRevision = journal?.revision ?? 0;
+  }
 }
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -393,7 +393,7 @@
     handler(order);
   }
 
-  #logStart(run: policy.scheduling.run.Run): void {
+  #logStart(run: policy.scheduling.jobRecord.Run): void {
     const worker = this.scheduler.workers.get(run.workerId);
     this.#options.log.info("Task placed", {
       job: run.step.job.job.jobId,
--- a/packages/scheduler/src/store_keys.ts
+++ b/packages/scheduler/src/store_keys.ts
@@ -8,6 +8,8 @@
 export const OWNER_KEY = "jackdawlink/owner";
 /** The number of the last term; unlike the owner's record it does not go with a lease. */
 export const TERM_KEY = "jackdawlink/term";
+/** Changes with each write of progress, and keeps late writes from replacing newer ones. */
+export const JOURNAL_KEY = "jackdawlink/journal";
 /** What callers hand in: jobs and cancellations. The owner follows both. */
 export const INTAKE_PREFIX = "jackdawlink/in/";
 /** What the owner writes of jobs. */
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -55,7 +55,7 @@
   readonly #uncertainUntilMs = new Map<string, number>();
   readonly #busyOrders = new Set<string>();
   readonly #trend = new policy.scheduling.demandTrend.DemandTrend();
-  readonly #states = new Map<string, ports.scheduling.VmState>();
+  readonly #states = new Map<string, schema.scheduling.VmState>();
   #config: schema.scheduling.SchedulingConfig | undefined;
   #demandLoggedAtMs = Number.NEGATIVE_INFINITY;
   #wavesReadAtMs = Number.NEGATIVE_INFINITY;
@@ -116,7 +116,7 @@
     void this.#waves.store();
   }
 
-  #logStates(listed: readonly ports.scheduling.ListedVm[]): void {
+  #logStates(listed: readonly schema.scheduling.ListedVm[]): void {
     for (const { vm, state, pool, workerId } of listed) {
       const known = this.#states.get(vm);
       if (known !== undefined && known !== state) {
@@ -155,7 +155,7 @@
     }
   }
 
-  #views(listed: readonly ports.scheduling.ListedVm[]): VmView[] {
+  #views(listed: readonly schema.scheduling.ListedVm[]): VmView[] {
     const nowMs = this.#options.clock.nowMs();
     const standby = new Set(
       this.#config?.pools.filter(({ isStandby }) => isStandby).map(({ name }) => name),
--- a/packages/scheduler/src/wave_book.ts
+++ b/packages/scheduler/src/wave_book.ts
@@ -5,6 +5,7 @@
  */
 import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
 import * as v from "valibot";
 import { decodeRecord } from "./records.ts";
 import * as storeKeys from "./store_keys.ts";
@@ -22,12 +23,14 @@
 }
 
 interface WaveRecord {
-  readonly wave: ports.scheduling.MaintenanceWave;
+  readonly wave: schema.scheduling.MaintenanceWave;
   readonly startedAtMs: number;
   readonly done: Set<string>;
   /** When each VM that is down was ordered down. */
   readonly down: Map<string, number>;
   storedDoneCount: number;
+  /** The revision of the stored record; a late write must not replace a newer one. */
+  storedRevision: number;
   storedState: "active" | "complete" | undefined;
 }
 
@@ -51,7 +54,7 @@
     this.#options = options;
   }
 
-  put(wave: ports.scheduling.MaintenanceWave, doneVms: readonly string[] | undefined): void {
+  put(wave: schema.scheduling.MaintenanceWave, doneVms: readonly string[] | undefined): void {
     if (!this.#waves.has(wave.wave)) {
       this.#waves.set(wave.wave, {
         wave,
@@ -60,6 +63,7 @@
         down: new Map(),
         storedDoneCount: doneVms?.length ?? 0,
         storedState: undefined,
+        storedRevision: 0,
       });
       this.#options.log.info("Wave is due", {
         wave: wave.wave,
@@ -77,7 +81,7 @@
 
   /** The waves that are not complete. */
   active(): {
-    wave: ports.scheduling.MaintenanceWave;
+    wave: schema.scheduling.MaintenanceWave;
     startedAtMs: number;
     done: Set<string>;
     down: Set<string>;
@@ -154,7 +158,10 @@
       return;
     }
     const answer = await store.transact({
-      conditions: [{ key: storeKeys.OWNER_KEY, revision: holder.fencingToken }],
+      conditions: [
+        { key: storeKeys.OWNER_KEY, revision: holder.fencingToken },
+        { key: storeKeys.waveKey(record.wave.wave), revision: record.storedRevision },
+      ],
       puts: [
         documents.waveStateItem(record.wave.wave, state),
         {
@@ -164,7 +171,15 @@
       ],
       removes: [],
     });
+    if (answer.isOk() && answer.value.kind === "conflict") {
+      // A write without an answer has happened after all, or an earlier owner has stored more.
+      const item = answer.value.items.find(({ key }) =>
+        key === storeKeys.waveKey(record.wave.wave)
+      );
+      record.storedRevision = item?.revision ?? 0;
+    }
     if (answer.isOk() && answer.value.kind === "done") {
+      record.storedRevision = answer.value.revision;
       record.storedState = state;
       record.storedDoneCount = doneCount;
       log.info("Wave's state stored", { wave: record.wave.wave, state, done: doneCount });
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -5,10 +5,11 @@
  */
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
 import { OrderGate } from "./order_gate.ts";
 import { pause, WakeUp } from "./pause.ts";
 
-type Run = policy.scheduling.run.Run;
+type Run = policy.scheduling.jobRecord.Run;
 type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
 
 /**
@@ -225,7 +226,7 @@
     return true;
   }
 
-  #isOtherLife(report: ports.scheduling.WorkerReport): boolean {
+  #isOtherLife(report: schema.scheduling.WorkerReport): boolean {
     const known = this.worker.info.startedUnixMs;
     return report.startedUnixMs !== undefined && report.startedUnixMs !== known;
   }
@@ -261,7 +262,7 @@
 
   /** Whether the run is still on the books and this session is the one to speak for it. */
   #isCurrent(run: Run): boolean {
-    const key = policy.scheduling.run.runKey(run.task.name, run.runId);
+    const key = policy.scheduling.jobRecord.runKey(run.task.name, run.runId);
     return !this.#isStopped && this.worker.runs.get(key) === run;
   }
 
--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -152,3 +152,75 @@
   readonly workspaces: readonly Workspace[];
   readonly maxBodyBytes: number;
 }
+
+/** What a worker says of itself. */
+export interface WorkerInfo {
+  readonly workerId: string;
+  readonly vm: string;
+  readonly pool: string;
+  readonly address: string;
+  readonly isDraining: boolean;
+  readonly total: Resources;
+  readonly labels: readonly string[];
+  /** Unix time of its start; another value means that it has forgotten everything. */
+  readonly startedUnixMs: number;
+}
+
+/** A task that a worker has. */
+export interface ReportedRun {
+  readonly task: string;
+  readonly runId: number;
+  readonly checkpoint: string;
+  /** 100 while the task is at work at full speed. */
+  readonly percent: number;
+  /** The tail of response times in ms where the task serves users, or millicores in use. */
+  readonly load: number;
+}
+
+export type EndKind = "done" | "failed" | "stopped" | "lapsed" | "broken" | "alone";
+
+/** The end of a run; ends of one worker life are numbered from 1. */
+export interface ReportedEnd {
+  readonly endNumber: number;
+  readonly task: string;
+  readonly runId: number;
+  readonly kind: EndKind;
+  readonly checkpoint: string;
+}
+
+/** All that runs on a worker, and the ends that were not acknowledged. */
+export interface WorkerReport {
+  readonly startedUnixMs: number | undefined;
+  readonly workerClockMs: number;
+  readonly running: readonly ReportedRun[];
+  readonly ends: readonly ReportedEnd[];
+}
+
+/** A worker's refusal of an order, or no answer. `unknown`: it may be carried out, also later. */
+export type OrderOutcome =
+  | { readonly kind: "done"; readonly workerClockMs: number }
+  | { readonly kind: "fenced" }
+  | { readonly kind: "refused"; readonly reason: string }
+  | { readonly kind: "other-life" }
+  | { readonly kind: "unknown"; readonly reason: string };
+
+export type VmState = "up" | "moving" | "upkeep" | "down";
+
+/** A VM in the platform's list. */
+export interface ListedVm {
+  readonly vm: string;
+  readonly pool: string;
+  readonly state: VmState;
+  readonly total: Resources;
+  readonly labels: readonly string[];
+  /** The worker that runs on it; undefined while it is off. */
+  readonly workerId: string | undefined;
+}
+
+/** A request for maintenance of a set of VMs. */
+export interface MaintenanceWave {
+  readonly wave: number;
+  readonly vms: readonly string[];
+  readonly durationMs: number;
+  readonly maxConcurrent: number;
+}
--- /dev/null
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -0,0 +1,411 @@
+/**
+ * A model of workers and VMs: orders that are lost, late or crossed, fences, leases on slow clocks, new
+ * lives, and moves. A witness sees each start and end.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+import { ok } from "neverthrow";
+import type { SeededRandom } from "../seeded_random.ts";
+import type { ModelStore } from "./model_store.ts";
+import type { RunWitness } from "./run_witness.ts";
+
+type OrderOutcome = schema.scheduling.OrderOutcome;
+
+const LATENCY_MS = 2;
+const ORDER_TIMEOUT_MS = 400;
+const LATE_ORDER_MS = [2_000, 12_000] as const;
+const ENTRY_EXPIRY_MS = 4_500;
+const STOP_MS = 300;
+const MOVE_MS = 1_500;
+/** Workers' clocks run this much slow at the most. */
+const SLOW_CLOCK = 0.98;
+const LEASE_CHECK_MS = 20;
+
+/** What goes wrong between nodes and workers. */
+export interface FleetFaults {
+  /** The share of orders that are carried out without an answer. */
+  lostShare: number;
+  /** The share of orders that are carried out seconds later, without an answer. */
+  lateShare: number;
+  /** Pairs `node>worker` that don't reach each other; `*` stands for any. */
+  readonly cut: Set<string>;
+}
+
+/** How long a task runs and whether it fails. */
+export type TaskBehaviour = (task: string, runId: number) => { durationMs: number; fails: boolean };
+
+interface ModelRun {
+  readonly task: string;
+  readonly runId: number;
+  readonly room: schema.scheduling.Resources;
+  readonly startedAtMs: number;
+  readonly durationMs: number;
+  isStopping: boolean;
+}
+
+class ModelWorker {
+  readonly startedAtMs = Date.now();
+  readonly runs = new Map<string, ModelRun>();
+  readonly highestEnded = new Map<string, number>();
+  readonly ends: schema.scheduling.ReportedEnd[] = [];
+  readonly waiting = new Set<() => void>();
+  fencingToken = 0;
+  leaseUntilMs = 0;
+  endCount = 0;
+  isAlive = true;
+  readonly workerId: string;
+  readonly vm: string;
+
+  constructor(workerId: string, vm: string) {
+    this.workerId = workerId;
+    this.vm = vm;
+  }
+
+  clockMs(): number {
+    return Math.round((Date.now() - this.startedAtMs) * SLOW_CLOCK);
+  }
+}
+
+interface ModelVm {
+  readonly vm: string;
+  pool: string;
+  state: schema.scheduling.VmState;
+  worker: ModelWorker | undefined;
+}
+
+export interface ModelFleetOptions {
+  readonly random: SeededRandom;
+  readonly store: ModelStore;
+  readonly witness: RunWitness;
+  readonly documents: ports.scheduling.Documents;
+  readonly total: schema.scheduling.Resources;
+  readonly roomOf: (task: string) => schema.scheduling.Resources;
+  readonly behaviour: TaskBehaviour;
+  readonly standbyPool: string;
+  readonly encodeWorker: (info: schema.scheduling.WorkerInfo) => string;
+}
+
+/** All VMs and the workers on them. */
+export class ModelFleet {
+  readonly faults: FleetFaults = { lostShare: 0, lateShare: 0, cut: new Set() };
+  readonly #options: ModelFleetOptions;
+  readonly #vms = new Map<string, ModelVm>();
+  readonly #byAddress = new Map<string, ModelWorker>();
+  #lifeCount = 0;
+
+  constructor(options: ModelFleetOptions) {
+    this.#options = options;
+    setInterval(() => this.#checkLeases(), LEASE_CHECK_MS);
+  }
+
+  addVm(vm: string, pool: string): void {
+    const record: ModelVm = { vm, pool, state: "up", worker: undefined };
+    this.#vms.set(vm, record);
+    this.#startWorker(record);
+  }
+
+  get vmNames(): string[] {
+    return [...this.#vms.keys()];
+  }
+
+  workerOf(vm: string): string | undefined {
+    return this.#vms.get(vm)?.worker?.workerId;
+  }
+
+  /** Ends a worker at once; its VM comes back with a new one. */
+  crash(vm: string, downMs: number): void {
+    const record = this.#vms.get(vm)!;
+    if (record.state === "up" && record.worker !== undefined) {
+      this.#endWorker(record, "down", ENTRY_EXPIRY_MS);
+      setTimeout(() => this.#bringUp(record), downMs);
+    }
+  }
+
+  /** The fleet as one node reaches it. */
+  clientsFor(
+    node: string,
+    isAlive: () => boolean,
+  ): { workers: ports.scheduling.WorkerClient; vms: ports.scheduling.VmClient } {
+    const order = (
+      address: ports.scheduling.WorkerAddress,
+      run: (worker: ModelWorker) => OrderOutcome,
+    ) => this.#order({ node, isAlive }, address, run);
+    return {
+      workers: {
+        start: (address, start) => order(address, (worker) => this.#start(worker, start)),
+        stop: (address, stop) => order(address, (worker) => this.#stop(worker, stop)),
+        pace: (address, { fencingToken }) =>
+          order(address, (worker) => this.#fence(worker, fencingToken) ?? done(worker)),
+        hold: (address, hold) => this.#hold({ node, isAlive }, address, hold),
+      },
+      vms: {
+        list: async () => {
+          await sleep(LATENCY_MS);
+          return ok(this.#list());
+        },
+        move: (vm, pool) => this.#orderVm(vm, "moving", pool),
+        maintain: (vm) => this.#orderVm(vm, "upkeep", undefined),
+      },
+    };
+  }
+
+  #list(): schema.scheduling.ListedVm[] {
+    return [...this.#vms.values()].map(({ vm, pool, state, worker }) => ({
+      vm,
+      pool,
+      state,
+      total: this.#options.total,
+      labels: [],
+      workerId: state === "up" ? worker?.workerId : undefined,
+    }));
+  }
+
+  async #orderVm(
+    vm: string,
+    state: "moving" | "upkeep",
+    pool: string | undefined,
+  ): Promise<ports.scheduling.VmOrderOutcome> {
+    await sleep(LATENCY_MS);
+    const record = this.#vms.get(vm)!;
+    if (record.state !== "up") {
+      return { kind: "refused", reason: "busy" };
+    }
+    this.#endWorker(record, state, 0);
+    record.pool = pool ?? record.pool;
+    setTimeout(() => this.#bringUp(record), MOVE_MS);
+    return { kind: "done" };
+  }
+
+  #bringUp(record: ModelVm): void {
+    record.state = "up";
+    if (record.pool !== this.#options.standbyPool) {
+      this.#startWorker(record);
+    }
+  }
+
+  #startWorker(record: ModelVm): void {
+    const { store, documents, encodeWorker, total } = this.#options;
+    const worker = new ModelWorker(`w${++this.#lifeCount}`, record.vm);
+    record.worker = worker;
+    this.#byAddress.set(worker.workerId, worker);
+    store.write(
+      documents.workerPrefix + worker.workerId,
+      encodeWorker({
+        workerId: worker.workerId,
+        vm: record.vm,
+        pool: record.pool,
+        address: worker.workerId,
+        isDraining: false,
+        total,
+        labels: [],
+        startedUnixMs: worker.startedAtMs,
+      }),
+    );
+  }
+
+  #endWorker(record: ModelVm, state: schema.scheduling.VmState, expiryMs: number): void {
+    const { worker } = record;
+    record.state = state;
+    record.worker = undefined;
+    if (worker !== undefined) {
+      worker.isAlive = false;
+      for (const run of worker.runs.values()) {
+        this.#options.witness.ended(
+          run.task,
+          { workerId: worker.workerId, runId: run.runId },
+          "gone",
+        );
+      }
+      const key = this.#options.documents.workerPrefix + worker.workerId;
+      setTimeout(() => this.#options.store.write(key, undefined), expiryMs);
+    }
+  }
+
+  async #order(
+    from: { node: string; isAlive: () => boolean },
+    { address }: ports.scheduling.WorkerAddress,
+    run: (worker: ModelWorker) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    const { random } = this.#options;
+    await sleep(LATENCY_MS);
+    const worker = this.#reach(from.node, address);
+    if (worker === undefined || !from.isAlive()) {
+      return this.#noAnswer(from);
+    }
+    if (random.chance(this.faults.lateShare)) {
+      setTimeout(() => worker.isAlive && run(worker), random.between(...LATE_ORDER_MS));
+      return this.#noAnswer(from);
+    }
+    const outcome = run(worker);
+    return random.chance(this.faults.lostShare) ? this.#noAnswer(from) : outcome;
+  }
+
+  #reach(node: string, address: string): ModelWorker | undefined {
+    const worker = this.#byAddress.get(address);
+    const { cut } = this.faults;
+    const isCut = cut.has(`${node}>${address}`) || cut.has(`*>${address}`) || cut.has(`${node}>*`);
+    return worker?.isAlive && !isCut ? worker : undefined;
+  }
+
+  async #noAnswer(from: { isAlive: () => boolean }): Promise<OrderOutcome> {
+    await sleep(ORDER_TIMEOUT_MS);
+    return from.isAlive() ? { kind: "unknown", reason: "no answer" } : new Promise(() => {});
+  }
+
+  async #hold(
+    from: { node: string; isAlive: () => boolean },
+    { address }: ports.scheduling.WorkerAddress,
+    order: Parameters<ports.scheduling.WorkerClient["hold"]>[1],
+  ): ReturnType<ports.scheduling.WorkerClient["hold"]> {
+    await sleep(LATENCY_MS);
+    const worker = this.#reach(from.node, address);
+    const unknown = { kind: "unknown", reason: "no answer" } as const;
+    if (worker === undefined || !from.isAlive()) {
+      await this.#noAnswer(from);
+      return unknown;
+    }
+    if (this.#fence(worker, order.fencingToken) !== undefined) {
+      return { kind: "fenced" };
+    }
+    this.#renew(worker, order.leaseUntilWorkerMs);
+    this.#acknowledge(worker, order.acknowledgedEnd);
+    if (order.waitMs > 0 && worker.ends.length === 0) {
+      await Promise.race([
+        new Promise<void>((resolve) => worker.waiting.add(resolve)),
+        sleep(order.waitMs),
+      ]);
+    }
+    await sleep(LATENCY_MS);
+    if (this.#reach(from.node, address) === undefined || !from.isAlive()) {
+      await this.#noAnswer(from);
+      return unknown;
+    }
+    return { kind: "report", report: reportOf(worker) };
+  }
+
+  #start(worker: ModelWorker, order: ports.scheduling.StartOrder): OrderOutcome {
+    const { witness, roomOf, behaviour, total } = this.#options;
+    const fenced = this.#fence(worker, order.fencingToken);
+    if (fenced !== undefined) {
+      return fenced;
+    }
+    const present = worker.runs.get(order.task);
+    if (present?.runId === order.runId) {
+      return done(worker);
+    }
+    if (present !== undefined || order.runId <= (worker.highestEnded.get(order.task) ?? 0)) {
+      return { kind: "refused", reason: "old" };
+    }
+    if (order.leaseUntilWorkerMs <= worker.clockMs()) {
+      return { kind: "refused", reason: "late" };
+    }
+    this.#renew(worker, order.leaseUntilWorkerMs);
+    const { durationMs, fails } = behaviour(order.task, order.runId);
+    const run: ModelRun = {
+      task: order.task,
+      runId: order.runId,
+      room: roomOf(order.task),
+      startedAtMs: Date.now(),
+      durationMs,
+      isStopping: false,
+    };
+    worker.runs.set(order.task, run);
+    witness.started(order.task, { workerId: worker.workerId, runId: order.runId });
+    const usedMillicores = [...worker.runs.values()]
+      .reduce((sum, { room }) => sum + room.cpuMillicores, 0);
+    if (usedMillicores > total.cpuMillicores) {
+      witness.overloaded(worker.workerId);
+    }
+    setTimeout(() => this.#endRun(worker, run, fails ? "failed" : "done"), durationMs);
+    return done(worker);
+  }
+
+  #stop(
+    worker: ModelWorker,
+    order: { task: string; runId: number; fencingToken: number },
+  ): OrderOutcome {
+    const fenced = this.#fence(worker, order.fencingToken);
+    if (fenced !== undefined) {
+      return fenced;
+    }
+    const highest = worker.highestEnded.get(order.task) ?? 0;
+    worker.highestEnded.set(order.task, Math.max(highest, order.runId));
+    const run = worker.runs.get(order.task);
+    if (run?.runId === order.runId && !run.isStopping) {
+      run.isStopping = true;
+      setTimeout(() => this.#endRun(worker, run, "stopped"), STOP_MS);
+    }
+    return done(worker);
+  }
+
+  #endRun(worker: ModelWorker, run: ModelRun, kind: schema.scheduling.EndKind): void {
+    if (!worker.isAlive || worker.runs.get(run.task) !== run) {
+      return;
+    }
+    worker.runs.delete(run.task);
+    const highest = worker.highestEnded.get(run.task) ?? 0;
+    worker.highestEnded.set(run.task, Math.max(highest, run.runId));
+    worker.ends.push({
+      endNumber: ++worker.endCount,
+      task: run.task,
+      runId: run.runId,
+      kind,
+      checkpoint: "",
+    });
+    this.#options.witness.ended(run.task, { workerId: worker.workerId, runId: run.runId }, kind);
+    worker.waiting.forEach((wake) => wake());
+    worker.waiting.clear();
+  }
+
+  #acknowledge(worker: ModelWorker, endNumber: number): void {
+    while (worker.ends.length > 0 && worker.ends[0]!.endNumber <= endNumber) {
+      const end = worker.ends.shift()!;
+      this.#options.witness.acknowledged(end.task, end.kind);
+    }
+  }
+
+  #renew(worker: ModelWorker, leaseUntilWorkerMs: number | undefined): void {
+    worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilWorkerMs ?? 0);
+  }
+
+  #fence(worker: ModelWorker, fencingToken: number): OrderOutcome | undefined {
+    if (fencingToken < worker.fencingToken) {
+      return { kind: "fenced" };
+    }
+    worker.fencingToken = fencingToken;
+    return undefined;
+  }
+
+  #checkLeases(): void {
+    for (const worker of this.#byAddress.values()) {
+      if (worker.isAlive && worker.clockMs() > worker.leaseUntilMs) {
+        [...worker.runs.values()].forEach((run) => this.#endRun(worker, run, "lapsed"));
+      }
+    }
+  }
+}
+
+function done(worker: ModelWorker): OrderOutcome {
+  return { kind: "done", workerClockMs: worker.clockMs() };
+}
+
+function reportOf(worker: ModelWorker): schema.scheduling.WorkerReport {
+  return {
+    startedUnixMs: worker.startedAtMs,
+    workerClockMs: worker.clockMs(),
+    running: [...worker.runs.values()].map((run) => ({
+      task: run.task,
+      runId: run.runId,
+      checkpoint: "",
+      percent: Math.min(100, Math.round(100 * (Date.now() - run.startedAtMs) / run.durationMs)),
+      load: 0,
+    })),
+    ends: [...worker.ends],
+  };
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/testing/src/scheduling_model/model_store.ts
@@ -0,0 +1,242 @@
+/**
+ * A model of the platform store: revisions, leases, watches and dropped history, with answers that are
+ * lost and writes that happen late. Time comes from `Date` and timers, which tests replace.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import { err, ok, type Result } from "neverthrow";
+import type { SeededRandom } from "../seeded_random.ts";
+
+type JackdawlinkError = schema.errors.JackdawlinkError;
+type Answer<T> = Promise<Result<T, JackdawlinkError>>;
+type StoreItem = ports.scheduling.StoreItem;
+
+const LATENCY_MS = 4;
+/** How long a client waits for an answer that does not come. */
+const CLIENT_TIMEOUT_MS = 1_000;
+const LATE_WRITE_MS = [1_000, 6_000] as const;
+
+/** The store refused a call, and nothing was done. */
+export const ModelRefusalError = schema.errors.StoreUnavailableError.subclass("ModelRefusalError");
+
+/** What goes wrong between the store and its clients. */
+export interface StoreFaults {
+  /** Nodes that the store turns away; `all` for everyone. */
+  readonly cut: Set<string>;
+  /** The share of writes whose answer is lost. */
+  lostShare: number;
+  /** Whether lost writes happen late instead of at once. */
+  isLate: boolean;
+}
+
+interface Change extends ports.scheduling.StoreChange {
+  readonly atMs: number;
+}
+
+/** One store for any number of nodes. */
+export class ModelStore {
+  readonly faults: StoreFaults = { cut: new Set(), lostShare: 0, isLate: false };
+  readonly #random: SeededRandom;
+  readonly #items = new Map<string, StoreItem & { leaseId?: number }>();
+  readonly #leases = new Map<number, { ttlMs: number; untilMs: number }>();
+  #history: Change[] = [];
+  #historyFrom = 0;
+  #revision = 1;
+  readonly #waiting = new Set<() => void>();
+
+  constructor(random: SeededRandom) {
+    this.#random = random;
+  }
+
+  /** The store as one node reaches it; `isAlive` turns false when the node's process ends. */
+  clientFor(node: string, isAlive: () => boolean): ports.scheduling.SchedulingStore {
+    const call = <T>(run: () => T, isWrite = false): Answer<T> =>
+      this.#call({ node, isAlive, isWrite }, run);
+    return {
+      get: (key) => call(() => this.#get(key)),
+      list: (prefix) => call(() => this.#list(prefix)),
+      watch: (prefix, after, waitMs) => this.#watch({ node, isAlive }, { prefix, after, waitMs }),
+      transact: (transaction) => call(() => this.#transact(transaction), true),
+      grantLease: (ttlMs) => call(() => this.#grant(ttlMs), true),
+      keepLease: (leaseId) => call(() => this.#keep(leaseId)),
+      endLease: (leaseId) => call(() => this.#endLease(leaseId), true),
+    };
+  }
+
+  /** Writes as an operator or a worker does, without faults. */
+  write(key: string, value: string | undefined): number {
+    this.#put(key, value, undefined);
+    return this.#revision;
+  }
+
+  read(key: string): string | undefined {
+    this.#expireLeases();
+    return this.#get(key)?.value;
+  }
+
+  keys(prefix: string): string[] {
+    return this.#list(prefix).items.map(({ key }) => key);
+  }
+
+  /** Forgets what changed until now. */
+  dropHistory(): void {
+    this.#history = [];
+    this.#historyFrom = this.#revision;
+  }
+
+  async #call<T>(
+    { node, isAlive, isWrite }: { node: string; isAlive: () => boolean; isWrite: boolean },
+    run: () => T,
+  ): Answer<T> {
+    await sleep(LATENCY_MS / 2);
+    if (this.#isCut(node)) {
+      await sleep(LATENCY_MS / 2);
+      return err(new ModelRefusalError("The store refused the call"));
+    }
+    const isLost = isWrite && this.#random.chance(this.faults.lostShare);
+    if (isLost && this.faults.isLate) {
+      setTimeout(run, this.#random.between(...LATE_WRITE_MS));
+    } else {
+      const value = run();
+      if (!isLost) {
+        await sleep(LATENCY_MS / 2);
+        return isAlive() ? ok(value) : never();
+      }
+    }
+    await sleep(CLIENT_TIMEOUT_MS);
+    return isAlive()
+      ? err(new schema.errors.StoreUnavailableError("The store did not answer"))
+      : never();
+  }
+
+  async #watch(
+    { node, isAlive }: { node: string; isAlive: () => boolean },
+    { prefix, after, waitMs }: { prefix: string; after: number; waitMs: number },
+  ): Answer<ports.scheduling.WatchAnswer> {
+    const untilMs = Date.now() + waitMs;
+    for (;;) {
+      await sleep(LATENCY_MS / 2);
+      if (!isAlive()) {
+        return never();
+      }
+      if (this.#isCut(node)) {
+        return err(new ModelRefusalError("The store refused the call"));
+      }
+      this.#expireLeases();
+      if (after < this.#historyFrom) {
+        return ok({ kind: "lost" });
+      }
+      const changes = this.#history.filter(({ key, revision }) =>
+        revision > after && key.startsWith(prefix)
+      );
+      if (changes.length > 0 || Date.now() >= untilMs) {
+        return ok({ kind: "changes", changes, asOfRevision: this.#revision });
+      }
+      await Promise.race([this.#changed(), sleep(Math.min(50, untilMs - Date.now()))]);
+    }
+  }
+
+  #changed(): Promise<void> {
+    return new Promise((resolve) => this.#waiting.add(resolve));
+  }
+
+  #isCut(node: string): boolean {
+    return this.faults.cut.has(node) || this.faults.cut.has("all");
+  }
+
+  #get(key: string): StoreItem | undefined {
+    this.#expireLeases();
+    return this.#items.get(key);
+  }
+
+  #list(prefix: string): { items: StoreItem[]; asOfRevision: number } {
+    this.#expireLeases();
+    const items = [...this.#items.values()].filter(({ key }) => key.startsWith(prefix));
+    items.sort((a, b) => (a.key < b.key ? -1 : 1));
+    return { items, asOfRevision: this.#revision };
+  }
+
+  #transact(
+    { conditions, puts, removes }: ports.scheduling.StoreTransaction,
+  ): ports.scheduling.TransactionAnswer {
+    this.#expireLeases();
+    const failed = conditions.filter(({ key, revision }) =>
+      (this.#items.get(key)?.revision ?? 0) !== revision
+    );
+    if (failed.length > 0) {
+      const items = conditions.map(({ key }) =>
+        this.#items.get(key) ?? { key, value: "", revision: 0, createdRevision: 0 }
+      );
+      return { kind: "conflict", items };
+    }
+    if (puts.some(({ leaseId }) => leaseId !== undefined && !this.#leases.has(leaseId))) {
+      return { kind: "no-lease" };
+    }
+    this.#revision += puts.length + removes.length > 0 ? 1 : 0;
+    puts.forEach(({ key, value, leaseId }) => this.#set(key, value, leaseId));
+    removes.forEach((key) => this.#set(key, undefined, undefined));
+    return { kind: "done", revision: this.#revision };
+  }
+
+  #grant(ttlMs: number): { leaseId: number; ttlMs: number } {
+    const leaseId = this.#leases.size + 1;
+    this.#leases.set(leaseId, { ttlMs, untilMs: Date.now() + ttlMs });
+    return { leaseId, ttlMs };
+  }
+
+  #keep(leaseId: number): boolean {
+    this.#expireLeases();
+    const lease = this.#leases.get(leaseId);
+    if (lease === undefined || lease.untilMs < Date.now()) {
+      return false;
+    }
+    lease.untilMs = Date.now() + lease.ttlMs;
+    return true;
+  }
+
+  #endLease(leaseId: number): void {
+    const lease = this.#leases.get(leaseId);
+    if (lease !== undefined) {
+      lease.untilMs = 0;
+    }
+    this.#expireLeases();
+  }
+
+  #expireLeases(): void {
+    for (const { key, leaseId } of [...this.#items.values()]) {
+      const lease = leaseId === undefined ? undefined : this.#leases.get(leaseId);
+      if (lease !== undefined && lease.untilMs < Date.now()) {
+        this.#put(key, undefined, undefined);
+      }
+    }
+  }
+
+  #put(key: string, value: string | undefined, leaseId: number | undefined): void {
+    this.#revision++;
+    this.#set(key, value, leaseId);
+  }
+
+  #set(key: string, value: string | undefined, leaseId: number | undefined): void {
+    const revision = this.#revision;
+    if (value === undefined) {
+      this.#items.delete(key);
+    } else {
+      const createdRevision = this.#items.get(key)?.createdRevision ?? revision;
+      this.#items.set(key, { key, value, revision, createdRevision, leaseId });
+    }
+    this.#history.push({ key, value, revision, atMs: Date.now() });
+    this.#waiting.forEach((wake) => wake());
+    this.#waiting.clear();
+  }
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+/** The answer to a process that has ended. */
+function never<T>(): Promise<T> {
+  return new Promise(() => {});
+}
--- /dev/null
+++ b/packages/testing/src/scheduling_model/run_witness.ts
@@ -0,0 +1,118 @@
+/**
+ * Sees every start and end on all model workers, and says which promises they break.
+ *
+ * @module
+ */
+
+/** What the witness must know of a job. */
+export interface WitnessedStep {
+  readonly taskCount: number;
+  readonly afterSteps: readonly number[];
+}
+
+interface LiveRun {
+  readonly workerId: string;
+  readonly runId: number;
+}
+
+/** Collects broken promises as lines of text. */
+export class RunWitness {
+  readonly violations: string[] = [];
+  readonly #steps = new Map<string, readonly WitnessedStep[]>();
+  readonly #live = new Map<string, LiveRun[]>();
+  readonly #done = new Set<string>();
+  readonly #acknowledgedDone = new Set<string>();
+  readonly #acknowledgedFailures = new Map<string, number>();
+  readonly #cancelledAtMs = new Map<string, number>();
+  readonly #maxAttempts: number;
+  startCount = 0;
+
+  constructor(maxAttempts: number) {
+    this.#maxAttempts = maxAttempts;
+  }
+
+  submitted(jobId: string, steps: readonly WitnessedStep[]): void {
+    this.#steps.set(jobId, steps);
+  }
+
+  /** Its submitter was told that the job never runs. */
+  refused(jobId: string): void {
+    this.#steps.delete(jobId);
+  }
+
+  cancelled(jobId: string): void {
+    this.#cancelledAtMs.set(jobId, Date.now());
+  }
+
+  started(task: string, run: LiveRun): void {
+    this.startCount++;
+    const [jobId, , step] = task.split(".");
+    const steps = this.#steps.get(jobId!);
+    const others = this.#live.get(task) ?? [];
+    if (steps === undefined) {
+      this.#break(task, run, "started without a submission");
+      return;
+    }
+    if (others.length > 0) {
+      this.#break(task, run, `runs twice, also on ${others[0]!.workerId}`);
+    }
+    if (this.#acknowledgedDone.has(task)) {
+      this.#break(task, run, "started after it was done");
+    }
+    if ((this.#acknowledgedFailures.get(task) ?? 0) >= this.#maxAttempts) {
+      this.#break(task, run, "started after all its attempts");
+    }
+    for (const after of steps[Number(step)]!.afterSteps) {
+      if (!this.#isStepDone(jobId!, after, steps[after]!)) {
+        this.#break(task, run, `started before step ${after} was done`);
+      }
+    }
+    const cancelledAtMs = this.#cancelledAtMs.get(jobId!);
+    if (cancelledAtMs !== undefined && Date.now() - cancelledAtMs > 3_000) {
+      this.#break(task, run, "started after its job was cancelled");
+    }
+    this.#live.set(task, [...others, run]);
+  }
+
+  ended(task: string, run: LiveRun, kind: string): void {
+    const others = this.#live.get(task) ?? [];
+    this.#live.set(
+      task,
+      others.filter((other) => other.runId !== run.runId || other.workerId !== run.workerId),
+    );
+    if (kind === "done") {
+      this.#done.add(task);
+    }
+  }
+
+  /** The owner has taken note of an end. */
+  acknowledged(task: string, kind: string): void {
+    if (kind === "done") {
+      this.#acknowledgedDone.add(task);
+    } else if (kind === "failed") {
+      const count = this.#acknowledgedFailures.get(task) ?? 0;
+      this.#acknowledgedFailures.set(task, count + 1);
+    }
+  }
+
+  overloaded(workerId: string): void {
+    this.violations.push(`${Date.now()} ${workerId} has more tasks than room`);
+  }
+
+  /** A job was shown as complete. */
+  shownComplete(jobId: string): void {
+    const steps = this.#steps.get(jobId) ?? [];
+    if (!steps.every((step, number) => this.#isStepDone(jobId, number, step))) {
+      this.violations.push(`${Date.now()} ${jobId} is shown as complete before its tasks are done`);
+    }
+  }
+
+  #isStepDone(jobId: string, step: number, { taskCount }: WitnessedStep): boolean {
+    return Array.from({ length: taskCount }, (_, index) => `${jobId}.0.${step}.${index}`)
+      .every((task) => this.#done.has(task));
+  }
+
+  #break(task: string, run: LiveRun, what: string): void {
+    this.violations.push(`${Date.now()} ${task} run ${run.runId} on ${run.workerId}: ${what}`);
+  }
+}
--- a/packages/bench/src/fleet/seeded_random.ts
+++ b/packages/testing/src/seeded_random.ts
@@ -1,5 +1,5 @@
 /**
- * Random numbers of the fleet's traces.
+ * Random numbers of traces and models, the same for each seed.
  *
  * @module
  */
@@ -22,6 +22,11 @@
     return uniformInt(this.#generator, from, to);
   }
 
+  /** Whether something of a probability happens. */
+  chance(probability: number): boolean {
+    return uniformFloat64(this.#generator) < probability;
+  }
+
   /** By how much a declaration is off: between a third and three, evenly on a logarithmic scale. */
   factor(): number {
     return MAX_FACTOR ** (2 * uniformFloat64(this.#generator) - 1);
