--- /dev/null
+++ b/packages/policy/src/scheduling/fixtures.ts
@@ -0,0 +1,140 @@
+/**
+ * Jobs, workers and VMs for tests of this folder.
+ *
+ * @module
+ */
+import type * as schema from "@jackdawlink/schema";
+import { type DecisionLog, Scheduler } from "./scheduler.ts";
+import type { VmView } from "./vm_view.ts";
+import { WorkerRecord } from "./worker_record.ts";
+
+export const TOTAL: schema.scheduling.Resources = {
+  cpuMillicores: 16_000,
+  memoryMb: 32_000,
+  gpuCount: 0,
+};
+
+export const SILENT: DecisionLog = { debug() {}, info() {} };
+
+export function step(given: Partial<schema.scheduling.Step> = {}): schema.scheduling.Step {
+  return {
+    taskCount: 1,
+    resources: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
+    estimateMs: 1_000,
+    afterSteps: [],
+    isCheckpointing: false,
+    isGang: false,
+    isSameRack: false,
+    maxTasksPerWorker: 0,
+    isSpeculative: false,
+    isLasting: false,
+    latencyObjectiveMs: 0,
+    usesSpareCpu: false,
+    ...given,
+  };
+}
+
+export function job(
+  jobId: string,
+  steps: readonly schema.scheduling.Step[],
+  given: Partial<schema.scheduling.Job> = {},
+): schema.scheduling.Job {
+  return {
+    jobId,
+    queue: "quick",
+    workspace: "acme",
+    acceptedUnixMs: 0,
+    spec: { payload: "p", steps: [...steps] },
+    ...given,
+  };
+}
+
+export function queue(
+  name: string,
+  given: Partial<schema.scheduling.Queue> = {},
+): schema.scheduling.Queue {
+  return {
+    name,
+    host: "",
+    pathPrefix: `/${name}/`,
+    pool: "pool",
+    priority: 0,
+    maxAttempts: 3,
+    objectiveStretch: 2,
+    objectiveSlackMs: 500,
+    isPublic: false,
+    ...given,
+  };
+}
+
+export function workerInfo(
+  workerId: string,
+  given: Partial<schema.scheduling.WorkerInfo> = {},
+): schema.scheduling.WorkerInfo {
+  return {
+    workerId,
+    vm: `vm-${workerId}`,
+    pool: "pool",
+    address: workerId,
+    isDraining: false,
+    total: TOTAL,
+    labels: [],
+    startedUnixMs: 1,
+    ...given,
+  };
+}
+
+/** A worker that has reported and may be given tasks. */
+export function openWorker(
+  workerId: string,
+  given: Partial<schema.scheduling.WorkerInfo> = {},
+): WorkerRecord {
+  const worker = new WorkerRecord(workerInfo(workerId, given), 0);
+  worker.hasReported = true;
+  return worker;
+}
+
+export function vmView(vm: string, given: Partial<VmView> = {}): VmView {
+  return {
+    vm,
+    pool: "pool",
+    state: "up",
+    isStandby: false,
+    total: TOTAL,
+    worker: openWorker(`worker-${vm}`),
+    isUncertain: false,
+    ...given,
+  };
+}
+
+export function emptyReport(
+  given: Partial<schema.scheduling.WorkerReport> = {},
+): schema.scheduling.WorkerReport {
+  return { startedUnixMs: 1, workerClockMs: 1_000, running: [], ends: [], ...given };
+}
+
+/** A settled scheduler with open workers. */
+export function scheduler(
+  workerIds: readonly string[],
+  { term = 1, ...config }: Partial<schema.scheduling.SchedulingConfig> & { term?: number } = {},
+): Scheduler {
+  const made = new Scheduler({
+    term,
+    takeover: { revision: 1, atMs: 0, staleOwnerMs: 1_600 },
+    log: SILENT,
+  });
+  made.setConfig({
+    version: 1,
+    queues: [queue("quick")],
+    pools: [{ name: "pool", isStandby: false }],
+    workspaces: [],
+    maxBodyBytes: 1_000,
+    ...config,
+  });
+  made.settle(0, "test");
+  for (const workerId of workerIds) {
+    const worker = made.putWorker(workerInfo(workerId), 0);
+    made.report(worker, emptyReport(), { sentAtMs: 0, receivedAtMs: 1 });
+  }
+  return made;
+}
--- /dev/null
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -0,0 +1,236 @@
+import { expect, test } from "vitest";
+import * as fixtures from "./fixtures.ts";
+import type { Order, Scheduler } from "./scheduler.ts";
+
+const NOW = { nowMs: 10_000, wallMs: 10_000 };
+
+function starts(orders: readonly Order[]): string[] {
+  return orders.flatMap((order) =>
+    order.kind === "start"
+      ? [`${order.run.task.name}#${order.run.runId} ${order.run.workerId}`]
+      : []
+  );
+}
+
+function stops(orders: readonly Order[]): string[] {
+  return orders.flatMap((order) => order.kind === "stop" ? [order.run.task.name] : []);
+}
+
+function put(scheduler: Scheduler, job: ReturnType<typeof fixtures.job>): void {
+  scheduler.putJob(job, { acceptedRevision: 10, seenAtMs: 9_900 });
+}
+
+/** Reports ends of the tasks that a worker was given. */
+function report(
+  scheduler: Scheduler,
+  workerId: string,
+  ends: readonly { task: string; runId: number; kind: "done" | "failed" | "lapsed" }[],
+): void {
+  const worker = scheduler.workers.get(workerId)!;
+  scheduler.report(
+    worker,
+    fixtures.emptyReport({
+      ends: ends.map((end, index) => ({
+        ...end,
+        endNumber: worker.processedEnd + index + 1,
+        checkpoint: "",
+      })),
+    }),
+    { sentAtMs: 9_000, receivedAtMs: 10_000 },
+  );
+}
+
+test("a step starts once all tasks of the steps before it are done", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(
+    scheduler,
+    fixtures.job("j", [fixtures.step({ taskCount: 2 }), fixtures.step({ afterSteps: [0] })]),
+  );
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#1 w1", "j.0.0.1#1 w1"]);
+  report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
+  expect(starts(scheduler.decide(NOW))).toEqual([]);
+  report(scheduler, "w1", [{ task: "j.0.0.1", runId: 1, kind: "done" }]);
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.1.0#1 w1"]);
+  report(scheduler, "w1", [{ task: "j.0.1.0", runId: 1, kind: "done" }]);
+  const job = scheduler.jobs.get("j")!;
+  expect([job.state, job.storedState]).toEqual(["complete", "queued"]);
+});
+
+test("a worker never gets more than its room, and tasks wait for an end", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  const resources = { cpuMillicores: 7_000, memoryMb: 100, gpuCount: 0 };
+  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 3, resources })]));
+  expect(starts(scheduler.decide(NOW))).toHaveLength(2);
+  report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.2#1 w1"]);
+});
+
+test("a workspace never has more than its limit, whatever it sends", () => {
+  const limit = { cpuMillicores: 2_500, memoryMb: 0, gpuCount: 0 };
+  const workspaces = [{ name: "acme", keys: [], weight: 10, limit }];
+  const scheduler = fixtures.scheduler(["w1", "w2"], { workspaces });
+  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 6 })]));
+  expect(starts(scheduler.decide(NOW))).toHaveLength(2);
+});
+
+test("a task fails for good after as many failed runs as its queue allows", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 2 })]));
+  scheduler.decide(NOW);
+  for (const runId of [1, 2]) {
+    report(scheduler, "w1", [{ task: "j.0.0.0", runId, kind: "failed" }]);
+    expect(starts(scheduler.decide(NOW))).toEqual([`j.0.0.0#${runId + 1} w1`]);
+  }
+  report(scheduler, "w1", [{ task: "j.0.0.0", runId: 3, kind: "failed" }]);
+  expect(scheduler.jobs.get("j")!.state).toBe("failed");
+  expect(stops(scheduler.decide(NOW))).toEqual(["j.0.0.1"]);
+});
+
+test("a failed run counts once, also when an earlier owner has stored it", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  scheduler.putJob(fixtures.job("j", [fixtures.step()]), {
+    acceptedRevision: 10,
+    seenAtMs: 9_900,
+    progress: {
+      state: "active",
+      steps: [{ occurrence: 0, step: 0, doneTasks: [], failedRuns: [[0, [1, 2]]] }],
+    },
+  });
+  report(scheduler, "w1", [{ task: "j.0.0.0", runId: 2, kind: "failed" }]);
+  expect(scheduler.jobs.get("j")!.state).toBe("active");
+});
+
+test("a cancelled job starts nothing, and what runs is stopped", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  scheduler.decide(NOW);
+  scheduler.cancelJob("j");
+  const orders = scheduler.decide(NOW);
+  expect([starts(orders), stops(orders)]).toEqual([[], ["j.0.0.0"]]);
+});
+
+test("a run of a job that isn't known yet keeps its worker and its task from being used", () => {
+  const scheduler = fixtures.scheduler(["w1", "w2"]);
+  const running = [{ task: "j.0.0.0", runId: 1, checkpoint: "", percent: 10, load: 0 }];
+  const w1 = scheduler.workers.get("w1")!;
+  scheduler.report(w1, fixtures.emptyReport({ running }), { sentAtMs: 9_000, receivedAtMs: 9_001 });
+  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 2 })]));
+  expect(starts(scheduler.decide(NOW))).toEqual([]);
+  scheduler.report(w1, fixtures.emptyReport({ running }), { sentAtMs: 9_500, receivedAtMs: 9_501 });
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.1#1 w1"]);
+});
+
+test("an end of a job that isn't known yet is not acknowledged", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
+  expect(scheduler.workers.get("w1")!.processedEnd).toBe(0);
+});
+
+test("a worker that the list of VMs shows as down is gone, and its tasks start elsewhere", () => {
+  const scheduler = fixtures.scheduler(["w1", "w2"]);
+  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#1 w1"]);
+  const listed = ["w1", "w2"].map((id) => ({
+    vm: `vm-${id}`,
+    pool: "pool",
+    state: id === "w1" ? "down" as const : "up" as const,
+    total: fixtures.TOTAL,
+    labels: [],
+    workerId: id === "w1" ? undefined : id,
+  }));
+  scheduler.noteVms(listed, { askedAtMs: 10_100, nowMs: 10_105 });
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#2 w2"]);
+});
+
+test("a worker without an answer keeps its tasks until its lease has ended on the slowest clock", () => {
+  const scheduler = fixtures.scheduler(["w1", "w2"]);
+  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  scheduler.decide(NOW);
+  const worker = scheduler.workers.get("w1")!;
+  worker.setClock(1_000, 10_000);
+  worker.leaseEnd(10_000, 6_000);
+  scheduler.expireLeases(16_100);
+  expect(starts(scheduler.decide(NOW))).toEqual([]);
+  scheduler.expireLeases(16_300);
+  expect(starts(scheduler.decide(NOW))).toHaveLength(1);
+});
+
+const UNCLEAR_STARTS = [
+  { name: "the first try was refused", isRepeated: false, startsAgain: true },
+  { name: "an earlier try had no answer", isRepeated: true, startsAgain: false },
+];
+
+test.each(UNCLEAR_STARTS)("$name: a refused start counts as not running: $startsAgain", (given) => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  const [order] = scheduler.decide(NOW);
+  if (order?.kind !== "start") {
+    throw new Error("expected a start");
+  }
+  const { isRepeated } = given;
+  scheduler.startAnswered(order.run, { kind: "refused", reason: "old" }, {
+    nowMs: 10_010,
+    isRepeated,
+  });
+  expect(starts(scheduler.decide(NOW)).length > 0).toBe(given.startsAgain);
+});
+
+test.each([
+  { term: 1, runId: 1 },
+  { term: 2, runId: 1_001 },
+])("run ids of term $term start at $runId, above those of earlier terms", ({ term, runId }) => {
+  const scheduler = fixtures.scheduler(["w1"], { term });
+  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  expect(starts(scheduler.decide(NOW))).toEqual([`j.0.0.0#${runId} w1`]);
+});
+
+test("a gang starts as a whole or not at all", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  const resources = { cpuMillicores: 6_000, memoryMb: 100, gpuCount: 0 };
+  put(scheduler, fixtures.job("big", [fixtures.step({ taskCount: 3, resources, isGang: true })]));
+  put(scheduler, fixtures.job("fits", [fixtures.step({ taskCount: 2, resources, isGang: true })]));
+  expect(starts(scheduler.decide(NOW))).toEqual(["fits.0.0.0#1 w1", "fits.0.0.1#1 w1"]);
+  report(scheduler, "w1", [{ task: "fits.0.0.0", runId: 1, kind: "done" }]);
+  expect(scheduler.jobs.get("fits")!.state).toBe("complete");
+});
+
+test("occurrences of a timetable start when they are due, also while earlier ones run", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  const timetable = { occurrenceCount: 3, startUnixMs: 9_000, intervalMs: 1_000 };
+  const spec = { payload: "p", steps: [fixtures.step()], timetable };
+  put(scheduler, fixtures.job("j", [], { spec }));
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#1 w1", "j.1.0.0#1 w1"]);
+});
+
+test("a lasting task is restarted however it ends", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(scheduler, fixtures.job("j", [fixtures.step({ isLasting: true })]));
+  scheduler.decide(NOW);
+  report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
+  expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#2 w1"]);
+});
+
+test("steps on a queue with advice wait for tickets, and only start where they hold", () => {
+  const advice = { decideMs: 10, eachMs: 1, validMs: 3_000 };
+  const scheduler = fixtures.scheduler(["w1", "w2"], {
+    queues: [fixtures.queue("quick", { advice })],
+  });
+  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  const [ask] = scheduler.decide(NOW);
+  if (ask?.kind !== "advise") {
+    throw new Error("expected a call for advice");
+  }
+  scheduler.adviceAnswered(ask.step, new Map([["w2", "ticket"]]), 20_000);
+  const [start] = scheduler.decide(NOW);
+  expect(start).toMatchObject({ kind: "start", ticket: "ticket", run: { workerId: "w2" } });
+});
+
+test("demand leaves out what a workspace's limit keeps waiting", () => {
+  const limit = { cpuMillicores: 3_000, memoryMb: 0, gpuCount: 0 };
+  const workspaces = [{ name: "acme", keys: [], weight: 10, limit }];
+  const scheduler = fixtures.scheduler(["w1"], { workspaces });
+  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 50 })]));
+  expect(scheduler.demandByPool(NOW, 0).get("pool")?.cpuMillicores).toBe(3_000);
+  scheduler.decide(NOW);
+  expect(scheduler.demandByPool(NOW, 0).get("pool")?.cpuMillicores).toBe(3_000);
+});
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -82,7 +82,7 @@
   }
 
   async #write(jobs: readonly JobRecord[]): Promise<boolean> {
-    const { store, log, fencingToken, onConflict } = this.#options;
+    const { store, log, fencingToken } = this.#options;
     const states = jobs.map((job) => job.state);
     const answer = await store.transact({
       conditions: [
