Keep the clock of a process from running fast

The clock added up the larger of two elapsed times at each read; with a wall clock of 1 ms grain and frequent reads that ran 1.7 times as fast (5,100 ms for 3,000 in the new test, which failed first). It now moves ahead of the monotonic clock only by leaps of 50 ms or more.

--- a/packages/adapters/src/clock.ts
+++ b/packages/adapters/src/clock.ts
@@ -16,30 +16,36 @@
   wallMs: () => Date.now(),
 };
 
+/** Two clocks that differ by less only differ in grain and in the moment of the reading. */
+const MIN_JUMP_MS = 50;
+
 /**
- * Adds up, between any two reads, the larger of the monotonic and the wall-clock time elapsed. The
- * monotonic clock may stand still while a VM is suspended; the wall clock may be set back.
+ * The monotonic clock, moved on where the wall clock leaps ahead of it: the monotonic one may stand still
+ * while a VM is suspended. A wall clock that is set back changes nothing.
  */
 export class SystemClock implements ports.clock.Clock {
   readonly #sources: TimeSources;
-  #lastMonotonicMs: number;
-  #lastWallMs: number;
-  #elapsedMs = 0;
+  readonly #startMonotonicMs: number;
+  readonly #startWallMs: number;
+  /** How far the wall clock was ahead of the monotonic one at the last leap. */
+  #skewMs = 0;
+  #suspendedMs = 0;
 
   constructor(sources: TimeSources = SYSTEM_TIME) {
     this.#sources = sources;
-    this.#lastMonotonicMs = sources.monotonicMs();
-    this.#lastWallMs = sources.wallMs();
+    this.#startMonotonicMs = sources.monotonicMs();
+    this.#startWallMs = sources.wallMs();
   }
 
   nowMs(): number {
-    const monotonicMs = this.#sources.monotonicMs();
-    const wallMs = this.#sources.wallMs();
-    const passedMs = Math.max(monotonicMs - this.#lastMonotonicMs, wallMs - this.#lastWallMs, 0);
-    this.#lastMonotonicMs = monotonicMs;
-    this.#lastWallMs = wallMs;
-    this.#elapsedMs += passedMs;
-    return this.#elapsedMs;
+    const monotonicMs = this.#sources.monotonicMs() - this.#startMonotonicMs;
+    const skewMs = this.#sources.wallMs() - this.#startWallMs - monotonicMs;
+    const leapMs = skewMs - this.#skewMs;
+    if (Math.abs(leapMs) >= MIN_JUMP_MS) {
+      this.#skewMs = skewMs;
+      this.#suspendedMs += Math.max(0, leapMs);
+    }
+    return monotonicMs + this.#suspendedMs;
   }
 
   wallMs(): number {
--- a/packages/adapters/src/clock_test.ts
+++ b/packages/adapters/src/clock_test.ts
@@ -20,4 +20,18 @@
     time.wallMs += 10;
     expect(clock.nowMs()).toBe(passedMs + 10);
   });
+
+  it("does not run fast where the wall clock has a coarser grain and is read often", () => {
+    const time = { monotonicMs: 0, wallMs: 1_700_000_000_000 };
+    const clock = new SystemClock({
+      monotonicMs: () => time.monotonicMs,
+      wallMs: () => Math.floor(time.wallMs),
+    });
+    for (let reads = 0; reads < 10_000; reads++) {
+      time.monotonicMs += 0.3;
+      time.wallMs += 0.3;
+      clock.nowMs();
+    }
+    expect(clock.nowMs()).toBeCloseTo(3_000, 0);
+  });
 });
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -190,6 +190,12 @@
   expireLeases(nowMs: number): void {
     for (const worker of [...this.workers.values()]) {
       if (worker.runs.size > 0 && worker.hasClock && nowMs > worker.lapsesByMs()) {
+        this.#options.log.info("Lease has ended", {
+          worker: worker.info.workerId,
+          runs: worker.runs.size,
+          leaseUntilWorkerMs: worker.leaseUntilWorkerMs,
+          ...worker.clockReading(nowMs),
+        });
         for (const run of [...worker.runs.values()]) {
           this.#loseRun(run, nowMs, "the lease has lapsed");
         }
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -75,6 +75,14 @@
     this.#clockReadAtMs = readAtMs;
   }
 
+  /** The last known time on the worker's clock, and how long ago it was read. */
+  clockReading(nowMs: number): { readonly workerClockMs: number; readonly clockAgeMs: number } {
+    return {
+      workerClockMs: this.#workerClockMs,
+      clockAgeMs: Math.round(nowMs - this.#clockReadAtMs),
+    };
+  }
+
   get hasClock(): boolean {
     return this.#clockReadAtMs > 0;
   }
