--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -7,19 +7,18 @@
 import type * as schema from "@jackdawlink/schema";
 import { JobRecord, type Run, runKey, type StepRecord, type TaskRecord } from "./job_record.ts";
 import * as order from "./order.ts";
+import { AdviceBook, type Tickets } from "./advice_book.ts";
 import { decidePaces } from "./pacing.ts";
 import { chooseWorker } from "./placement.ts";
 import * as resources from "./resources.ts";
 import { parseTask } from "./task_names.ts";
-import { RateShare } from "./rate_share.ts";
 import { WorkerRecord } from "./worker_record.ts";
+import { WorkspaceBook } from "./workspace_book.ts";
 
 /** Run ids of a term lie above those of all earlier terms; no task is started so often in one term. */
 const RUN_IDS_PER_TERM = 1_000;
 /** Weight of the newest task in the mean of durations against estimates. */
 const DURATION_RATIO_WEIGHT = 0.1;
-/** How many workers one call for advice names; each costs time. */
-const MAX_ADVISED_WORKERS = 12;
 
 /** What is to be done outside. */
 export type Order =
@@ -67,12 +66,9 @@
   readonly #dirty = new Set<JobRecord>();
   readonly #orders: Order[] = [];
   readonly #durationRatios = new Map<string, number>();
-  readonly #shares = new Map<string, RateShare>();
-  readonly #workspaceUse = new Map<string, schema.scheduling.Resources>();
-  readonly #tickets = new Map<string, { tickets: ReadonlyMap<string, string>; untilMs: number }>();
-  readonly #advising = new Set<string>();
-  #queues = new Map<string, schema.scheduling.Queue>();
-  #workspaces = new Map<string, schema.scheduling.Workspace>();
+  readonly #workspaces = new WorkspaceBook();
+  readonly #advice = new AdviceBook();
+  readonly #queues = new Map<string, schema.scheduling.Queue>();
   /** True once every worker that may have tasks of an earlier owner has reported or has lapsed. */
   isSettled = false;
   /** The list of VMs names workers whose entries have not been seen. */
@@ -83,8 +79,9 @@
   }
 
   setConfig(config: schema.scheduling.SchedulingConfig): void {
-    this.#queues = new Map(config.queues.map((queue) => [queue.name, queue]));
-    this.#workspaces = new Map(config.workspaces.map((workspace) => [workspace.name, workspace]));
+    // Jobs that were accepted on a queue are finished also when it is withdrawn.
+    config.queues.forEach((queue) => this.#queues.set(queue.name, queue));
+    this.#workspaces.setWorkspaces(config.workspaces);
   }
 
   queueOf(job: JobRecord): schema.scheduling.Queue | undefined {
@@ -107,7 +104,7 @@
     }
     const record = new JobRecord(job, {
       ...known,
-      isBeyondShare: !this.#takeShare(job.workspace, known.seenAtMs),
+      isBeyondShare: !this.#workspaces.takeShare(job.workspace, known.seenAtMs),
     });
     if (known.progress !== undefined) {
       record.restore(known.progress);
@@ -269,7 +266,7 @@
       reason: outcome.reason,
     });
     if (outcome.reason === "ticket") {
-      this.#tickets.delete(run.step.name);
+      this.#advice.forget(run.step);
     } else if (outcome.reason !== "old" && outcome.reason !== "late") {
       worker.noteFailure(run.step.job.job.jobId, nowMs);
     }
@@ -292,9 +289,13 @@
     }
   }
 
-  adviceAnswered(step: StepRecord, tickets: ReadonlyMap<string, string>, untilMs: number): void {
-    this.#advising.delete(step.name);
-    this.#tickets.set(step.name, { tickets, untilMs });
+  adviceAnswered(step: StepRecord, tickets: Tickets, untilMs: number): void {
+    this.#advice.noteAnswer(step, tickets, untilMs);
+  }
+
+  /** Advice could not be had; it is asked for again at the next decision. */
+  adviceFailed(step: StepRecord): void {
+    this.#advice.noteFailure(step);
   }
 
   /** Places what is ready, and returns all orders that are due. */
@@ -380,19 +381,15 @@
         charge(pool!, run.room, 1);
       }
     }
-    const used = new Map(this.#workspaceUse);
+    const planned = new Map<string, schema.scheduling.Resources>();
     for (const { step } of this.readySteps({ ...now, wallMs: now.wallMs + aheadMs })) {
       const { queue, workspace } = step.job.job;
       const pool = this.#queues.get(queue)?.pool;
-      const limit = this.#workspaces.get(workspace)?.limit ?? resources.NO_RESOURCES;
-      const before = used.get(workspace) ?? resources.NO_RESOURCES;
-      const waitingCount = step.waitingTasks().length;
-      const count = resources.countWithin(step.spec.resources, {
-        before,
-        limit,
-        most: waitingCount,
-      });
-      used.set(workspace, resources.add(before, step.spec.resources, count));
+      const before = planned.get(workspace) ?? this.#workspaces.used(workspace);
+      const limit = this.#workspaces.limit(workspace);
+      const most = step.waitingTasks().length;
+      const count = resources.countWithin(step.spec.resources, { before, limit, most });
+      planned.set(workspace, resources.add(before, step.spec.resources, count));
       if (pool !== undefined) {
         charge(pool, resources.roomOf(step.spec), count);
       }
@@ -439,8 +436,9 @@
     readonly queue: schema.scheduling.Queue;
   }): void {
     const { workers, reserved, nowMs, queue } = context;
-    const tickets = queue.advice === undefined ? undefined : this.#ticketsFor(step, workers, nowMs);
+    const tickets = queue.advice === undefined ? undefined : this.#advice.ticketsFor(step, nowMs);
     if (queue.advice !== undefined && tickets === undefined) {
+      this.#askAdvice(step, workers, nowMs);
       return;
     }
     const waiting = step.waitingTasks();
@@ -452,7 +450,7 @@
       ? Math.max(...step.tasks.map((task) => this.#nextRunId(task)))
       : undefined;
     for (const task of waiting) {
-      if (!this.#isWithinLimit(step)) {
+      if (!this.#workspaces.hasRoom(step.job.job.workspace, step.spec.resources)) {
         break;
       }
       const worker = chooseWorker({
@@ -502,53 +500,11 @@
     }
   }
 
-  #ticketsFor(
-    step: StepRecord,
-    workers: readonly WorkerRecord[],
-    nowMs: number,
-  ): ReadonlyMap<string, string> | undefined {
-    const known = this.#tickets.get(step.name);
-    if (known !== undefined && nowMs < known.untilMs) {
-      return known.tickets;
-    }
-    if (!this.#advising.has(step.name)) {
-      const workerIds = workers
-        .filter((worker) => worker.isOpen(nowMs))
-        .sort((a, b) => b.free.cpuMillicores - a.free.cpuMillicores)
-        .slice(0, Math.min(MAX_ADVISED_WORKERS, Math.max(4, step.spec.taskCount)))
-        .map(({ info }) => info.workerId);
-      if (workerIds.length > 0) {
-        this.#advising.add(step.name);
-        this.#orders.push({ kind: "advise", step, workerIds });
-      }
-    }
-    return undefined;
-  }
-
-  /** Advice could not be had; it is asked for again at the next decision. */
-  adviceFailed(step: StepRecord): void {
-    this.#advising.delete(step.name);
-  }
-
-  /** Whether the workspace is within the rate of jobs that its weight stands for. */
-  #takeShare(workspace: string, nowMs: number): boolean {
-    const weight = this.#workspaces.get(workspace)?.weight;
-    if (weight === undefined) {
-      return true;
-    }
-    const share = this.#shares.get(workspace) ?? new RateShare(nowMs);
-    this.#shares.set(workspace, share);
-    return share.take(weight, nowMs);
-  }
-
-  #isWithinLimit(step: StepRecord): boolean {
-    const name = step.job.job.workspace;
-    const limit = this.#workspaces.get(name)?.limit;
-    if (limit === undefined) {
-      return true;
+  #askAdvice(step: StepRecord, workers: readonly WorkerRecord[], nowMs: number): void {
+    const workerIds = this.#advice.workersToAsk(step, workers, nowMs);
+    if (workerIds.length > 0) {
+      this.#orders.push({ kind: "advise", step, workerIds });
     }
-    const used = this.#workspaceUse.get(name) ?? resources.NO_RESOURCES;
-    return resources.isWithinLimit(resources.add(used, step.spec.resources), limit);
   }
 
   #nextRunId(task: TaskRecord): number {
@@ -582,10 +538,8 @@
     return run;
   }
 
-  #charge(run: Run, factor: number): void {
-    const name = run.step.job.job.workspace;
-    const used = this.#workspaceUse.get(name) ?? resources.NO_RESOURCES;
-    this.#workspaceUse.set(name, resources.add(used, run.step.spec.resources, factor));
+  #charge(run: Run, factor: 1 | -1): void {
+    this.#workspaces.charge(run.step.job.job.workspace, run.step.spec.resources, factor);
   }
 
   #removeRun(run: Run, nowMs: number): void {
@@ -683,7 +637,7 @@
     this.#active.delete(job);
     this.#dirty.add(job);
     for (const step of job.occurrences.flat()) {
-      this.#tickets.delete(step.name);
+      this.#advice.forget(step);
     }
     for (const run of job.runs()) {
       this.#stop(run, `the job is ${state}`);
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -9,6 +9,7 @@
 import { Journal } from "./journal.ts";
 import type { TermStart } from "./ownership.ts";
 import { pause } from "./pause.ts";
+import { type FollowerHandlers, PrefixFollower } from "./prefix_follower.ts";
 import { decodeRecord } from "./records.ts";
 import * as storeKeys from "./store_keys.ts";
 import { VmManager } from "./vm_manager.ts";
@@ -18,12 +19,6 @@
 type Order = policy.scheduling.scheduler.Order;
 
 const RETRY_INTERVAL_MS = 200;
-/** A watch may fall silent for good, so that only its return shows that it still hears. */
-const WATCH_WAIT_MS = 2_000;
-/** Watches may miss what was changed while history was dropped; a list shows it. */
-const RELIST_INTERVAL_MS = 5_000;
-/** A worker that the list of VMs names and no entry has shown is looked for so often. */
-const UNKNOWN_WORKER_RELIST_MS = 500;
 /** Events wake decisions at once; this is for what only time brings. */
 const TICK_MS = 100;
 /** An entry that is missing this long after the store's return is gone. */
@@ -54,6 +49,7 @@
   readonly #journal: Journal;
   readonly #sessions = new Map<string, WorkerSession>();
   readonly #vmManager: VmManager;
+  readonly #followers: PrefixFollower[] = [];
   readonly #startedAtMs: number;
   readonly #unlistedSinceMs = new Map<string, number>();
   /** Cancellations, kept for jobs that come to be known only afterwards. */
@@ -141,6 +137,7 @@
     this.mandate.end();
     this.#journal.stop();
     this.#vmManager.stop();
+    this.#followers.forEach((follower) => follower.stop());
     this.#sessions.forEach((session) => session.stop());
   }
 
@@ -177,13 +174,13 @@
       this.scheduler.settle(clock.nowMs(), "there was no earlier owner");
     }
     void this.#journal.run();
-    void this.#follow(storeKeys.INTAKE_PREFIX, intake.value.asOfRevision, {
+    this.#follow(storeKeys.INTAKE_PREFIX, intake.value.asOfRevision, {
       relist: (items) => this.#takeIntake(items, new Map()),
       change: (change) =>
         this.#takeIntakeItem({ ...change, createdRevision: change.revision }, new Map()),
       mayBeIncomplete: () => false,
     });
-    void this.#follow(documents.workerPrefix, workers.value.asOfRevision, {
+    this.#follow(documents.workerPrefix, workers.value.asOfRevision, {
       relist: (items) => this.#relistWorkers(items),
       change: ({ key, value }) => this.#takeWorker(key, value),
       mayBeIncomplete: () => this.scheduler.hasUnknownWorkers,
@@ -427,44 +424,10 @@
     this.#wake();
   }
 
-  /** Follows a prefix from a revision on; reads all of it again where the history is gone. */
-  async #follow(prefix: string, fromRevision: number, take: {
-    readonly relist: (items: readonly ports.scheduling.StoreItem[]) => void;
-    readonly change: (change: ports.scheduling.StoreChange) => void;
-    /** Whether something is known to be there that the watch has not shown. */
-    readonly mayBeIncomplete: () => boolean;
-  }): Promise<void> {
-    const { store, log, clock } = this.#options;
-    let listedAtMs = clock.nowMs();
-    for (let after = fromRevision; !this.#isStopped;) {
-      const waitMs = take.mayBeIncomplete() ? UNKNOWN_WORKER_RELIST_MS : WATCH_WAIT_MS;
-      const watched = await store.watch(prefix, after, waitMs);
-      if (this.#isStopped) {
-        return;
-      }
-      if (watched.isOk() && watched.value.kind === "changes") {
-        watched.value.changes.forEach((change) => take.change(change));
-        after = watched.value.asOfRevision;
-        const isHidden = take.mayBeIncomplete() &&
-          clock.nowMs() - listedAtMs >= UNKNOWN_WORKER_RELIST_MS;
-        if (!isHidden && clock.nowMs() - listedAtMs < RELIST_INTERVAL_MS) {
-          continue;
-        }
-      } else {
-        log.info("Watch is read anew", {
-          prefix,
-          reason: watched.isErr() ? watched.error.message : "history dropped",
-        });
-      }
-      // A watch that failed may have missed nothing, but only a list proves it.
-      const items = await store.list(prefix);
-      if (items.isOk() && !this.#isStopped) {
-        take.relist(items.value.items);
-        after = items.value.asOfRevision;
-        listedAtMs = clock.nowMs();
-      } else {
-        await pause(RETRY_INTERVAL_MS);
-      }
-    }
+  #follow(prefix: string, fromRevision: number, take: FollowerHandlers): void {
+    const { store, clock, log } = this.#options;
+    const follower = new PrefixFollower({ store, clock, log, prefix, take });
+    this.#followers.push(follower);
+    void follower.run(fromRevision);
   }
 }
