--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -1,10 +1,11 @@
 /**
  * Tables for the plans: order, pools, waves, evacuation, pacing, and the owner's mandate.
  */
+import * as testing from "@jackdawlink/testing";
 import { describe, expect, test } from "vitest";
 import { DemandTrend } from "./demand_trend.ts";
 import * as evacuation from "./evacuation.ts";
-import * as fixtures from "./fixtures.ts";
+import * as fixtures from "./test/fixtures.ts";
 import { JobRecord, type Run } from "./job_record.ts";
 import { Mandate } from "./mandate.ts";
 import * as order from "./order.ts";
@@ -18,13 +19,16 @@
 /** A run of a new job on a worker, at work. */
 function runOn(
   worker: WorkerRecord,
-  given: Parameters<typeof fixtures.step>[0],
+  given: Parameters<typeof testing.schedulingFixtures.step>[0],
   overrides: Partial<Run> = {},
 ): Run {
-  const job = new JobRecord(fixtures.job(`j${worker.runs.size}`, [fixtures.step(given)]), {
-    acceptedRevision: 1,
-    seenAtMs: 0,
-  });
+  const job = new JobRecord(
+    fixtures.job(`j${worker.runs.size}`, [testing.schedulingFixtures.step(given)]),
+    {
+      acceptedRevision: 1,
+      seenAtMs: 0,
+    },
+  );
   const step = job.step(0, 0)!;
   const task = step.tasks[0]!;
   const run: Run = {
@@ -50,9 +54,9 @@
 }
 
 describe("the order of ready steps", () => {
-  const view = { queue: fixtures.queue("quick"), durationRatio: 1 };
+  const view = { queue: testing.schedulingFixtures.queue("quick"), durationRatio: 1 };
   const rate = (sinceMs: number, given: { isLasting?: boolean; isBeyondShare?: boolean } = {}) => {
-    const spec = fixtures.step({ isLasting: given.isLasting ?? false });
+    const spec = testing.schedulingFixtures.step({ isLasting: given.isLasting ?? false });
     const job = new JobRecord(fixtures.job("j", [spec]), { acceptedRevision: 1, seenAtMs: 0 });
     const isBeyondShare = given.isBeyondShare ?? false;
     return order.urgencyOf(job.step(0, 0)!, { view, nowMs: 10_000, sinceMs, isBeyondShare }).tier;
@@ -236,7 +240,11 @@
 describe("emptying a worker", () => {
   const lasting = (taskCount: number) => {
     const worker = fixtures.openWorker("w");
-    const spec = fixtures.step({ taskCount, isLasting: true, maxUnavailableTasks: 1 });
+    const spec = testing.schedulingFixtures.step({
+      taskCount,
+      isLasting: true,
+      maxUnavailableTasks: 1,
+    });
     const job = new JobRecord(fixtures.job("j", [spec]), { acceptedRevision: 1, seenAtMs: 0 });
     const step = job.step(0, 0)!;
     for (const task of step.tasks) {
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -1,5 +1,6 @@
+import * as testing from "@jackdawlink/testing";
 import { expect, test } from "vitest";
-import * as fixtures from "./fixtures.ts";
+import * as fixtures from "./test/fixtures.ts";
 import type { Order, Scheduler } from "./scheduler.ts";
 
 const NOW = { nowMs: 10_000, wallMs: 10_000 };
@@ -44,7 +45,10 @@
   const scheduler = fixtures.scheduler(["w1"]);
   put(
     scheduler,
-    fixtures.job("j", [fixtures.step({ taskCount: 2 }), fixtures.step({ afterSteps: [0] })]),
+    fixtures.job("j", [
+      testing.schedulingFixtures.step({ taskCount: 2 }),
+      testing.schedulingFixtures.step({ afterSteps: [0] }),
+    ]),
   );
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#1 w1", "j.0.0.1#1 w1"]);
   report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
@@ -59,7 +63,7 @@
 test("a worker never gets more than its room, and tasks wait for an end", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   const resources = { cpuMillicores: 7_000, memoryMb: 100, gpuCount: 0 };
-  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 3, resources })]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 3, resources })]));
   expect(starts(scheduler.decide(NOW))).toHaveLength(2);
   report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.2#1 w1"]);
@@ -69,13 +73,13 @@
   const limit = { cpuMillicores: 2_500, memoryMb: 0, gpuCount: 0 };
   const workspaces = [{ name: "acme", keys: [], weight: 10, limit }];
   const scheduler = fixtures.scheduler(["w1", "w2"], { workspaces });
-  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 6 })]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 6 })]));
   expect(starts(scheduler.decide(NOW))).toHaveLength(2);
 });
 
 test("a task fails for good after as many failed runs as its queue allows", () => {
   const scheduler = fixtures.scheduler(["w1"]);
-  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 2 })]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 2 })]));
   scheduler.decide(NOW);
   for (const runId of [1, 2]) {
     report(scheduler, "w1", [{ task: "j.0.0.0", runId, kind: "failed" }]);
@@ -88,7 +92,7 @@
 
 test("a failed run counts once, also when an earlier owner has stored it", () => {
   const scheduler = fixtures.scheduler(["w1"]);
-  scheduler.putJob(fixtures.job("j", [fixtures.step()]), {
+  scheduler.putJob(fixtures.job("j", [testing.schedulingFixtures.step()]), {
     acceptedRevision: 10,
     seenAtMs: 9_900,
     progress: {
@@ -102,7 +106,7 @@
 
 test("a cancelled job starts nothing, and what runs is stopped", () => {
   const scheduler = fixtures.scheduler(["w1"]);
-  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
   scheduler.decide(NOW);
   scheduler.cancelJob("j");
   const orders = scheduler.decide(NOW);
@@ -114,7 +118,7 @@
   const running = [{ task: "j.0.0.0", runId: 1, checkpoint: "", percent: 10, load: 0 }];
   const w1 = scheduler.workers.get("w1")!;
   scheduler.report(w1, fixtures.emptyReport({ running }), { sentAtMs: 9_000, receivedAtMs: 9_001 });
-  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 2 })]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 2 })]));
   expect(starts(scheduler.decide(NOW))).toEqual([]);
   scheduler.report(w1, fixtures.emptyReport({ running }), { sentAtMs: 9_500, receivedAtMs: 9_501 });
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.1#1 w1"]);
@@ -128,7 +132,7 @@
 
 test("a worker that the list of VMs shows as down is gone, and its tasks start elsewhere", () => {
   const scheduler = fixtures.scheduler(["w1", "w2"]);
-  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#1 w1"]);
   const listed = ["w1", "w2"].map((id) => ({
     vm: `vm-${id}`,
@@ -144,7 +148,7 @@
 
 test("a worker without an answer keeps its tasks until its lease has ended on the slowest clock", () => {
   const scheduler = fixtures.scheduler(["w1", "w2"]);
-  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
   scheduler.decide(NOW);
   const worker = scheduler.workers.get("w1")!;
   worker.setClock(1_000, 10_000);
@@ -162,7 +166,7 @@
 
 test.each(UNCLEAR_STARTS)("$name: a refused start counts as not running: $startsAgain", (given) => {
   const scheduler = fixtures.scheduler(["w1"]);
-  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
   const [order] = scheduler.decide(NOW);
   if (order?.kind !== "start") {
     throw new Error("expected a start");
@@ -180,15 +184,25 @@
   { term: 2, runId: 1_001 },
 ])("run ids of term $term start at $runId, above those of earlier terms", ({ term, runId }) => {
   const scheduler = fixtures.scheduler(["w1"], { term });
-  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
   expect(starts(scheduler.decide(NOW))).toEqual([`j.0.0.0#${runId} w1`]);
 });
 
 test("a gang starts as a whole or not at all", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   const resources = { cpuMillicores: 6_000, memoryMb: 100, gpuCount: 0 };
-  put(scheduler, fixtures.job("big", [fixtures.step({ taskCount: 3, resources, isGang: true })]));
-  put(scheduler, fixtures.job("fits", [fixtures.step({ taskCount: 2, resources, isGang: true })]));
+  put(
+    scheduler,
+    fixtures.job("big", [
+      testing.schedulingFixtures.step({ taskCount: 3, resources, isGang: true }),
+    ]),
+  );
+  put(
+    scheduler,
+    fixtures.job("fits", [
+      testing.schedulingFixtures.step({ taskCount: 2, resources, isGang: true }),
+    ]),
+  );
   expect(starts(scheduler.decide(NOW))).toEqual(["fits.0.0.0#1 w1", "fits.0.0.1#1 w1"]);
   report(scheduler, "w1", [{ task: "fits.0.0.0", runId: 1, kind: "done" }]);
   expect(scheduler.jobs.get("fits")!.state).toBe("complete");
@@ -197,14 +211,14 @@
 test("occurrences of a timetable start when they are due, also while earlier ones run", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   const timetable = { occurrenceCount: 3, startUnixMs: 9_000, intervalMs: 1_000 };
-  const spec = { payload: "p", steps: [fixtures.step()], timetable };
+  const spec = { payload: "p", steps: [testing.schedulingFixtures.step()], timetable };
   put(scheduler, fixtures.job("j", [], { spec }));
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#1 w1", "j.1.0.0#1 w1"]);
 });
 
 test("a lasting task is restarted however it ends", () => {
   const scheduler = fixtures.scheduler(["w1"]);
-  put(scheduler, fixtures.job("j", [fixtures.step({ isLasting: true })]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ isLasting: true })]));
   scheduler.decide(NOW);
   report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.0#2 w1"]);
@@ -213,9 +227,9 @@
 test("steps on a queue with advice wait for tickets, and only start where they hold", () => {
   const advice = { decideMs: 10, eachMs: 1, validMs: 3_000 };
   const scheduler = fixtures.scheduler(["w1", "w2"], {
-    queues: [fixtures.queue("quick", { advice })],
+    queues: [testing.schedulingFixtures.queue("quick", { advice })],
   });
-  put(scheduler, fixtures.job("j", [fixtures.step()]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
   const [ask] = scheduler.decide(NOW);
   if (ask?.kind !== "advise") {
     throw new Error("expected a call for advice");
@@ -229,7 +243,7 @@
   const limit = { cpuMillicores: 3_000, memoryMb: 0, gpuCount: 0 };
   const workspaces = [{ name: "acme", keys: [], weight: 10, limit }];
   const scheduler = fixtures.scheduler(["w1"], { workspaces });
-  put(scheduler, fixtures.job("j", [fixtures.step({ taskCount: 50 })]));
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 50 })]));
   expect(scheduler.demandByPool(NOW, 0).get("pool")?.cpuMillicores).toBe(3_000);
   scheduler.decide(NOW);
   expect(scheduler.demandByPool(NOW, 0).get("pool")?.cpuMillicores).toBe(3_000);
--- a/packages/policy/src/scheduling/fixtures.ts
+++ b/packages/policy/src/scheduling/test/fixtures.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import type * as schema from "@jackdawlink/schema";
-import { type DecisionLog, Scheduler } from "./scheduler.ts";
-import type { VmView } from "./vm_view.ts";
-import { WorkerRecord } from "./worker_record.ts";
+import * as testing from "@jackdawlink/testing";
+import { type DecisionLog, Scheduler } from "../scheduler.ts";
+import type { VmView } from "../vm_view.ts";
+import { WorkerRecord } from "../worker_record.ts";
 
 export const TOTAL: schema.scheduling.Resources = {
   cpuMillicores: 16_000,
@@ -16,24 +17,6 @@
 
 export const SILENT: DecisionLog = { debug() {}, info() {} };
 
-export function step(given: Partial<schema.scheduling.Step> = {}): schema.scheduling.Step {
-  return {
-    taskCount: 1,
-    resources: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
-    estimateMs: 1_000,
-    afterSteps: [],
-    isCheckpointing: false,
-    isGang: false,
-    isSameRack: false,
-    maxTasksPerWorker: 0,
-    isSpeculative: false,
-    isLasting: false,
-    latencyObjectiveMs: 0,
-    usesSpareCpu: false,
-    ...given,
-  };
-}
-
 export function job(
   jobId: string,
   steps: readonly schema.scheduling.Step[],
@@ -49,24 +32,6 @@
   };
 }
 
-export function queue(
-  name: string,
-  given: Partial<schema.scheduling.Queue> = {},
-): schema.scheduling.Queue {
-  return {
-    name,
-    host: "",
-    pathPrefix: `/${name}/`,
-    pool: "pool",
-    priority: 0,
-    maxAttempts: 3,
-    objectiveStretch: 2,
-    objectiveSlackMs: 500,
-    isPublic: false,
-    ...given,
-  };
-}
-
 export function workerInfo(
   workerId: string,
   given: Partial<schema.scheduling.WorkerInfo> = {},
@@ -125,7 +90,7 @@
   });
   made.setConfig({
     version: 1,
-    queues: [queue("quick")],
+    queues: [testing.schedulingFixtures.queue("quick")],
     pools: [{ name: "pool", isStandby: false }],
     workspaces: [],
     maxBodyBytes: 1_000,
--- a/packages/scheduler/src/caller_service_test.ts
+++ b/packages/scheduler/src/caller_service_test.ts
@@ -1,3 +1,4 @@
+import * as adapters from "@jackdawlink/adapters";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
@@ -11,52 +12,21 @@
 
 const JOB_ID = "00000000000000aa";
 const REVOKE_MS = 5_000;
-const CLOCK: ports.clock.Clock = {
-  nowMs: () => Date.now(),
-  wallMs: () => Date.now(),
-  after: (delayMs, callback) => {
-    const timer = setTimeout(callback, delayMs);
-    return () => clearTimeout(timer);
-  },
-};
-const SILENT: ports.log.Log = { debug() {}, info() {}, warn() {}, error() {} };
-const STEP: schema.scheduling.Step = {
-  taskCount: 1,
-  resources: { cpuMillicores: 1, memoryMb: 1, gpuCount: 0 },
-  estimateMs: 1,
-  afterSteps: [],
-  isCheckpointing: false,
-  isGang: false,
-  isSameRack: false,
-  maxTasksPerWorker: 0,
-  isSpeculative: false,
-  isLasting: false,
-  latencyObjectiveMs: 0,
-  usesSpareCpu: false,
-};
-
-function queue(name: string, pathPrefix: string, isPublic: boolean): schema.scheduling.Queue {
-  return {
-    name,
-    host: "h",
-    pathPrefix,
-    pool: "p",
-    priority: 0,
-    maxAttempts: 3,
-    objectiveStretch: 1,
-    objectiveSlackMs: 0,
-    isPublic,
-  };
-}
+const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
+const SILENT = adapters.log.SILENT_LOG;
+const STEP = testing.schedulingFixtures.step();
+const CLOSED_QUEUE = testing.schedulingFixtures.queue("closed", { host: "h", pathPrefix: "/a/" });
+const PUBLIC_QUEUE = testing.schedulingFixtures.queue("public", {
+  host: "h",
+  pathPrefix: "/a/b/",
+  isPublic: true,
+});
 
 function configWith(keys: readonly string[]): schema.scheduling.SchedulingConfig {
   return {
     version: 1,
     maxBodyBytes: 1_000,
-    queues: [
-      queue("closed", "/a/", false),
-      queue("longer", "/a/b/", true),
-    ],
+    queues: [CLOSED_QUEUE, PUBLIC_QUEUE],
     pools: [],
     workspaces: [{
       name: "acme",
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import * as adapters from "@jackdawlink/adapters";
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
@@ -21,20 +22,16 @@
 const REST_MS = 30_000;
 const SEEDS = [1, 2, 3, 4];
 
-const CLOCK: ports.clock.Clock = {
-  nowMs: () => Date.now(),
-  wallMs: () => Date.now(),
-  after: (delayMs, callback) => {
-    const timer = setTimeout(callback, delayMs);
-    return () => clearTimeout(timer);
-  },
-};
-const SILENT: ports.log.Log = { debug() {}, info() {}, warn() {}, error() {} };
+const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
+const SILENT = adapters.log.SILENT_LOG;
 
 const CONFIG: schema.scheduling.SchedulingConfig = {
   version: 1,
   maxBodyBytes: 1_000_000,
-  queues: [queue("quick", "pool-a"), queue("batch", "pool-b")],
+  queues: [
+    testing.schedulingFixtures.queue("quick", { pool: "pool-a", maxAttempts: MAX_ATTEMPTS }),
+    testing.schedulingFixtures.queue("batch", { pool: "pool-b", maxAttempts: MAX_ATTEMPTS }),
+  ],
   pools: [
     { name: "pool-a", isStandby: false },
     { name: "pool-b", isStandby: false },
@@ -184,9 +181,9 @@
     const jobId = (++this.#submittedCount).toString(16).padStart(16, "0");
     const stepCount = random.between(1, 3);
     const steps = Array.from({ length: stepCount }, (_, step) =>
-      stepSpec({
+      testing.schedulingFixtures.step({
         taskCount: random.between(1, 6),
-        cpuMillicores: random.between(5, 40) * 100,
+        resources: { cpuMillicores: random.between(5, 40) * 100, memoryMb: 100, gpuCount: 0 },
         estimateMs: random.between(200, 1_500),
         afterSteps: step === 0 ? [] : [step - 1],
       }));
@@ -386,41 +383,3 @@
     expect(world.witness.startCount).toBeGreaterThan(world.jobIds.length / 2);
   },
 );
-
-function queue(name: string, pool: string): schema.scheduling.Queue {
-  return {
-    name,
-    host: "",
-    pathPrefix: `/${name}/`,
-    pool,
-    priority: 0,
-    maxAttempts: MAX_ATTEMPTS,
-    objectiveStretch: 1.6,
-    objectiveSlackMs: 600,
-    isPublic: false,
-  };
-}
-
-function stepSpec(
-  { taskCount, cpuMillicores, estimateMs, afterSteps }: {
-    readonly taskCount: number;
-    readonly cpuMillicores: number;
-    readonly estimateMs: number;
-    readonly afterSteps: readonly number[];
-  },
-): schema.scheduling.Step {
-  return {
-    taskCount,
-    resources: { cpuMillicores, memoryMb: 100, gpuCount: 0 },
-    estimateMs,
-    afterSteps: [...afterSteps],
-    isCheckpointing: false,
-    isGang: false,
-    isSameRack: false,
-    maxTasksPerWorker: 0,
-    isSpeculative: false,
-    isLasting: false,
-    latencyObjectiveMs: 0,
-    usesSpareCpu: false,
-  };
-}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -26,6 +26,7 @@
 export * as runWitness from "./scheduling_model/run_witness.ts";
 export * as modelFleet from "./scheduling_model/model_fleet.ts";
 export * as modelStore from "./scheduling_model/model_store.ts";
+export * as schedulingFixtures from "./scheduling_model/fixtures.ts";
 export * as seededRandom from "./seeded_random.ts";
 export * as sizingTrace from "./sizing_trace.ts";
 export * as testClock from "./test_clock.ts";
--- /dev/null
+++ b/packages/testing/src/scheduling_model/fixtures.ts
@@ -0,0 +1,54 @@
+/**
+ * Parts of jobs and configurations for tests of scheduling, and a clock on replaced timers.
+ *
+ * @module
+ */
+import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
+
+/** Time as `Date` and timers tell it, which tests replace. */
+export const TIMER_CLOCK: ports.clock.Clock = {
+  nowMs: () => Date.now(),
+  wallMs: () => Date.now(),
+  after: (delayMs, callback) => {
+    const timer = setTimeout(callback, delayMs);
+    return () => clearTimeout(timer);
+  },
+};
+
+/** One task of a core and a second, unless told otherwise. */
+export function step(given: Partial<schema.scheduling.Step> = {}): schema.scheduling.Step {
+  return {
+    taskCount: 1,
+    resources: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
+    estimateMs: 1_000,
+    afterSteps: [],
+    isCheckpointing: false,
+    isGang: false,
+    isSameRack: false,
+    maxTasksPerWorker: 0,
+    isSpeculative: false,
+    isLasting: false,
+    latencyObjectiveMs: 0,
+    usesSpareCpu: false,
+    ...given,
+  };
+}
+
+export function queue(
+  name: string,
+  given: Partial<schema.scheduling.Queue> = {},
+): schema.scheduling.Queue {
+  return {
+    name,
+    host: "",
+    pathPrefix: `/${name}/`,
+    pool: "pool",
+    priority: 0,
+    maxAttempts: 3,
+    objectiveStretch: 2,
+    objectiveSlackMs: 500,
+    isPublic: false,
+    ...given,
+  };
+}
