--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -299,7 +299,8 @@
       { args: ["resume"], exitCode: 0 },
     ];
     for (const { args: [step = "", ...rest], exitCode } of steps) {
-      expect((await run("wave", step, "monthly", ...rest)).exitCode).toBe(exitCode);
+      const result = await run("wave", step, "monthly", ...rest);
+      expect(result.exitCode, `${step}: ${result.stderr}`).toBe(exitCode);
     }
   });
 
