Give commands' tests time where the store has no faults

The limit was no bound under test. It stays at 500 ms wherever faults are set, and every expectation is as before.

--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -38,6 +38,12 @@
 maxUnavailable = 1
 `;
 
+/** Without faults the stand-in answers at once, and no time limit is under test. */
+const SOUND_STORE_TIMEOUT_MS = 10_000;
+/** With faults, commands must give up soon. */
+const FAULTY_STORE_TIMEOUT_MS = 500;
+
+let storeTimeoutMs = SOUND_STORE_TIMEOUT_MS;
 let directory: string;
 let platform: testing.platformServer.PlatformServer;
 const servers: Server[] = [];
@@ -49,7 +55,8 @@
 }
 
 function settingsFile(name = "ann", fields = ""): string {
-  const text = `operator = "${name}"\n${fields}\n[store]\nurl = "${platform.url}"\ntimeoutMs = 500`;
+  const text =
+    `operator = "${name}"\n${fields}\n[store]\nurl = "${platform.url}"\ntimeoutMs = ${storeTimeoutMs}`;
   return file(`${name}.settings.toml`, text);
 }
 
@@ -78,6 +85,7 @@
 }
 
 function setFaults(faults: object): void {
+  storeTimeoutMs = FAULTY_STORE_TIMEOUT_MS;
   platform.store.faults.set(v.parse(testing.platformFaults.faultsSchema, faults));
 }
 
@@ -130,6 +138,7 @@
 }
 
 beforeEach(async () => {
+  storeTimeoutMs = SOUND_STORE_TIMEOUT_MS;
   directory = mkdtempSync(join(tmpdir(), "jackdawlink-"));
   platform = await testing.platformServer.startPlatform("127.0.0.1:0");
 });
