--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * as candidacy from "./candidacy.ts";
 export * as demandTrend from "./demand_trend.ts";
 export * as evacuation from "./evacuation.ts";
 export * as jobRecord from "./job_record.ts";
--- a/packages/scheduler/src/node.ts
+++ b/packages/scheduler/src/node.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
 import { answerAsOwner, CallerService } from "./caller_service.ts";
@@ -24,6 +25,7 @@
   readonly incarnation: string;
   readonly peerAddress: string;
   readonly revokeMs: number;
+  readonly capacity: policy.scheduling.candidacy.NodeCapacity;
   readonly store: ports.scheduling.SchedulingStore;
   readonly isStoreRefusal: (error: schema.errors.JackdawlinkError) => boolean;
   readonly documents: ports.scheduling.Documents;
@@ -66,6 +68,7 @@
       clock,
       log: logs("owner"),
       candidateDelayMs: options.random() * CANDIDATE_SPREAD_MS,
+      strength: policy.scheduling.candidacy.strengthOf(options.capacity),
       onStart: (start) => this.#startTerm(start),
       onProof: (askedAtMs) => this.#term?.mandate.noteStore(askedAtMs),
       onEnd: (reason) => this.#endTerm(reason),
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import { pause, WakeUp } from "./pause.ts";
@@ -37,14 +38,21 @@
   readonly store: ports.scheduling.SchedulingStore;
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
-  /** Staggers the candidates, in ms. */
+  /** Staggers candidates of the same strength. */
   readonly candidateDelayMs: number;
+  /** What an owner on this VM can do, in cores. */
+  readonly strength: number;
   readonly onStart: (start: TermStart) => void;
   /** The store has confirmed the ownership as of that time. */
   readonly onProof: (askedAtMs: number) => void;
   readonly onEnd: (reason: string) => void;
 }
 
+interface LastTerm {
+  readonly record: schema.scheduling.TermRecord | undefined;
+  readonly revision: number;
+}
+
 interface Known {
   readonly record: schema.scheduling.OwnerRecord | undefined;
   readonly revision: number;
@@ -71,10 +79,6 @@
     return record?.isHeld ? record.peerAddress : undefined;
   }
 
-  get fencingToken(): number | undefined {
-    return this.#held?.fencingToken;
-  }
-
   /** Starts the loops that follow, take over and renew. */
   start(): void {
     void this.#follow();
@@ -176,39 +180,66 @@
   }
 
   async #takeOver(): Promise<void> {
-    const { clock, candidateDelayMs } = this.#options;
     while (!this.#isStopped) {
       await this.#wakeUp.wait(1_000);
       if (!this.#isFree() || !this.#isCandidate) {
         continue;
       }
-      const isYoung = this.#known.record !== undefined && clock.nowMs() < YOUNG_PROCESS_MS;
-      await pause(candidateDelayMs + (isYoung ? 0 : OLD_PROCESS_DELAY_MS));
+      const lastTerm = await this.#readLastTerm();
+      if (lastTerm === undefined) {
+        await pause(RETRY_INTERVAL_MS);
+        continue;
+      }
+      await pause(this.#delayMs(lastTerm));
       if (this.#isFree() && this.#isCandidate) {
-        await this.#tryTakeOver();
+        await this.#tryTakeOver(lastTerm);
       }
     }
   }
 
-  async #tryTakeOver(): Promise<void> {
-    const { store, clock, log, onStart, onProof } = this.#options;
+  #delayMs({ record }: LastTerm): number {
+    const { clock, candidateDelayMs, strength } = this.#options;
+    const isYoung = this.#known.record !== undefined && clock.nowMs() < YOUNG_PROCESS_MS;
+    return candidateDelayMs + (isYoung ? 0 : OLD_PROCESS_DELAY_MS) +
+      policy.scheduling.candidacy.takeoverDelayMs(strength, record?.strongestOwner);
+  }
+
+  async #readLastTerm(): Promise<LastTerm | undefined> {
+    const { store, log } = this.#options;
+    const item = await store.get(TERM_KEY);
+    if (item.isErr()) {
+      log.info("The last term is not known", { reason: item.error.message });
+      return undefined;
+    }
+    if (item.value === undefined) {
+      return { record: undefined, revision: 0 };
+    }
+    const record = decodeRecord(schema.scheduling.termRecordSchema, item.value.value);
+    if (record.isErr()) {
+      log.error("Term record not understood", { reason: record.error.message });
+      return undefined;
+    }
+    return { record: record.value, revision: item.value.revision };
+  }
+
+  async #tryTakeOver(lastTerm: LastTerm): Promise<void> {
+    const { store, clock, log, strength, onStart, onProof } = this.#options;
     const before = this.#known;
     const lease = await store.grantLease(OWNER_LEASE_MS);
     if (lease.isErr()) {
       log.info("No lease for the ownership", { reason: lease.error.message });
       return pause(RETRY_INTERVAL_MS);
     }
-    const lastTerm = await store.get(TERM_KEY);
-    if (lastTerm.isErr()) {
-      log.info("The last term is not known", { reason: lastTerm.error.message });
-      return;
-    }
-    const term = Number(lastTerm.value?.value ?? 0) + 1;
+    const term = (lastTerm.record?.term ?? 0) + 1;
+    const termRecord: schema.scheduling.TermRecord = {
+      term,
+      strongestOwner: Math.max(strength, lastTerm.record?.strongestOwner ?? 0),
+    };
     const askedAtMs = clock.nowMs();
     const answer = await store.transact({
       conditions: [
         { key: OWNER_KEY, revision: before.revision },
-        { key: TERM_KEY, revision: lastTerm.value?.revision ?? 0 },
+        { key: TERM_KEY, revision: lastTerm.revision },
       ],
       puts: [
         {
@@ -216,7 +247,7 @@
           value: JSON.stringify(this.#record(term)),
           leaseId: lease.value.leaseId,
         },
-        { key: TERM_KEY, value: String(term) },
+        { key: TERM_KEY, value: JSON.stringify(termRecord) },
       ],
       removes: [],
     });
@@ -231,7 +262,7 @@
     this.#known = { record: this.#record(term), revision: fencingToken };
     this.#term = term;
     this.#held = { leaseId: lease.value.leaseId, fencingToken };
-    log.info("Ownership taken", { token: fencingToken, term, before: before.record?.node });
+    log.info("Ownership taken", { token: fencingToken, strength, ...termRecord });
     onProof(askedAtMs);
     onStart({
       fencingToken,
--- a/packages/scheduler/src/store_keys.ts
+++ b/packages/scheduler/src/store_keys.ts
@@ -6,7 +6,7 @@
 
 /** The owner's record; its revision is the fencing token. */
 export const OWNER_KEY = "jackdawlink/owner";
-/** The number of the last term; unlike the owner's record it does not go with a lease. */
+/** The last term and the strongest owner; unlike the owner's record it does not go with a lease. */
 export const TERM_KEY = "jackdawlink/term";
 /** Changes with each write of progress, and keeps late writes from replacing newer ones. */
 export const JOURNAL_KEY = "jackdawlink/journal";
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -89,6 +89,7 @@
       clock: CLOCK,
       log: SILENT,
       candidateDelayMs: random.between(0, 40),
+      strength: 1,
       onStart: (start) => {
         const ownership = this.#ownership!;
         this.#term = new OwnerTerm({
--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -72,6 +72,11 @@
 
 export const jobStateSchema = v.picklist(["queued", "active", "complete", "failed", "cancelled"]);
 
+/** What stays of a job in the place of its description once it is over and nothing of it runs. */
+export const retiredJobSchema = v.object({
+  finalState: jobStateSchema,
+});
+
 /** What is known for good of one step of one occurrence. */
 export const stepProgressSchema = v.object({
   occurrence: countSchema,
@@ -99,14 +104,24 @@
   isHeld: v.boolean(),
 });
 
+/** What is kept of all owners so far. */
+export const termRecordSchema = v.object({
+  /** The number of the last term. */
+  term: positiveIntegerSchema,
+  /** The strength of the strongest owner, in cores. */
+  strongestOwner: v.number(),
+});
+
 export type Resources = v.InferOutput<typeof resourcesSchema>;
 export type Step = v.InferOutput<typeof stepSchema>;
 export type JobSpec = v.InferOutput<typeof jobSpecSchema>;
 export type Job = v.InferOutput<typeof jobSchema>;
+export type RetiredJob = v.InferOutput<typeof retiredJobSchema>;
 export type JobState = v.InferOutput<typeof jobStateSchema>;
 export type StepProgress = v.InferOutput<typeof stepProgressSchema>;
 export type JobProgress = v.InferOutput<typeof jobProgressSchema>;
 export type OwnerRecord = v.InferOutput<typeof ownerRecordSchema>;
+export type TermRecord = v.InferOutput<typeof termRecordSchema>;
 
 /** A queue of the configuration. */
 export interface Queue {
