Fill the pool whose turn has come faster, and ask workers less often

An eighth of the fleet may be ordered into a pool at a look (8 at least, as before, on the first sites), and reports are 80 ms apart. Ends that failed or were stopped are logged at info.

--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -152,6 +152,21 @@
     expect(moves.map(({ vm, toPool }) => `${vm}>${toPool}`)).toEqual(expected);
   });
 
+  test("a queue of a large fleet whose turn has come has its VMs within four looks", () => {
+    const demands = [demand("a", 1_590), demand("spare", 0, true)];
+    const vms = Array.from({ length: 240 }, (_, index) => standby(`off-${index}`));
+    let moved = 0;
+    for (let look = 0; look < 4; look++) {
+      for (const move of planMoves(demands, { vms, ...none })) {
+        const index = vms.findIndex(({ vm }) => vm === move.vm);
+        vms[index] = fixtures.vmView(move.vm, { pool: "a", state: "moving" });
+        moved++;
+      }
+    }
+    // 1,590 cores and the headroom of a tenth, on VMs of 16 cores.
+    expect(moved).toBe(110);
+  });
+
   test("a VM with ends that are not stored yet does not move", () => {
     const view = rested("1");
     view.worker!.processedEnd = 3;
--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -14,8 +14,10 @@
 const MIN_VMS = 2;
 /** An idle VM costs as much as a move within about a second, so it does not wait for long. */
 const IDLE_BEFORE_STANDBY_MS = 1_000;
-/** New orders at a time for one pool; the platform bounds the rate of orders. */
-const MAX_MOVES_PER_POOL = 8;
+/** New orders at a time for one pool: a look's demand may be a peak that is over when the VM arrives. */
+const MIN_MOVES_PER_LOOK = 8;
+/** A turn asks a pool of a fifth of the fleet for about half of it, which then takes a second. */
+const MOVES_PER_LOOK_SHARE = 1 / 8;
 
 /** What the tasks of a pool ask for now and shortly. */
 export interface PoolDemand {
@@ -52,6 +54,7 @@
     .sort((a, b) => Number(due.has(a.vm)) - Number(due.has(b.vm)));
   const idle = movable.filter((view) => view.pool !== standby?.pool);
   const moves: PoolMove[] = [];
+  const mostMoves = Math.max(MIN_MOVES_PER_LOOK, Math.round(vms.length * MOVES_PER_LOOK_SHARE));
   const moveTo = (view: VmView, toPool: string, reason: string) => {
     moves.push({ vm: view.vm, toPool, reason });
     remove(held.get(view.pool), view);
@@ -62,7 +65,7 @@
     .filter(({ missing }) => missing > 0)
     .sort((a, b) => b.missing - a.missing);
   for (const { demand } of byNeed) {
-    for (let count = 0; count < MAX_MOVES_PER_POOL; count++) {
+    for (let count = 0; count < mostMoves; count++) {
       if (missingShare(demand, held.get(demand.pool)!) <= 0) {
         break;
       }
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -646,7 +646,8 @@
       task.checkpoint = end.checkpoint;
     }
     worker.noteEnd(end.kind, job.job.jobId, nowMs);
-    this.#options.log.debug("Run ended", {
+    // Ends that nobody asked for are rare; all others would be as many lines as there are tasks.
+    this.#options.log[end.kind === "done" ? "debug" : "info"]("Run ended", {
       job: job.job.jobId,
       task: end.task,
       run: end.runId,
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -20,7 +20,7 @@
 /** How long a report waits for an end; each renews the lease. */
 const REPORT_WAIT_MS = 1_500;
 /** Ends that come close together share a report. */
-const REPORT_GAP_MS = 25;
+const REPORT_GAP_MS = 80;
 const RETRY_INTERVAL_MS = 200;
 /** While the ownership is proven by workers alone, idle ones are asked too. */
 const PROOF_INTERVAL_MS = 700;
