Gather changes of a watch; count cancellations in the model from their acknowledgement

The model's witness counted a cancellation that the store had not confirmed (a trace shows the answer false for both jobs that were then 'started after cancelled', with reports 80 ms apart). The caller gets 503 there, and a promise begins with the acknowledgement. The model's submitter now repeats a cancellation until it is acknowledged, and the bound runs from there.

Watches of workers and jobs return at most each 50 ms: 246 workers write 160 heartbeats a second, and each brought an answer of its own.

--- a/packages/scheduler/src/prefix_follower.ts
+++ b/packages/scheduler/src/prefix_follower.ts
@@ -12,6 +12,8 @@
 const LIST_INTERVAL_MS = 5_000;
 /** How often items that are known to be there are looked for. */
 const INCOMPLETE_LIST_INTERVAL_MS = 500;
+/** Changes that come close together share a call; 246 workers write 160 heartbeats a second. */
+const GATHER_MS = 50;
 const RETRY_INTERVAL_MS = 200;
 
 /** What is done with the items. */
@@ -65,6 +67,7 @@
     }
     if (watched.isOk() && watched.value.kind === "changes") {
       watched.value.changes.forEach((change) => take.change(change));
+      await pause(GATHER_MS);
       return watched.value.asOfRevision;
     }
     log.info("Watch is read anew", {
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -20,6 +20,7 @@
 const MAX_ATTEMPTS = 3;
 const TRAFFIC_MS = 12_000;
 const REST_MS = 30_000;
+const CANCEL_RETRY_MS = 250;
 const SEEDS = [1, 2, 3, 4];
 
 const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
@@ -231,8 +232,11 @@
     }
   }
 
+  /** A submitter repeats a cancellation until it is acknowledged; nothing is promised before. */
   async cancel(jobId: string): Promise<void> {
-    await this.#jobs.cancel(jobId);
+    while (!await this.#jobs.cancel(jobId)) {
+      await new Promise((resolve) => setTimeout(resolve, CANCEL_RETRY_MS));
+    }
     this.witness.cancelled(jobId);
     this.owner?.term?.cancelJob(jobId);
   }
