Empty VMs with lasting tasks in time for their maintenance

Some had moved onto other workers that were due as well. Ruled out: the bound of VMs down at once, which had room.

A VM is emptied once its lasting steps need all the time that is left, and a lasting task joins others of its step rather than a worker that is due.

--- a/packages/policy/src/scheduling/placement.ts
+++ b/packages/policy/src/scheduling/placement.ts
@@ -11,8 +11,11 @@
 const OTHER_RACK_PENALTY = 100;
 /** A worker on which the task has failed is the last resort. */
 const FAILED_HERE_PENALTY = 1_000;
-/** A worker that is due for maintenance is left to fall idle. */
-const LEAVING_PENALTY = 5;
+/**
+ * A worker that is due for maintenance is left to fall idle. A lasting task there would have to move again,
+ * one of its step at a time, so that this outweighs a whole step of 24 on one worker.
+ */
+const LEAVING_PENALTY = 50;
 /** Two lasting tasks of a step on one worker would be lost together. */
 const SAME_STEP_PENALTY = 2;
 /** For each failure in a row on the worker. */
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -205,6 +205,16 @@
     runOn(view.worker!, { resources: { ...fixtures.TOTAL } });
     return view;
   };
+  /** A VM without room that has tasks of one lasting step, which leave one at a time. */
+  const withLasting = (vm: string, taskCount: number) => {
+    const view = busy(vm);
+    const spec = testing.schedulingFixtures.step({ taskCount, isLasting: true });
+    const job = new JobRecord(fixtures.job("l", [spec]), { acceptedRevision: 1, seenAtMs: 0 });
+    const step = job.step(0, 0)!;
+    const { worker } = view;
+    step.tasks.forEach((task) => worker!.addRun({ ...runOn(worker!, {}), step, task }));
+    return view;
+  };
   const wanted = new Set<string>();
 
   test.each([
@@ -227,6 +237,12 @@
       nowMs: 0,
       expected: { maintain: [], empty: [], isUrgent: false },
     },
+    {
+      name: "a VM whose lasting tasks need all the time that is left is emptied at once",
+      vms: [withLasting("1", 7), busy("2"), withLasting("3", 2)],
+      nowMs: 0,
+      expected: { maintain: [], empty: ["1"], isUrgent: false },
+    },
     {
       name: "later busy VMs are emptied",
       vms: ["1", "2", "3"].map(busy),
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -324,3 +324,18 @@
     { kind: "stop-stray", workerId: "w", task: "j.0.0.0", runId: 3 },
   ]);
 });
+
+test("a lasting task joins many of its step rather than a worker that is due for maintenance", () => {
+  const scheduler = fixtures.scheduler(["w1", "w2"]);
+  scheduler.workers.get("w2")!.isLeavingSoon = true;
+  const lasting = testing.schedulingFixtures.step({
+    taskCount: 5,
+    isLasting: true,
+    resources: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
+  });
+  put(scheduler, fixtures.job("j", [lasting]));
+  const workers = scheduler.decide(NOW).flatMap((order) =>
+    order.kind === "start" ? [order.run.workerId] : []
+  );
+  expect(workers).toEqual(["w1", "w1", "w1", "w1", "w1"]);
+});
--- a/packages/policy/src/scheduling/wave_plan.ts
+++ b/packages/policy/src/scheduling/wave_plan.ts
@@ -4,12 +4,15 @@
  * @module
  */
 import type * as schema from "@jackdawlink/schema";
+import type { StepRecord } from "./job_record.ts";
 import { isIdle, type VmView } from "./vm_view.ts";
 
 /** The time to empty a VM and to maintain it, on the long side. */
 const ROUND_MS = 5_000;
 /** With less than this left beyond the rounds that are needed, busy VMs are emptied as well. */
 const COMFORT_MS = 8_000;
+/** A lasting task is stopped, placed elsewhere and at work again within this time, on the long side. */
+const LASTING_MOVE_MS = 2_500;
 /** With less than this left beyond the rounds that are needed, tasks are stopped. */
 const URGENT_MS = 2_500;
 /** A pool that has this share of its room free can spare a VM. */
@@ -52,7 +55,10 @@
   const idle = left.filter((view) => isIdle(view) && !(isComfortable && wanted.has(view.vm)));
   const maintain = idle.slice(0, slotCount).map(({ vm }) => vm);
   const busy = left.filter((view) => view.state === "up" && !view.isUncertain && !isIdle(view));
-  const candidates = isComfortable ? busy.filter((view) => canSpare(view, vms)) : busy;
+  const lastingCounts = countLastingRuns(left);
+  const candidates = busy.filter((view) =>
+    !isComfortable || canSpare(view, vms) || slackMs < timeToMoveLastingMs(view, lastingCounts)
+  );
   const empty = candidates
     .sort((a, b) => loadOf(a) - loadOf(b))
     .slice(0, Math.max(0, slotCount - maintain.length))
@@ -60,6 +66,26 @@
   return { maintain, empty, isUrgent: slackMs < URGENT_MS };
 }
 
+function lastingStepsOf({ worker }: VmView): StepRecord[] {
+  return [...worker?.runs.values() ?? []].map(({ step }) => step)
+    .filter(({ spec }) => spec.isLasting);
+}
+
+/** How many tasks of each lasting step have to leave the VMs. */
+function countLastingRuns(views: readonly VmView[]): Map<StepRecord, number> {
+  const counts = new Map<StepRecord, number>();
+  for (const step of views.flatMap(lastingStepsOf)) {
+    counts.set(step, (counts.get(step) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** Tasks of a lasting step leave one at a time, whichever of the VMs they are on. */
+function timeToMoveLastingMs(view: VmView, counts: ReadonlyMap<StepRecord, number>): number {
+  const most = Math.max(0, ...lastingStepsOf(view).map((step) => counts.get(step) ?? 0));
+  return most * LASTING_MOVE_MS;
+}
+
 /** VMs that are being emptied already come first, so that their emptying is not in vain. */
 function loadOf({ worker }: VmView): number {
   if (worker === undefined) {
