--- /dev/null
+++ b/packages/scheduler/src/test/model_world.ts
@@ -0,0 +1,262 @@
+/**
+ * Nodes with the real engine against models of the store, the workers and the VMs, in simulated time. A
+ * witness sees every start.
+ *
+ * @module
+ */
+import * as adapters from "@jackdawlink/adapters";
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import { err, ok } from "neverthrow";
+import { JobStore } from "../job_store.ts";
+import { OwnerTerm } from "../owner_term.ts";
+import { Ownership } from "../ownership.ts";
+import * as storeKeys from "../store_keys.ts";
+
+const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
+const MAX_ATTEMPTS = 3;
+const CANCEL_RETRY_MS = 250;
+
+const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
+const SILENT = adapters.log.SILENT_LOG;
+
+const CONFIG: schema.scheduling.SchedulingConfig = {
+  version: 1,
+  maxBodyBytes: 1_000_000,
+  queues: [
+    testing.schedulingFixtures.queue("quick", { pool: "pool-a", maxAttempts: MAX_ATTEMPTS }),
+    testing.schedulingFixtures.queue("batch", { pool: "pool-b", maxAttempts: MAX_ATTEMPTS }),
+  ],
+  pools: [
+    { name: "pool-a", isStandby: false },
+    { name: "pool-b", isStandby: false },
+    { name: "spare", isStandby: true },
+  ],
+  workspaces: [{
+    name: "acme",
+    keys: ["k"],
+    weight: 100,
+    limit: { cpuMillicores: 60_000, memoryMb: 0, gpuCount: 0 },
+  }],
+};
+
+const DOCUMENTS: ports.scheduling.Documents = {
+  configKey: "config",
+  workerPrefix: "workers/",
+  wavePrefix: "waves/",
+  decodeConfig: () => ok(CONFIG),
+  decodeWorker: (_key, text) => ok(JSON.parse(text) as schema.scheduling.WorkerInfo),
+  decodeWave: (text) => ok(JSON.parse(text) as schema.scheduling.MaintenanceWave),
+  decodeSubmission: () => err(new schema.errors.InvalidInputError("Not used")),
+  waveStateItem: (wave, state) => ({ key: `wave-states/${wave}`, value: state }),
+};
+
+/** One process: follows the ownership, and schedules while it owns. */
+export class ModelNode {
+  readonly name: string;
+  readonly #world: World;
+  readonly #strength: number;
+  #isAlive = false;
+  #ownership: Ownership | undefined;
+  #term: OwnerTerm | undefined;
+  #lifeCount = 0;
+
+  constructor(name: string, { world, strength }: { world: World; strength: number }) {
+    this.name = name;
+    this.#world = world;
+    this.#strength = strength;
+  }
+
+  get term(): OwnerTerm | undefined {
+    return this.#term;
+  }
+
+  start(): void {
+    const life = ++this.#lifeCount;
+    this.#isAlive = true;
+    const isAlive = () => this.#isAlive && life === this.#lifeCount;
+    const { store, fleet, random } = this.#world;
+    const client = store.clientFor(this.name, isAlive);
+    const clients = fleet.clientsFor(this.name, isAlive);
+    this.#ownership = new Ownership({
+      node: this.name,
+      incarnation: `${this.name}-${life}`,
+      peerAddress: this.name,
+      store: client,
+      clock: CLOCK,
+      log: SILENT,
+      candidateDelayMs: random.between(0, 40),
+      strength: this.#strength,
+      onStart: (start) => {
+        const ownership = this.#ownership!;
+        this.#term = new OwnerTerm({
+          start,
+          node: this.name,
+          store: client,
+          documents: DOCUMENTS,
+          ...clients,
+          advice: undefined,
+          clock: CLOCK,
+          log: SILENT,
+          config: CONFIG,
+          onFenced: (reason) => ownership.resign(reason),
+        });
+        this.#term.mandate.noteStore(Date.now());
+        void this.#term.run();
+      },
+      onProof: (askedAtMs) => this.#term?.mandate.noteStore(askedAtMs),
+      onEnd: () => {
+        this.#term?.stop();
+        this.#term = undefined;
+      },
+    });
+    this.#ownership.start();
+  }
+
+  kill(): void {
+    this.#isAlive = false;
+    this.#ownership?.stop();
+    this.#term?.stop();
+    this.#term = undefined;
+  }
+
+  async release(): Promise<void> {
+    await this.#term?.flush();
+    await this.#ownership?.release();
+  }
+}
+
+/** Nodes, a store, and a small fleet. */
+export class World {
+  readonly random: testing.seededRandom.SeededRandom;
+  readonly witness = new testing.runWitness.RunWitness(MAX_ATTEMPTS);
+  readonly store: testing.modelStore.ModelStore;
+  readonly fleet: testing.modelFleet.ModelFleet;
+  readonly nodes: readonly ModelNode[];
+  /** The jobs that were accepted. */
+  readonly jobIds: string[] = [];
+  readonly #specs = new Map<string, schema.scheduling.JobSpec>();
+  readonly #submitted = new Map<string, schema.scheduling.Job>();
+  readonly #jobs: JobStore;
+  #submittedCount = 0;
+
+  /** `strengths` are those of the nodes. */
+  constructor(seed: number, strengths: readonly number[] = [1, 1, 1]) {
+    this.random = new testing.seededRandom.SeededRandom(seed);
+    this.store = new testing.modelStore.ModelStore(this.random);
+    this.fleet = new testing.modelFleet.ModelFleet({
+      random: this.random,
+      store: this.store,
+      witness: this.witness,
+      documents: DOCUMENTS,
+      total: TOTAL,
+      roomOf: (task) => this.#stepOf(task).resources,
+      behaviour: (task) => ({
+        durationMs: Math.round(
+          this.#stepOf(task).estimateMs * (0.5 + this.random.between(0, 100) / 100),
+        ),
+        fails: this.random.chance(0.04),
+      }),
+      standbyPool: "spare",
+      encodeWorker: (info) => JSON.stringify(info),
+    });
+    ["pool-a", "pool-a", "pool-a", "pool-b", "pool-b", "pool-b", "spare", "spare"].forEach(
+      (pool, index) => this.fleet.addVm(`vm-${index}`, pool),
+    );
+    this.nodes = strengths.map((strength, index) =>
+      new ModelNode(`n${index + 1}`, { world: this, strength })
+    );
+    this.nodes.forEach((node) => node.start());
+    this.#jobs = new JobStore({
+      store: this.store.clientFor("entry", () => true),
+      clock: CLOCK,
+      isRefusal: (error) => error instanceof testing.modelStore.ModelRefusalError,
+    });
+  }
+
+  get owner(): ModelNode | undefined {
+    return this.nodes.find(({ term }) => term !== undefined);
+  }
+
+  async submit(): Promise<void> {
+    const { random } = this;
+    const jobId = (++this.#submittedCount).toString(16).padStart(16, "0");
+    const stepCount = random.between(1, 3);
+    const steps = Array.from({ length: stepCount }, (_, step) =>
+      testing.schedulingFixtures.step({
+        taskCount: random.between(1, 6),
+        resources: { cpuMillicores: random.between(5, 40) * 100, memoryMb: 100, gpuCount: 0 },
+        estimateMs: random.between(200, 1_500),
+        afterSteps: step === 0 ? [] : [step - 1],
+      }));
+    const spec = { payload: "p", steps };
+    this.#specs.set(jobId, spec);
+    this.witness.submitted(jobId, steps);
+    const job: schema.scheduling.Job = {
+      jobId,
+      queue: random.chance(0.5) ? "quick" : "batch",
+      workspace: "acme",
+      acceptedUnixMs: Date.now(),
+      spec,
+    };
+    this.#submitted.set(jobId, job);
+    await this.#send(job);
+  }
+
+  /** Hands in a job once more, as a submitter does that has missed the answer. */
+  async submitAgain(jobId: string): Promise<void> {
+    await this.#send(this.#submitted.get(jobId)!);
+  }
+
+  async #send(job: schema.scheduling.Job): Promise<void> {
+    const { jobId } = job;
+    const stored = await this.#jobs.add(job, Date.now() + 60_000);
+    if (stored.kind === "refused") {
+      this.witness.refused(jobId);
+    } else if (stored.kind === "stored") {
+      this.jobIds.push(jobId);
+      this.#tellOwner(job, stored.revision);
+    }
+  }
+
+  /** Half of the messages get lost; the owner follows the store as well. */
+  #tellOwner(job: schema.scheduling.Job, revision: number): void {
+    if (this.random.chance(0.5)) {
+      this.owner?.term?.putJob(job, revision);
+    }
+  }
+
+  /** A submitter repeats a cancellation until it is acknowledged; nothing is promised before. */
+  async cancel(jobId: string): Promise<void> {
+    while (!await this.#jobs.cancel(jobId)) {
+      await new Promise((resolve) => setTimeout(resolve, CANCEL_RETRY_MS));
+    }
+    this.witness.cancelled(jobId);
+    this.owner?.term?.cancelJob(jobId);
+  }
+
+  /** Asks for maintenance of VMs, as an operator does. */
+  startWave(wave: schema.scheduling.MaintenanceWave): void {
+    this.store.write(`${DOCUMENTS.wavePrefix}${wave.wave}`, JSON.stringify(wave));
+  }
+
+  /** What the operator is told of a wave. */
+  waveState(wave: number): string | undefined {
+    return this.store.read(DOCUMENTS.waveStateItem(wave, "active").key);
+  }
+
+  /** The stored state of a job, as callers may be told. */
+  storedState(jobId: string): string {
+    const text = this.store.read(storeKeys.progressKey(jobId));
+    return text === undefined
+      ? "queued"
+      : (JSON.parse(text) as schema.scheduling.JobProgress).state;
+  }
+
+  #stepOf(task: string): schema.scheduling.Step {
+    const place = policy.scheduling.taskNames.parseTask(task)!;
+    return this.#specs.get(place.jobId)!.steps[place.step]!;
+  }
+}
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -12,6 +12,7 @@
 import type { RunWitness } from "./run_witness.ts";
 
 type OrderOutcome = schema.scheduling.OrderOutcome;
+type VmOrderOutcome = ports.scheduling.VmOrderOutcome;
 
 const LATENCY_MS = 2;
 const ORDER_TIMEOUT_MS = 400;
@@ -19,6 +20,7 @@
 const ENTRY_EXPIRY_MS = 4_500;
 const STOP_MS = 300;
 const MOVE_MS = 1_500;
+const MAINTENANCE_MS = 2_000;
 /** Workers' clocks run this much slow at the most. */
 const SLOW_CLOCK = 0.98;
 const LEASE_CHECK_MS = 20;
@@ -70,6 +72,8 @@
 
 interface ModelVm {
   readonly vm: string;
+  /** The highest token that an order for it carried. */
+  fencingToken: number;
   pool: string;
   state: schema.scheduling.VmState;
   worker: ModelWorker | undefined;
@@ -93,7 +97,10 @@
   readonly #options: ModelFleetOptions;
   readonly #vms = new Map<string, ModelVm>();
   readonly #byAddress = new Map<string, ModelWorker>();
+  readonly #maintained = new Map<number, Map<string, number>>();
   #lifeCount = 0;
+  /** The most VMs that were down for maintenance at one time. */
+  mostDownAtOnce = 0;
 
   constructor(options: ModelFleetOptions) {
     this.#options = options;
@@ -101,7 +108,7 @@
   }
 
   addVm(vm: string, pool: string): void {
-    const record: ModelVm = { vm, pool, state: "up", worker: undefined };
+    const record: ModelVm = { vm, fencingToken: 0, pool, state: "up", worker: undefined };
     this.#vms.set(vm, record);
     this.#startWorker(record);
   }
@@ -145,8 +152,10 @@
           await sleep(LATENCY_MS);
           return ok(this.#list());
         },
-        move: (vm, pool) => this.#orderVm(vm, "moving", pool),
-        maintain: (vm) => this.#orderVm(vm, "upkeep", undefined),
+        move: (vm, pool, holder) =>
+          this.#orderVm({ vm, holder, isAlive }, (record) => this.#move(record, pool)),
+        maintain: (vm, wave, holder) =>
+          this.#orderVm({ vm, holder, isAlive }, (record) => this.#maintain(record, wave)),
       },
     };
   }
@@ -162,22 +171,66 @@
     }));
   }
 
+  /** Orders that are lost are carried out, as with workers. */
   async #orderVm(
-    vm: string,
-    state: "moving" | "upkeep",
-    pool: string | undefined,
-  ): Promise<ports.scheduling.VmOrderOutcome> {
+    { vm, holder, isAlive }: {
+      readonly vm: string;
+      readonly holder: ports.scheduling.VmOrderHolder;
+      readonly isAlive: () => boolean;
+    },
+    run: (record: ModelVm) => VmOrderOutcome,
+  ): Promise<VmOrderOutcome> {
     await sleep(LATENCY_MS);
     const record = this.#vms.get(vm)!;
+    if (holder.fencingToken < record.fencingToken) {
+      return { kind: "fenced" };
+    }
+    record.fencingToken = holder.fencingToken;
+    const outcome = run(record);
+    return this.#options.random.chance(this.faults.lostShare)
+      ? this.#noAnswer({ isAlive })
+      : outcome;
+  }
+
+  #move(record: ModelVm, pool: string): VmOrderOutcome {
+    if (record.pool === pool) {
+      return { kind: "done" };
+    }
     if (record.state !== "up") {
       return { kind: "refused", reason: "busy" };
     }
-    this.#endWorker(record, state, 0);
-    record.pool = pool ?? record.pool;
-    setTimeout(() => this.#bringUp(record), MOVE_MS);
+    this.#sendDown(record, "moving", MOVE_MS);
+    record.pool = pool;
+    return { kind: "done" };
+  }
+
+  #maintain(record: ModelVm, wave: number): VmOrderOutcome {
+    const maintained = this.maintainedVms(wave);
+    if (maintained.has(record.vm)) {
+      return { kind: "done" };
+    }
+    if (record.state !== "up") {
+      return { kind: "refused", reason: "busy" };
+    }
+    maintained.set(record.vm, Date.now());
+    this.#sendDown(record, "upkeep", MAINTENANCE_MS);
+    const downCount = [...this.#vms.values()].filter(({ state }) => state === "upkeep").length;
+    this.mostDownAtOnce = Math.max(this.mostDownAtOnce, downCount);
     return { kind: "done" };
   }
 
+  #sendDown(record: ModelVm, state: "moving" | "upkeep", downMs: number): void {
+    this.#endWorker(record, state, 0);
+    setTimeout(() => this.#bringUp(record), downMs);
+  }
+
+  /** When the maintenance of each VM of a wave began. */
+  maintainedVms(wave: number): Map<string, number> {
+    const known = this.#maintained.get(wave) ?? new Map<string, number>();
+    this.#maintained.set(wave, known);
+    return known;
+  }
+
   #bringUp(record: ModelVm): void {
     record.state = "up";
     if (record.pool !== this.#options.standbyPool) {
@@ -249,7 +302,9 @@
     return worker?.isAlive && !isCut ? worker : undefined;
   }
 
-  async #noAnswer(from: { isAlive: () => boolean }): Promise<OrderOutcome> {
+  async #noAnswer(
+    from: { isAlive: () => boolean },
+  ): Promise<{ readonly kind: "unknown"; readonly reason: string }> {
     await sleep(ORDER_TIMEOUT_MS);
     return from.isAlive() ? { kind: "unknown", reason: "no answer" } : new Promise(() => {});
   }
