--- a/packages/policy/src/scheduling/evacuation.ts
+++ b/packages/policy/src/scheduling/evacuation.ts
@@ -27,7 +27,7 @@
     }
     const { isLasting, isCheckpointing } = run.step.spec;
     if (isLasting) {
-      if (!steps.has(run.step) && mayStopLasting(run)) {
+      if (!steps.has(run.step) && mayStopLasting(run, nowMs)) {
         chosen.push(run);
       }
       steps.add(run.step);
@@ -39,14 +39,16 @@
 }
 
 /** Whether fewer other tasks of the step are away than the step allows. */
-export function mayStopLasting(run: Run): boolean {
+export function mayStopLasting(run: Run, nowMs: number): boolean {
   const bound = run.step.spec.maxUnavailableTasks ?? 1;
-  return othersAway(run) < bound;
+  return othersAway(run, nowMs) < bound;
 }
 
-function othersAway(run: Run): number {
-  return run.step.tasks.filter((task) =>
-    task !== run.task &&
-    !(task.run?.state === "running" && task.run.percent >= AT_WORK_PERCENT)
-  ).length;
+function othersAway(run: Run, nowMs: number): number {
+  return run.step.tasks.filter((task) => task !== run.task && !isAtWork(task.run, nowMs)).length;
+}
+
+function isAtWork(run: Run | undefined, nowMs: number): boolean {
+  return run?.state === "running" && run.percent >= AT_WORK_PERCENT &&
+    nowMs >= run.mayBeStoppingUntilMs;
 }
--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -34,6 +34,8 @@
   /** The share of its speed at which the run was last told to work. */
   pacePercent: number;
   pacedAtMs: number;
+  /** An earlier owner may have ordered a stop, which reports do not show before it has ended the run. */
+  mayBeStoppingUntilMs: number;
 }
 
 export function runKey(taskName: string, runId: number): string {
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -45,6 +45,7 @@
     load: 0,
     pacePercent: 100,
     pacedAtMs: 0,
+    mayBeStoppingUntilMs: 0,
     ...overrides,
   };
   run.step.assign(task, run);
@@ -299,7 +300,15 @@
   test("none leaves while another one is not at work", () => {
     const { step } = lasting(2);
     step.tasks[1]!.run!.percent = 50;
-    expect(evacuation.mayStopLasting(step.tasks[0]!.run!)).toBe(false);
+    expect(evacuation.mayStopLasting(step.tasks[0]!.run!, 0)).toBe(false);
+  });
+
+  test("none leaves while another one may be stopping by an earlier owner's order", () => {
+    const { step } = lasting(2);
+    step.tasks[1]!.run!.mayBeStoppingUntilMs = 2_000;
+    const run = step.tasks[0]!.run!;
+    expect([1_999, 2_000].map((nowMs) => evacuation.mayStopLasting(run, nowMs)))
+      .toEqual([false, true]);
   });
 
   test.each([
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -21,6 +21,11 @@
 /** Weight of the newest task in the mean of durations against estimates. */
 const DURATION_RATIO_WEIGHT = 0.1;
 
+/**
+ * A stop takes up to 0.9 s on the known sites. The report that shows a run also shuts the earlier owner out, so
+ * that no stop of its begins after it.
+ */
+const EARLIER_STOP_MS = 2_000;
 /** A VM that moves between two pages of a list is missing from one list, not from the next one too. */
 const LISTS_MISSED_BY_GONE_VM = 2;
 
@@ -591,6 +596,7 @@
       load: 0,
       pacePercent: 100,
       pacedAtMs: 0,
+      mayBeStoppingUntilMs: 0,
     };
     worker.addRun(run);
     task.lastRunId = Math.max(task.lastRunId, runId);
@@ -748,6 +754,7 @@
     const { job, step, task } = found;
     const isWanted = !job.isOver && !task.isDone && task.run === undefined;
     const run = this.#addRun(step, task, worker, { runId: reported.runId, nowMs });
+    run.mayBeStoppingUntilMs = nowMs + EARLIER_STOP_MS;
     if (isWanted) {
       job.state = "active";
     } else {
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -339,3 +339,16 @@
   );
   expect(workers).toEqual(["w1", "w1", "w1", "w1", "w1"]);
 });
+
+test("a lasting task that an earlier owner may be stopping does not count as at work", () => {
+  const scheduler = fixtures.scheduler(["w"]);
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ isLasting: true })]));
+  const worker = scheduler.workers.get("w")!;
+  const running = [{ task: "j.0.0.0", runId: 1, checkpoint: "", percent: 100, load: 0 }];
+  scheduler.report(worker, fixtures.emptyReport({ running }), {
+    sentAtMs: 10_000,
+    receivedAtMs: 10_001,
+  });
+  const [run] = [...worker.runs.values()];
+  expect(run!.mayBeStoppingUntilMs).toBeGreaterThan(10_001 + 900);
+});
