Use one decoder for stored records, and remove what nothing reads

- decodeRecord did what schema.fleet.parseRecord does; its errors name the key as well, and the log of an unreadable job now has the reason.
- A new owner parsed each stored job twice, as a retired one and as a whole one; one schema covers both.
- The manager of VMs copied the scheduler's map of workers at each look, and built its index of VMs once a wave.
- Removed: TaskRecord.endedAtMs, Mandate.isOver, TermStart.wasReleased, the unused exports of platform and scheduler, two more pauses.
- Tests: the troubles, simulated time and documents of the model tests stand in one place; names, seeds and assertions are the same.

--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -54,8 +54,6 @@
   lastRunId = 0;
   /** Workers on which the task failed; others are tried first. */
   readonly failedOn = new Set<string>();
-  /** When the last run ended; undefined before the first. */
-  endedAtMs: number | undefined;
 
   constructor(name: string, index: number) {
     this.name = name;
@@ -112,9 +110,8 @@
   }
 
   /** The task's run is over. */
-  release(task: TaskRecord, nowMs: number): void {
+  release(task: TaskRecord): void {
     task.run = undefined;
-    task.endedAtMs = nowMs;
     this.waitingCount += task.isWaiting ? 1 : 0;
   }
 
--- a/packages/policy/src/scheduling/mandate.ts
+++ b/packages/policy/src/scheduling/mandate.ts
@@ -33,10 +33,6 @@
     this.#isOver = true;
   }
 
-  get isOver(): boolean {
-    return this.#isOver;
-  }
-
   isStoreProven(nowMs: number): boolean {
     return !this.#isOver && nowMs - this.#storeProofMs <= PROOF_MS;
   }
--- a/packages/policy/src/scheduling/placement.ts
+++ b/packages/policy/src/scheduling/placement.ts
@@ -65,7 +65,7 @@
 }
 
 /** Whether the worker may take one more task of the step. */
-export function hasSpreadRoom(step: StepRecord, worker: WorkerRecord): boolean {
+function hasSpreadRoom(step: StepRecord, worker: WorkerRecord): boolean {
   const limit = step.spec.maxTasksPerWorker;
   return limit === 0 || sameStepCount(step, worker) < limit;
 }
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -202,17 +202,19 @@
         this.dropWorker(worker, nowMs, "its VM is down");
       }
     }
-    const isComplete = [...this.workers.values()].every((worker) =>
-      worker.hasReported || worker.missedLists === 0
-    );
     this.hasUnknownWorkers = [...alive].some((id) => !this.workers.has(id));
-    const unseen = [...alive].filter((id) => !this.workers.get(id)?.hasReported);
-    const isSeen = isComplete && unseen.length === 0;
-    if (!this.isSettled && isSeen && askedAtMs >= this.#options.takeover.atMs) {
+    const isOfThisTerm = askedAtMs >= this.#options.takeover.atMs;
+    if (!this.isSettled && isOfThisTerm && this.#haveAllReported(alive)) {
       this.settle(nowMs, "all workers have reported");
     }
   }
 
+  /** Whether all workers that are up on a list of VMs have reported, and those whose VM it lacks. */
+  #haveAllReported(alive: ReadonlySet<string>): boolean {
+    return [...alive].every((id) => this.workers.get(id)?.hasReported) &&
+      [...this.workers.values()].every((worker) => worker.hasReported || worker.missedLists === 0);
+  }
+
   /** Nothing of an earlier owner can be unseen any more. */
   settle(nowMs: number, reason: string): void {
     this.isSettled = true;
@@ -616,7 +618,7 @@
       this.#charge(run, -1);
     }
     if (run.task.run === run) {
-      run.step.release(run.task, nowMs);
+      run.step.release(run.task);
     }
     const { job } = run.step;
     if (job.isRetirable()) {
--- a/packages/scheduler/src/caller_service_test.ts
+++ b/packages/scheduler/src/caller_service_test.ts
@@ -1,5 +1,4 @@
 import * as adapters from "@jackdawlink/adapters";
-import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
 import { err, ok } from "neverthrow";
@@ -37,19 +36,13 @@
   };
 }
 
-const DOCUMENTS: ports.scheduling.Documents = {
-  configKey: "config",
-  workerPrefix: "workers/",
-  wavePrefix: "waves/",
+const DOCUMENTS = testing.schedulingFixtures.documents({
   decodeConfig: (text) => ok(JSON.parse(text) as schema.scheduling.SchedulingConfig),
-  decodeWorker: () => err(new schema.errors.InvalidInputError("Not used")),
-  decodeWave: () => err(new schema.errors.InvalidInputError("Not used")),
   decodeSubmission: (text) =>
     text === "good"
       ? ok({ payload: "p", steps: [STEP] })
       : err(new schema.errors.InvalidInputError("The job is not valid")),
-  waveStateItem: () => ({ key: "", value: "" }),
-};
+});
 
 let store: testing.modelStore.ModelStore;
 let callers: CallerService;
--- a/packages/scheduler/src/job_store.ts
+++ b/packages/scheduler/src/job_store.ts
@@ -5,7 +5,6 @@
  */
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
-import { decodeRecord } from "./records.ts";
 import * as storeKeys from "./store_keys.ts";
 
 /** A transaction takes 32 entries; each job needs a condition and a put. */
@@ -95,7 +94,7 @@
       return { kind: "unreadable", reason: progress.error.message };
     }
     if (progress.value !== undefined) {
-      const decoded = decodeRecord(schema.scheduling.jobProgressSchema, progress.value.value);
+      const decoded = schema.fleet.parseRecord(schema.scheduling.jobProgressSchema, progress.value);
       return decoded.match<StoredState>(
         ({ state }) => ({ kind: "state", state }),
         (error) => ({ kind: "unreadable", reason: error.message }),
--- a/packages/scheduler/src/maintenance_model_test.ts
+++ b/packages/scheduler/src/maintenance_model_test.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { World } from "./test/model_world.ts";
+import { expect, test, vi } from "vitest";
+import { casesOf, type Trouble, useSimulatedTime, World } from "./test/model_world.ts";
 
 const WAVE = {
   wave: 1,
@@ -18,22 +18,13 @@
 const REST_MS = 20_000;
 const SEEDS = [11, 12, 13, 14];
 
-function killOwner(world: World): void {
-  const { owner } = world;
-  owner?.kill();
-  setTimeout(() => owner?.start(), 600);
-}
-
-const TROUBLES: readonly {
-  readonly name: string;
-  readonly trouble: (world: World, atMs: number) => void;
-}[] = [
+const TROUBLES: readonly { readonly name: string; readonly trouble: Trouble }[] = [
   { name: "no trouble", trouble: () => {} },
   {
     name: "the owner is killed twice",
     trouble: (world, atMs) => {
       if (atMs === 3_000 || atMs === 9_000) {
-        killOwner(world);
+        world.restartOwner();
       }
     },
   },
@@ -42,7 +33,7 @@
     trouble: (world, atMs) => {
       world.fleet.faults.lostShare = atMs > 1_000 && atMs < 8_000 ? 0.2 : 0;
       if (atMs === 4_000) {
-        killOwner(world);
+        world.restartOwner();
       }
     },
   },
@@ -50,9 +41,7 @@
     name: "the store turns the owner away for 5 s",
     trouble: (world, atMs) => {
       if (atMs === 3_000) {
-        const cut = world.owner?.name ?? "n1";
-        world.store.faults.cut.add(cut);
-        setTimeout(() => world.store.faults.cut.delete(cut), 5_000);
+        world.cutOwnerFromStore(5_000);
       }
     },
   },
@@ -60,28 +49,15 @@
     name: "all nodes are killed at once",
     trouble: (world, atMs) => {
       if (atMs === 5_000) {
-        world.nodes.forEach((node) => {
-          node.kill();
-          setTimeout(() => node.start(), 600);
-        });
+        world.restartAllNodes();
       }
     },
   },
 ];
 
-const CASES = TROUBLES.flatMap(({ name, trouble }) =>
-  SEEDS.map((seed) => ({ name, seed, trouble }))
-);
-
-beforeEach(() => {
-  vi.useFakeTimers({ now: 1_700_000_000_000 });
-});
-
-afterEach(() => {
-  vi.useRealTimers();
-});
+useSimulatedTime();
 
-test.each(CASES)(
+test.each(casesOf(TROUBLES, SEEDS))(
   "$name, seed $seed: each VM of a wave has its maintenance in time and within the bound",
   async ({ seed, trouble }) => {
     const world = new World(seed);
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -6,4 +6,3 @@
 export * as callerService from "./caller_service.ts";
 export * as metrics from "./metrics.ts";
 export * as node from "./node.ts";
-export * as ownerTerm from "./owner_term.ts";
--- a/packages/scheduler/src/node.ts
+++ b/packages/scheduler/src/node.ts
@@ -12,6 +12,7 @@
 import type { NodeMetrics } from "./metrics.ts";
 import { OwnerTerm } from "./owner_term.ts";
 import { Ownership, type TermStart } from "./ownership.ts";
+import { pause } from "./pause.ts";
 import { PeerLink, PeerServer } from "./peer_link.ts";
 
 /** Candidates for the ownership are spread over this time. */
@@ -71,7 +72,7 @@
       strength: policy.scheduling.candidacy.strengthOf(options.capacity),
       onStart: (start) => this.#startTerm(start),
       onProof: (askedAtMs) => this.#term?.mandate.noteStore(askedAtMs),
-      onEnd: (reason) => this.#endTerm(reason),
+      onEnd: () => this.#endTerm(),
     });
     this.#peers = new PeerLink(logs("peer"));
     this.#peerServer = new PeerServer(peerAddress, {
@@ -100,10 +101,7 @@
   async release(): Promise<void> {
     const term = this.#term;
     if (term !== undefined) {
-      await Promise.race([
-        term.flush(),
-        new Promise((resolve) => setTimeout(resolve, FLUSH_TIMEOUT_MS)),
-      ]);
+      await Promise.race([term.flush(), pause(FLUSH_TIMEOUT_MS)]);
     }
     await this.#ownership.release();
   }
@@ -111,7 +109,7 @@
   stop(): void {
     this.#configs.stop();
     this.#ownership.stop();
-    this.#endTerm("the process ends");
+    this.#endTerm();
     this.#peers.close();
     this.#peerServer.close();
   }
@@ -152,7 +150,7 @@
     void term.run();
   }
 
-  #endTerm(_reason: string): void {
+  #endTerm(): void {
     this.#pendingStart = undefined;
     this.#term?.stop();
     this.#term = undefined;
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -10,7 +10,6 @@
 import type { TermStart } from "./ownership.ts";
 import { pause } from "./pause.ts";
 import { type FollowerHandlers, PrefixFollower } from "./prefix_follower.ts";
-import { decodeRecord } from "./records.ts";
 import * as storeKeys from "./store_keys.ts";
 import { VmManager } from "./vm_manager.ts";
 import { WORKER_LEASE_MS, WorkerSession } from "./worker_session.ts";
@@ -227,7 +226,7 @@
       return;
     }
     this.#takeJob(intake.jobId, {
-      text: item.value,
+      item: { key: item.key, value: item.value },
       acceptedRevision: item.createdRevision,
       progressText: progress.get(storeKeys.progressKey(intake.jobId)),
     });
@@ -236,31 +235,34 @@
     }
   }
 
-  #takeJob(jobId: string, { text, acceptedRevision, progressText }: {
-    readonly text: string;
+  #takeJob(jobId: string, { item, acceptedRevision, progressText }: {
+    readonly item: { readonly key: string; readonly value: string };
     readonly acceptedRevision: number;
     readonly progressText: string | undefined;
   }): void {
-    const { log, clock } = this.#options;
+    const { clock } = this.#options;
     if (this.scheduler.knowsJob(jobId)) {
       return;
     }
-    const retired = decodeRecord(schema.scheduling.retiredJobSchema, text);
-    if (retired.isOk()) {
-      this.scheduler.retireJob(jobId, retired.value.finalState);
-      return;
+    const stored = schema.fleet.parseRecord(schema.scheduling.storedJobSchema, item);
+    if (stored.isErr()) {
+      return this.#logUnreadable(stored.error, acceptedRevision);
     }
-    const job = decodeRecord(schema.scheduling.jobSchema, text);
-    const progress = progressText === undefined
-      ? undefined
-      : decodeRecord(schema.scheduling.jobProgressSchema, progressText);
-    if (job.isErr() || progress?.isErr()) {
-      log.error("A stored job is not readable", { revision: acceptedRevision });
+    const job = stored.value;
+    if ("finalState" in job) {
+      this.scheduler.retireJob(jobId, job.finalState);
       return;
     }
+    const progress = progressText === undefined ? undefined : schema.fleet.parseRecord(
+      schema.scheduling.jobProgressSchema,
+      { key: storeKeys.progressKey(jobId), value: progressText },
+    );
+    if (progress?.isErr()) {
+      return this.#logUnreadable(progress.error, acceptedRevision);
+    }
     const nowMs = clock.nowMs();
-    const ageMs = this.#isLoaded ? 0 : Math.max(0, clock.wallMs() - job.value.acceptedUnixMs);
-    this.scheduler.putJob(job.value, {
+    const ageMs = this.#isLoaded ? 0 : Math.max(0, clock.wallMs() - job.acceptedUnixMs);
+    this.scheduler.putJob(job, {
       acceptedRevision,
       seenAtMs: nowMs - ageMs,
       progress: progress?.isOk() ? progress.value : undefined,
@@ -268,6 +270,13 @@
     this.#wake();
   }
 
+  #logUnreadable(error: Error, acceptedRevision: number): void {
+    this.#options.log.error("A stored job is not readable", {
+      revision: acceptedRevision,
+      reason: error.message,
+    });
+  }
+
   #takeWorker(key: string, value: string | undefined): void {
     const { documents, clock, log } = this.#options;
     const workerId = key.slice(documents.workerPrefix.length);
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -7,7 +7,6 @@
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import { pause, WakeUp } from "./pause.ts";
-import { decodeRecord } from "./records.ts";
 import { OWNER_KEY, TERM_KEY } from "./store_keys.ts";
 
 /** A dead owner is replaced after this time; a slow store still answers three renewals within it. */
@@ -27,8 +26,6 @@
   readonly term: number;
   /** True where an earlier owner may have left something running. */
   readonly hadOwner: boolean;
-  /** Whether the earlier owner has given the role up itself. */
-  readonly wasReleased: boolean;
 }
 
 export interface OwnershipOptions {
@@ -150,7 +147,7 @@
     }
     const decoded = value === undefined
       ? undefined
-      : decodeRecord(schema.scheduling.ownerRecordSchema, value);
+      : schema.fleet.parseRecord(schema.scheduling.ownerRecordSchema, { key: OWNER_KEY, value });
     if (decoded?.isErr()) {
       log.error("Owner record not understood", { revision, reason: decoded.error.message });
     }
@@ -214,7 +211,7 @@
     if (item.value === undefined) {
       return { record: undefined, revision: 0 };
     }
-    const record = decodeRecord(schema.scheduling.termRecordSchema, item.value.value);
+    const record = schema.fleet.parseRecord(schema.scheduling.termRecordSchema, item.value);
     if (record.isErr()) {
       log.error("Term record not understood", { reason: record.error.message });
       return undefined;
@@ -268,7 +265,6 @@
       fencingToken,
       term,
       hadOwner: term > 1,
-      wasReleased: before.record?.isHeld === false,
     });
   }
 
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -4,36 +4,27 @@
  *
  * @module
  */
-import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { expect, test, vi } from "vitest";
 import * as storeKeys from "./store_keys.ts";
-import { World } from "./test/model_world.ts";
+import { casesOf, type Trouble, useSimulatedTime, World } from "./test/model_world.ts";
 
 const TRAFFIC_MS = 12_000;
 const REST_MS = 30_000;
 const SEEDS = [1, 2, 3, 4];
 
-/** What goes wrong, by the time since the start of traffic. */
-type Trouble = (world: World, atMs: number) => void;
-
 const STEP_MS = 250;
 
 function at(time: number, atMs: number): boolean {
   return atMs >= time && atMs < time + STEP_MS;
 }
 
-function killOwner(world: World, downMs: number): void {
-  const { owner } = world;
-  owner?.kill();
-  setTimeout(() => owner?.start(), downMs);
-}
-
 const TROUBLES: readonly { readonly name: string; readonly trouble: Trouble }[] = [
   { name: "no trouble", trouble: () => {} },
   {
     name: "the owner is killed three times",
     trouble: (world, atMs) => {
       if (at(2_000, atMs) || at(6_000, atMs) || at(9_000, atMs)) {
-        killOwner(world, 600);
+        world.restartOwner();
       }
     },
   },
@@ -43,7 +34,7 @@
       world.fleet.faults.lostShare = atMs < TRAFFIC_MS ? 0.05 : 0;
       world.fleet.faults.lateShare = atMs < TRAFFIC_MS ? 0.05 : 0;
       if (at(4_000, atMs) || at(8_000, atMs)) {
-        killOwner(world, 600);
+        world.restartOwner();
       }
     },
   },
@@ -51,9 +42,7 @@
     name: "the store turns the owner away for 6 s, twice",
     trouble: (world, atMs) => {
       if (at(2_000, atMs) || at(9_000, atMs)) {
-        const cut = world.owner?.name ?? "n1";
-        world.store.faults.cut.add(cut);
-        setTimeout(() => world.store.faults.cut.delete(cut), 6_000);
+        world.cutOwnerFromStore(6_000);
       }
     },
   },
@@ -64,7 +53,7 @@
         world.store.faults.cut.add("all");
       } else if (at(8_000, atMs)) {
         world.store.faults.cut.clear();
-        killOwner(world, 600);
+        world.restartOwner();
       }
     },
   },
@@ -74,7 +63,7 @@
       world.store.faults.lostShare = atMs > 1_000 && atMs < TRAFFIC_MS ? 0.3 : 0;
       world.store.faults.isLate = true;
       if (at(5_000, atMs)) {
-        killOwner(world, 600);
+        world.restartOwner();
       }
     },
   },
@@ -85,7 +74,7 @@
         world.fleet.crash(`vm-${(atMs / 2_000) % 6}`, 3_000);
       }
       if (at(5_250, atMs)) {
-        killOwner(world, 600);
+        world.restartOwner();
       }
     },
   },
@@ -95,7 +84,7 @@
       if (at(3_000, atMs)) {
         const worker = world.fleet.workerOf("vm-0") ?? world.fleet.workerOf("vm-3");
         world.fleet.faults.cut.add(`*>${worker}`);
-        killOwner(world, 600);
+        world.restartOwner();
         setTimeout(() => world.fleet.faults.cut.clear(), 9_000);
       }
     },
@@ -104,10 +93,7 @@
     name: "all nodes are killed at once",
     trouble: (world, atMs) => {
       if (at(6_000, atMs)) {
-        world.nodes.forEach((node) => {
-          node.kill();
-          setTimeout(() => node.start(), 600);
-        });
+        world.restartAllNodes();
       }
     },
   },
@@ -122,19 +108,9 @@
   },
 ];
 
-const CASES = TROUBLES.flatMap(({ name, trouble }) =>
-  SEEDS.map((seed) => ({ name, seed, trouble }))
-);
-
-beforeEach(() => {
-  vi.useFakeTimers({ now: 1_700_000_000_000 });
-});
-
-afterEach(() => {
-  vi.useRealTimers();
-});
+useSimulatedTime();
 
-test.each(CASES)(
+test.each(casesOf(TROUBLES, SEEDS))(
   "$name, seed $seed: every promise holds and all jobs end",
   async ({ seed, trouble }) => {
     const world = new World(seed);
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -6,10 +6,10 @@
  */
 import * as adapters from "@jackdawlink/adapters";
 import * as policy from "@jackdawlink/policy";
-import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
-import { err, ok } from "neverthrow";
+import { ok } from "neverthrow";
+import { afterEach, beforeEach, vi } from "vitest";
 import { JobStore } from "../job_store.ts";
 import { OwnerTerm } from "../owner_term.ts";
 import { Ownership } from "../ownership.ts";
@@ -18,6 +18,7 @@
 const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
 const MAX_ATTEMPTS = 3;
 const CANCEL_RETRY_MS = 250;
+const RESTART_MS = 600;
 
 const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
 const SILENT = adapters.log.SILENT_LOG;
@@ -42,16 +43,11 @@
   }],
 };
 
-const DOCUMENTS: ports.scheduling.Documents = {
-  configKey: "config",
-  workerPrefix: "workers/",
-  wavePrefix: "waves/",
+const DOCUMENTS = testing.schedulingFixtures.documents({
   decodeConfig: () => ok(CONFIG),
   decodeWorker: (_key, text) => ok(JSON.parse(text) as schema.scheduling.WorkerInfo),
   decodeWave: (text) => ok(JSON.parse(text) as schema.scheduling.MaintenanceWave),
-  decodeSubmission: () => err(new schema.errors.InvalidInputError("Not used")),
-  waveStateItem: (wave, state) => ({ key: `wave-states/${wave}`, value: state }),
-};
+});
 
 /** One process: follows the ownership, and schedules while it owns. */
 export class ModelNode {
@@ -231,12 +227,33 @@
   /** A submitter repeats a cancellation until it is acknowledged; nothing is promised before. */
   async cancel(jobId: string): Promise<void> {
     while (!await this.#jobs.cancel(jobId)) {
-      await new Promise((resolve) => setTimeout(resolve, CANCEL_RETRY_MS));
+      await testing.waitFor.pause(CANCEL_RETRY_MS);
     }
     this.witness.cancelled(jobId);
     this.owner?.term?.cancelJob(jobId);
   }
 
+  /** Ends the owner's process; it starts again after a while. */
+  restartOwner(): void {
+    const { owner } = this;
+    owner?.kill();
+    setTimeout(() => owner?.start(), RESTART_MS);
+  }
+
+  restartAllNodes(): void {
+    this.nodes.forEach((node) => {
+      node.kill();
+      setTimeout(() => node.start(), RESTART_MS);
+    });
+  }
+
+  /** The store refuses the owner's calls for a time. */
+  cutOwnerFromStore(durationMs: number): void {
+    const cut = this.owner?.name ?? "n1";
+    this.store.faults.cut.add(cut);
+    setTimeout(() => this.store.faults.cut.delete(cut), durationMs);
+  }
+
   /** Asks for maintenance of VMs, as an operator does. */
   startWave(wave: schema.scheduling.MaintenanceWave): void {
     this.store.write(`${DOCUMENTS.wavePrefix}${wave.wave}`, JSON.stringify(wave));
@@ -260,3 +277,24 @@
     return this.#specs.get(place.jobId)!.steps[place.step]!;
   }
 }
+
+/** What goes wrong, by the time since the start of traffic. */
+export type Trouble = (world: World, atMs: number) => void;
+
+/** Each trouble with each seed. */
+export function casesOf<T extends { readonly name: string; readonly trouble: Trouble }>(
+  troubles: readonly T[],
+  seeds: readonly number[],
+): (T & { readonly seed: number })[] {
+  return troubles.flatMap((trouble) => seeds.map((seed) => ({ ...trouble, seed })));
+}
+
+/** Replaces time in each test of a file. */
+export function useSimulatedTime(): void {
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 1_700_000_000_000 });
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+}
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -143,7 +143,7 @@
     }
     this.#wavesReadAtMs = clock.nowMs();
     const doneByWave = new Map(
-      done.value.items.map((item) => [item.key, decodeWaveDone(item.value)]),
+      done.value.items.map((item) => [item.key, decodeWaveDone(item)]),
     );
     for (const item of waves.value.items) {
       const wave = documents.decodeWave(item.value);
@@ -160,10 +160,7 @@
     const standby = new Set(
       this.#config?.pools.filter(({ isStandby }) => isStandby).map(({ name }) => name),
     );
-    const workers = new Map<string, WorkerRecord>();
-    for (const worker of this.#options.scheduler.workers.values()) {
-      workers.set(worker.info.workerId, worker);
-    }
+    const { workers } = this.#options.scheduler;
     return listed.map((vm) => {
       const target = this.#moving.get(vm.vm);
       if (target === vm.pool && vm.state === "up") {
@@ -200,9 +197,9 @@
     const nowMs = this.#options.clock.nowMs();
     const emptied = new Set<string>();
     const maintained = new Set<string>();
+    const byVm = new Map(views.map((view) => [view.vm, view]));
     for (const state of this.#waves.active()) {
       const plan = policy.scheduling.wavePlan.planWave(state, { vms: views, wanted, nowMs });
-      const byVm = new Map(views.map((view) => [view.vm, view]));
       for (const vm of plan.maintain) {
         maintained.add(vm);
         void this.#maintain(byVm.get(vm)!, state.wave.wave);
--- a/packages/scheduler/src/wave_book.ts
+++ b/packages/scheduler/src/wave_book.ts
@@ -5,9 +5,8 @@
  */
 import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
-import type * as schema from "@jackdawlink/schema";
+import * as schema from "@jackdawlink/schema";
 import * as v from "valibot";
-import { decodeRecord } from "./records.ts";
 import * as storeKeys from "./store_keys.ts";
 
 type VmView = policy.scheduling.vmView.VmView;
@@ -18,8 +17,10 @@
 const doneSchema = v.object({ doneVms: v.array(v.string()) });
 
 /** The VMs that are done with a wave; an unreadable record counts as none, and orders are harmless twice. */
-export function decodeWaveDone(text: string): readonly string[] {
-  return decodeRecord(doneSchema, text).match(({ doneVms }) => doneVms, () => []);
+export function decodeWaveDone(
+  stored: { readonly key: string; readonly value: string },
+): readonly string[] {
+  return schema.fleet.parseRecord(doneSchema, stored).match(({ doneVms }) => doneVms, () => []);
 }
 
 interface WaveRecord {
--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -77,6 +77,8 @@
   finalState: jobStateSchema,
 });
 
+export const storedJobSchema = v.union([retiredJobSchema, jobSchema]);
+
 /** What is known for good of one step of one occurrence. */
 export const stepProgressSchema = v.object({
   occurrence: countSchema,
--- a/packages/testing/src/scheduling_model/fixtures.ts
+++ b/packages/testing/src/scheduling_model/fixtures.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
-import type * as schema from "@jackdawlink/schema";
+import * as schema from "@jackdawlink/schema";
+import { err } from "neverthrow";
 
 /** Time as `Date` and timers tell it, which tests replace. */
 export const TIMER_CLOCK: ports.clock.Clock = {
@@ -52,3 +53,21 @@
     ...given,
   };
 }
+
+/** Documents of a store; those that a test has no use for are refused. */
+export function documents(
+  given: Partial<ports.scheduling.Documents>,
+): ports.scheduling.Documents {
+  const refuse = () => err(new schema.errors.InvalidInputError("Not used"));
+  return {
+    configKey: "config",
+    workerPrefix: "workers/",
+    wavePrefix: "waves/",
+    decodeConfig: refuse,
+    decodeWorker: refuse,
+    decodeWave: refuse,
+    decodeSubmission: refuse,
+    waveStateItem: (wave, state) => ({ key: `wave-states/${wave}`, value: state }),
+    ...given,
+  };
+}
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -8,6 +8,7 @@
 import type * as schema from "@jackdawlink/schema";
 import { ok } from "neverthrow";
 import type { SeededRandom } from "../seeded_random.ts";
+import { pause } from "../wait_for.ts";
 import type { ModelStore } from "./model_store.ts";
 import type { RunWitness } from "./run_witness.ts";
 
@@ -149,7 +150,7 @@
       },
       vms: {
         list: async () => {
-          await sleep(LATENCY_MS);
+          await pause(LATENCY_MS);
           return ok(this.#list());
         },
         move: (vm, pool, holder) =>
@@ -180,7 +181,7 @@
     },
     run: (record: ModelVm) => VmOrderOutcome,
   ): Promise<VmOrderOutcome> {
-    await sleep(LATENCY_MS);
+    await pause(LATENCY_MS);
     const record = this.#vms.get(vm)!;
     if (holder.fencingToken < record.fencingToken) {
       return { kind: "fenced" };
@@ -282,7 +283,7 @@
     run: (worker: ModelWorker) => OrderOutcome,
   ): Promise<OrderOutcome> {
     const { random } = this.#options;
-    await sleep(LATENCY_MS);
+    await pause(LATENCY_MS);
     const worker = this.#reach(from.node, address);
     if (worker === undefined || !from.isAlive()) {
       return this.#noAnswer(from);
@@ -305,7 +306,7 @@
   async #noAnswer(
     from: { isAlive: () => boolean },
   ): Promise<{ readonly kind: "unknown"; readonly reason: string }> {
-    await sleep(ORDER_TIMEOUT_MS);
+    await pause(ORDER_TIMEOUT_MS);
     return from.isAlive() ? { kind: "unknown", reason: "no answer" } : new Promise(() => {});
   }
 
@@ -314,7 +315,7 @@
     { address }: ports.scheduling.WorkerAddress,
     order: Parameters<ports.scheduling.WorkerClient["hold"]>[1],
   ): ReturnType<ports.scheduling.WorkerClient["hold"]> {
-    await sleep(LATENCY_MS);
+    await pause(LATENCY_MS);
     const worker = this.#reach(from.node, address);
     const unknown = { kind: "unknown", reason: "no answer" } as const;
     if (worker === undefined || !from.isAlive()) {
@@ -329,10 +330,10 @@
     if (order.waitMs > 0 && worker.ends.length === 0) {
       await Promise.race([
         new Promise<void>((resolve) => worker.waiting.add(resolve)),
-        sleep(order.waitMs),
+        pause(order.waitMs),
       ]);
     }
-    await sleep(LATENCY_MS);
+    await pause(LATENCY_MS);
     if (this.#reach(from.node, address) === undefined || !from.isAlive()) {
       await this.#noAnswer(from);
       return unknown;
@@ -460,7 +461,3 @@
     ends: [...worker.ends],
   };
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/testing/src/scheduling_model/model_store.ts
+++ b/packages/testing/src/scheduling_model/model_store.ts
@@ -8,6 +8,7 @@
 import * as schema from "@jackdawlink/schema";
 import { err, ok, type Result } from "neverthrow";
 import type { SeededRandom } from "../seeded_random.ts";
+import { pause } from "../wait_for.ts";
 
 type JackdawlinkError = schema.errors.JackdawlinkError;
 type Answer<T> = Promise<Result<T, JackdawlinkError>>;
@@ -90,9 +91,9 @@
     { node, isAlive, isWrite }: { node: string; isAlive: () => boolean; isWrite: boolean },
     run: () => T,
   ): Answer<T> {
-    await sleep(LATENCY_MS / 2);
+    await pause(LATENCY_MS / 2);
     if (this.#isCut(node)) {
-      await sleep(LATENCY_MS / 2);
+      await pause(LATENCY_MS / 2);
       return err(new ModelRefusalError("The store refused the call"));
     }
     const isLost = isWrite && this.#random.chance(this.faults.lostShare);
@@ -101,11 +102,11 @@
     } else {
       const value = run();
       if (!isLost) {
-        await sleep(LATENCY_MS / 2);
+        await pause(LATENCY_MS / 2);
         return isAlive() ? ok(value) : never();
       }
     }
-    await sleep(CLIENT_TIMEOUT_MS);
+    await pause(CLIENT_TIMEOUT_MS);
     return isAlive()
       ? err(new schema.errors.StoreUnavailableError("The store did not answer"))
       : never();
@@ -117,7 +118,7 @@
   ): Answer<ports.scheduling.WatchAnswer> {
     const untilMs = Date.now() + waitMs;
     for (;;) {
-      await sleep(LATENCY_MS / 2);
+      await pause(LATENCY_MS / 2);
       if (!isAlive()) {
         return never();
       }
@@ -134,7 +135,7 @@
       if (changes.length > 0 || Date.now() >= untilMs) {
         return ok({ kind: "changes", changes, asOfRevision: this.#revision });
       }
-      await Promise.race([this.#changed(), sleep(Math.min(50, untilMs - Date.now()))]);
+      await Promise.race([this.#changed(), pause(Math.min(50, untilMs - Date.now()))]);
     }
   }
 
@@ -232,10 +233,6 @@
   }
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 /** The answer to a process that has ended. */
 function never<T>(): Promise<T> {
   return new Promise(() => {});
--- a/packages/testing/src/wait_for.ts
+++ b/packages/testing/src/wait_for.ts
@@ -40,6 +40,7 @@
   throw new ConditionTimeoutError(`No ${description} within ${limitMs} ms`, { cause: lastError });
 }
 
-function pause(durationMs: number): Promise<void> {
+/** Resolves after a delay. */
+export function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
