--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -5,6 +5,7 @@
  */
 export * as candidacy from "./candidacy.ts";
 export * as demandTrend from "./demand_trend.ts";
+export * as endProgress from "./end_progress.ts";
 export * as evacuation from "./evacuation.ts";
 export * as jobRecord from "./job_record.ts";
 export * as mandate from "./mandate.ts";
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -170,7 +170,7 @@
 
   test("a VM with ends that are not stored yet does not move", () => {
     const view = rested("1");
-    view.worker!.processedEnd = 3;
+    view.worker!.ends.processed = 3;
     const vms = [view, rested("2"), rested("3")];
     const moves = planMoves([demand("a", 0), demand("spare", 0, true)], { vms, ...none });
     expect(moves.map(({ vm }) => vm)).toEqual(["2"]);
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -251,14 +251,15 @@
   }): void {
     worker.setClock(report.workerClockMs, at.receivedAtMs);
     const unknownRuns = new Set<string>();
+    worker.ends.noteListed(report.ends.at(-1)?.endNumber ?? 0, at.receivedAtMs);
     for (const end of report.ends) {
       if (this.#find(end.task) === undefined && !this.#isOfRetiredJob(end.task)) {
         // The job will come to be known; its end must not be acknowledged before.
         unknownRuns.add(end.task);
         break;
       }
-      if (end.endNumber > worker.processedEnd) {
-        worker.processedEnd = end.endNumber;
+      if (end.endNumber > worker.ends.processed) {
+        worker.ends.processed = end.endNumber;
         this.#takeEnd(worker, end, at.receivedAtMs);
       }
     }
@@ -368,6 +369,10 @@
     return jobs;
   }
 
+  get dirtyJobCount(): number {
+    return this.#dirty.size;
+  }
+
   /** To be stored again, after a failed write. */
   markDirty(job: JobRecord): void {
     this.#dirty.add(job);
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -34,7 +34,7 @@
     fixtures.emptyReport({
       ends: ends.map((end, index) => ({
         ...end,
-        endNumber: worker.processedEnd + index + 1,
+        endNumber: worker.ends.processed + index + 1,
         checkpoint: "",
       })),
     }),
@@ -128,7 +128,7 @@
 test("an end of a job that isn't known yet is not acknowledged", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
-  expect(scheduler.workers.get("w1")!.processedEnd).toBe(0);
+  expect(scheduler.workers.get("w1")!.ends.processed).toBe(0);
 });
 
 function listedVm(
@@ -304,7 +304,7 @@
     sentAtMs: 10_000,
     receivedAtMs: 10_001,
   });
-  expect([worker.processedEnd, worker.unknownRuns.size]).toEqual([1, 0]);
+  expect([worker.ends.processed, worker.unknownRuns.size]).toEqual([1, 0]);
 });
 
 test("a run of a retired job is stopped by its name, and its worker gets nothing meanwhile", () => {
--- a/packages/policy/src/scheduling/vm_view.ts
+++ b/packages/policy/src/scheduling/vm_view.ts
@@ -28,5 +28,5 @@
 
 function isWorkerIdle(worker: WorkerRecord): boolean {
   return worker.hasReported && worker.runs.size === 0 && worker.unknownRuns.size === 0 &&
-    worker.storedEnd >= worker.processedEnd;
+    worker.ends.stored >= worker.ends.processed;
 }
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { EndProgress } from "./end_progress.ts";
 import { type Run, runKey } from "./job_record.ts";
 import type * as schema from "@jackdawlink/schema";
 import * as resources from "./resources.ts";
@@ -41,10 +42,7 @@
   readonly #failedJobs = new Set<string>();
   #quarantinedUntilMs = 0;
   idleSinceMs = 0;
-  /** The last end that was taken into account. */
-  processedEnd = 0;
-  /** The last end whose effect is stored. Later ones would be lost with the worker. */
-  storedEnd = 0;
+  readonly ends = new EndProgress();
 
   /** When the worker came to be known. */
   readonly knownSinceMs: number;
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -8,6 +8,7 @@
 import type * as schema from "@jackdawlink/schema";
 import { pause, WakeUp } from "./pause.ts";
 import * as storeKeys from "./store_keys.ts";
+import type { TermStatistics } from "./term_statistics.ts";
 
 type JobRecord = policy.scheduling.jobRecord.JobRecord;
 
@@ -20,7 +21,9 @@
 export interface JournalOptions {
   readonly scheduler: policy.scheduling.scheduler.Scheduler;
   readonly store: ports.scheduling.SchedulingStore;
+  readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
+  readonly statistics: TermStatistics;
   readonly fencingToken: number;
   /** What the ends of all workers up to now are; called before a write. */
   readonly snapshotEnds: () => () => void;
@@ -83,7 +86,8 @@
   }
 
   async #write(jobs: readonly JobRecord[]): Promise<boolean> {
-    const { scheduler, store, log, fencingToken } = this.#options;
+    const { scheduler, store, clock, log, statistics, fencingToken } = this.#options;
+    const startedAtMs = clock.nowMs();
     const written = jobs.map((job) => ({ job, state: job.state, isLast: job.isRetirable() }));
     const answer = await store.transact({
       conditions: [
@@ -96,8 +100,11 @@
       ],
       removes: [],
     });
+    const tookMs = Math.round(clock.nowMs() - startedAtMs);
+    statistics.noteJournalWrite(tookMs);
     if (answer.isErr()) {
-      log.info("Progress not stored", { jobs: jobs.length, reason: answer.error.message });
+      const reason = answer.error.message;
+      log.info("Progress not stored", { jobs: jobs.length, tookMs, reason });
       return false;
     }
     if (answer.value.kind !== "done") {
--- a/packages/scheduler/src/metrics.ts
+++ b/packages/scheduler/src/metrics.ts
@@ -35,6 +35,40 @@
     help: "Log lines left out because too many came at once",
     registers: [this.#registry],
   });
+  readonly ends = new prom.Gauge({
+    name: "jackdawlink_task_ends",
+    help: "Ends of tasks that workers list, by the stage that they have not come to",
+    labelNames: ["stage"],
+    registers: [this.#registry],
+  });
+  readonly oldestEndSeconds = new prom.Gauge({
+    name: "jackdawlink_oldest_task_end_seconds",
+    help: "How long the oldest end that is not acknowledged has been listed",
+    registers: [this.#registry],
+  });
+  readonly endAcknowledgementSeconds = new prom.Histogram({
+    name: "jackdawlink_task_end_acknowledgement_seconds",
+    help: "Time from the report that lists ends to their acknowledgement",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly jobsToStore = new prom.Gauge({
+    name: "jackdawlink_journal_jobs",
+    help: "Jobs whose progress is to be stored",
+    registers: [this.#registry],
+  });
+  readonly journalWriteSeconds = new prom.Histogram({
+    name: "jackdawlink_journal_write_seconds",
+    help: "Time of one transaction of the journal",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly decisionSeconds = new prom.Histogram({
+    name: "jackdawlink_decision_seconds",
+    help: "Time of one round of decisions",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
   readonly isOwner = new prom.Gauge({
     name: "jackdawlink_owner",
     help: "1 while this node owns the scheduling",
--- a/packages/scheduler/src/node.ts
+++ b/packages/scheduler/src/node.ts
@@ -141,6 +141,7 @@
       advice,
       clock,
       log: logs("scheduler"),
+      metrics,
       config,
       onFenced: (reason) => this.#ownership.resign(reason),
     });
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -7,10 +7,12 @@
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import { Journal } from "./journal.ts";
+import type { NodeMetrics } from "./metrics.ts";
 import type { TermStart } from "./ownership.ts";
 import { pause } from "./pause.ts";
 import { type FollowerHandlers, PrefixFollower } from "./prefix_follower.ts";
 import * as storeKeys from "./store_keys.ts";
+import { TermStatistics } from "./term_statistics.ts";
 import { VmManager } from "./vm_manager.ts";
 import { WORKER_LEASE_MS, WorkerSession } from "./worker_session.ts";
 
@@ -37,6 +39,7 @@
   readonly advice: ports.scheduling.AdviceClient | undefined;
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
+  readonly metrics: NodeMetrics;
   readonly config: schema.scheduling.SchedulingConfig;
   /** Another owner has been noticed. */
   readonly onFenced: (reason: string) => void;
@@ -47,6 +50,7 @@
   readonly scheduler: Scheduler;
   readonly mandate = new policy.scheduling.mandate.Mandate();
   readonly #options: OwnerTermOptions;
+  readonly #statistics: TermStatistics;
   readonly #journal: Journal;
   readonly #sessions = new Map<string, WorkerSession>();
   readonly #vmManager: VmManager;
@@ -74,10 +78,18 @@
       log,
     });
     this.scheduler.setConfig(options.config);
+    this.#statistics = new TermStatistics({
+      scheduler: this.scheduler,
+      clock,
+      log,
+      metrics: options.metrics,
+    });
     this.#journal = new Journal({
       scheduler: this.scheduler,
       store,
+      clock,
       log,
+      statistics: this.#statistics,
       fencingToken: start.fencingToken,
       snapshotEnds: () => this.#snapshotEnds(),
       onConflict: () => options.onFenced("the owner's record has changed"),
@@ -130,6 +142,7 @@
     }
     while (!this.#isStopped) {
       this.#wake();
+      this.#statistics.tick();
       await pause(TICK_MS);
     }
   }
@@ -339,6 +352,7 @@
       client: workers,
       clock,
       log,
+      statistics: this.#statistics,
       fencingToken: start.fencingToken,
       mayOrder: () => this.#mayOrder(),
       needsProof: () => !this.mandate.isStoreProven(clock.nowMs() + RETRY_INTERVAL_MS),
@@ -352,7 +366,7 @@
 
   #snapshotEnds(): () => void {
     const ends = [...this.#sessions.values()].map((session) =>
-      [session, session.worker.processedEnd] as const
+      [session, session.worker.ends.processed] as const
     );
     return () => ends.forEach(([session, end]) => session.noteStoredEnd(end));
   }
@@ -371,6 +385,7 @@
       const startedAtMs = this.#options.clock.nowMs();
       this.#decide();
       const endedAtMs = this.#options.clock.nowMs();
+      this.#statistics.noteDecision(endedAtMs - startedAtMs);
       this.#nextDecisionAtMs = endedAtMs + Math.min(endedAtMs - startedAtMs, MAX_DECISION_GAP_MS);
     };
     const waitMs = this.#nextDecisionAtMs - this.#options.clock.nowMs();
--- /dev/null
+++ b/packages/scheduler/src/term_statistics.ts
@@ -0,0 +1,117 @@
+/**
+ * What an owner has to catch up with: ends of tasks on their way to their acknowledgement, jobs to be
+ * stored, and the time that decisions take. One log line a second, and metrics.
+ *
+ * @module
+ */
+import type * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import type { NodeMetrics } from "./metrics.ts";
+
+const LOG_INTERVAL_MS = 1_000;
+
+export interface TermStatisticsOptions {
+  readonly scheduler: policy.scheduling.scheduler.Scheduler;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly metrics: NodeMetrics;
+}
+
+/** Ends that have come to one stage and not to the next, over all workers. */
+interface EndBacklog {
+  unprocessed: number;
+  unstored: number;
+  unacknowledged: number;
+  workersBehind: number;
+  oldestWaitMs: number;
+}
+
+/** Counts within an interval, and reports what has gathered. */
+export class TermStatistics {
+  readonly #options: TermStatisticsOptions;
+  #loggedAtMs: number;
+  #decisionCount = 0;
+  #decisionMs = 0;
+  #writeCount = 0;
+  #longestWriteMs = 0;
+  #reportCount = 0;
+
+  constructor(options: TermStatisticsOptions) {
+    this.#options = options;
+    this.#loggedAtMs = options.clock.nowMs();
+  }
+
+  noteDecision(tookMs: number): void {
+    this.#decisionCount++;
+    this.#decisionMs += tookMs;
+    this.#options.metrics.decisionSeconds.observe(tookMs / 1_000);
+  }
+
+  noteJournalWrite(tookMs: number): void {
+    this.#writeCount++;
+    this.#longestWriteMs = Math.max(this.#longestWriteMs, tookMs);
+    this.#options.metrics.journalWriteSeconds.observe(tookMs / 1_000);
+  }
+
+  noteReport(acknowledgedWaitsMs: readonly number[]): void {
+    this.#reportCount++;
+    acknowledgedWaitsMs.forEach((waitMs) =>
+      this.#options.metrics.endAcknowledgementSeconds.observe(waitMs / 1_000)
+    );
+  }
+
+  /** Called often; reports once an interval. A large `intervalMs` says that the process had no time. */
+  tick(): void {
+    const { clock, log, metrics, scheduler } = this.#options;
+    const nowMs = clock.nowMs();
+    const intervalMs = nowMs - this.#loggedAtMs;
+    if (intervalMs < LOG_INTERVAL_MS) {
+      return;
+    }
+    this.#loggedAtMs = nowMs;
+    const backlog = this.#endBacklog(nowMs);
+    metrics.ends.set({ stage: "unprocessed" }, backlog.unprocessed);
+    metrics.ends.set({ stage: "unstored" }, backlog.unstored);
+    metrics.ends.set({ stage: "unacknowledged" }, backlog.unacknowledged);
+    metrics.oldestEndSeconds.set(backlog.oldestWaitMs / 1_000);
+    metrics.jobsToStore.set(scheduler.dirtyJobCount);
+    log.info("Backlog", {
+      endsUnprocessed: backlog.unprocessed,
+      endsUnstored: backlog.unstored,
+      endsUnacknowledged: backlog.unacknowledged,
+      workersBehind: backlog.workersBehind,
+      oldestEndMs: Math.round(backlog.oldestWaitMs),
+      activeJobs: scheduler.activeJobs.size,
+      jobsToStore: scheduler.dirtyJobCount,
+      journalWrites: this.#writeCount,
+      longestWriteMs: Math.round(this.#longestWriteMs),
+      reports: this.#reportCount,
+      decisions: this.#decisionCount,
+      decisionMs: Math.round(this.#decisionMs),
+      intervalMs: Math.round(intervalMs),
+    });
+    this.#decisionCount = 0;
+    this.#decisionMs = 0;
+    this.#writeCount = 0;
+    this.#longestWriteMs = 0;
+    this.#reportCount = 0;
+  }
+
+  #endBacklog(nowMs: number): EndBacklog {
+    const sum: EndBacklog = {
+      unprocessed: 0,
+      unstored: 0,
+      unacknowledged: 0,
+      workersBehind: 0,
+      oldestWaitMs: 0,
+    };
+    for (const { ends } of this.#options.scheduler.workers.values()) {
+      sum.unprocessed += ends.listed - ends.processed;
+      sum.unstored += ends.processed - ends.stored;
+      sum.unacknowledged += ends.stored - ends.acknowledged;
+      sum.workersBehind += ends.listed > ends.acknowledged ? 1 : 0;
+      sum.oldestWaitMs = Math.max(sum.oldestWaitMs, ends.oldestWaitMs(nowMs));
+    }
+    return sum;
+  }
+}
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -11,6 +11,7 @@
 import { ok } from "neverthrow";
 import { afterEach, beforeEach, vi } from "vitest";
 import { JobStore } from "../job_store.ts";
+import { NodeMetrics } from "../metrics.ts";
 import { OwnerTerm } from "../owner_term.ts";
 import { Ownership } from "../ownership.ts";
 import * as storeKeys from "../store_keys.ts";
@@ -96,6 +97,7 @@
           advice: undefined,
           clock: CLOCK,
           log: SILENT,
+          metrics: new NodeMetrics(),
           config: CONFIG,
           onFenced: (reason) => ownership.resign(reason),
         });
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -8,6 +8,7 @@
 import type * as schema from "@jackdawlink/schema";
 import { OrderGate } from "./order_gate.ts";
 import { pause, WakeUp } from "./pause.ts";
+import type { TermStatistics } from "./term_statistics.ts";
 
 type Run = policy.scheduling.jobRecord.Run;
 type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
@@ -31,6 +32,7 @@
   readonly client: ports.scheduling.WorkerClient;
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
+  readonly statistics: TermStatistics;
   readonly fencingToken: number;
   readonly mayOrder: () => boolean;
   /** True while the store does not prove the ownership. */
@@ -48,7 +50,6 @@
   readonly #wakeUp = new WakeUp();
   readonly #gate = new OrderGate();
   #isStopped = false;
-  #acknowledgedEnd = 0;
   #isAnswering = true;
   #askedAtMs = 0;
 
@@ -62,8 +63,8 @@
 
   /** All ends up to this one are stored. */
   noteStoredEnd(endNumber: number): void {
-    if (endNumber > this.worker.storedEnd) {
-      this.worker.storedEnd = endNumber;
+    if (endNumber > this.worker.ends.stored) {
+      this.worker.ends.stored = endNumber;
       this.#wakeUp.wake();
     }
   }
@@ -197,7 +198,7 @@
   #needsReport(): boolean {
     const { worker, clock, needsProof } = this.#options;
     return !worker.hasReported || worker.runs.size > 0 || worker.unknownRuns.size > 0 ||
-      worker.storedEnd > this.#acknowledgedEnd ||
+      worker.ends.stored > worker.ends.acknowledged ||
       (needsProof() && clock.nowMs() - this.#askedAtMs >= PROOF_INTERVAL_MS);
   }
 
@@ -207,7 +208,7 @@
     this.#askedAtMs = askedAtMs;
     // A worker that does not answer must not get longer leases, or its tasks would never count as over.
     const renews = this.#isAnswering && worker.hasClock && mayOrder();
-    const acknowledgedEnd = worker.storedEnd;
+    const acknowledgedEnd = worker.ends.stored;
     const answer = await client.hold(this.#address(), {
       fencingToken,
       acknowledgedEnd,
@@ -225,11 +226,11 @@
       this.#endLife();
       return false;
     }
-    this.#acknowledgedEnd = Math.max(this.#acknowledgedEnd, acknowledgedEnd);
-    scheduler.report(worker, answer.report, {
-      sentAtMs: askedAtMs,
-      receivedAtMs: clock.nowMs(),
-    });
+    const receivedAtMs = clock.nowMs();
+    scheduler.report(worker, answer.report, { sentAtMs: askedAtMs, receivedAtMs });
+    this.#options.statistics.noteReport(
+      worker.ends.noteAcknowledged(acknowledgedEnd, receivedAtMs),
+    );
     this.#options.onChange();
     return true;
   }
