Confirm ends once the jobs ahead of them are stored, not once all jobs are

A write takes 14 jobs; where more change within the time of one write, that moment does not come. Class: progress that waits for a busy system to come to rest.

Jobs are stored in the order in which they changed, so the ends known at a write wait for the jobs ahead of them alone. A flush at a handover no longer waits for changes that come after it.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -362,9 +362,17 @@
     return this.#orders.splice(0);
   }
 
-  /** The jobs whose progress is to be stored, and none of them twice. */
-  takeDirtyJobs(most: number): JobRecord[] {
-    const jobs = [...this.#dirty].slice(0, most);
+  /** The jobs whose progress is to be stored, in the order of their first change, within a total cost. */
+  takeDirtyJobs(maxCost: number, costOf: (job: JobRecord) => number): JobRecord[] {
+    const jobs: JobRecord[] = [];
+    let cost = 0;
+    for (const job of this.#dirty) {
+      cost += costOf(job);
+      if (cost > maxCost) {
+        break;
+      }
+      jobs.push(job);
+    }
     jobs.forEach((job) => this.#dirty.delete(job));
     return jobs;
   }
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -12,8 +12,8 @@
 
 type JobRecord = policy.scheduling.jobRecord.JobRecord;
 
-/** A transaction takes 32 entries: the conditions, the journal's own item, and up to two for each job. */
-const MAX_JOBS_PER_TRANSACTION = 14;
+/** A transaction takes 32 entries; two conditions and the journal's own item are among them. */
+const MAX_PUTS_PER_TRANSACTION = 29;
 /** Changes that come close together share a transaction. */
 const GATHER_MS = 8;
 const RETRY_INTERVAL_MS = 150;
@@ -30,7 +30,17 @@
   readonly onConflict: () => void;
 }
 
-/** One writer; changes that come while it writes go into the next transaction. */
+/** Ends whose effect is stored once so many more of the jobs that wait are. */
+interface Checkpoint {
+  jobsAhead: number;
+  readonly confirm: () => void;
+}
+
+/**
+ * One writer; changes that come while it writes go into the next transaction. Jobs are stored in the order in
+ * which they changed, so that the ends known at any moment wait for the jobs ahead of them alone and not for
+ * later changes.
+ */
 export class Journal {
   readonly #options: JournalOptions;
   readonly #wakeUp = new WakeUp();
@@ -41,6 +51,8 @@
    */
   #lastRevision = 0;
   #lastFlush: Promise<boolean> = Promise.resolve(true);
+  /** In the order of their jobs. */
+  #checkpoints: Checkpoint[] = [];
 
   constructor(options: JournalOptions) {
     this.#options = options;
@@ -59,13 +71,15 @@
     while (!this.#isStopped) {
       await this.#wakeUp.wait();
       await pause(GATHER_MS);
-      while (!this.#isStopped && !await this.flush()) {
-        await pause(RETRY_INTERVAL_MS);
-      }
+      do {
+        if (!await this.flush()) {
+          await pause(RETRY_INTERVAL_MS);
+        }
+      } while (!this.#isStopped && this.#options.scheduler.dirtyJobCount > 0);
     }
   }
 
-  /** Stores all that is new, after what is being stored already; true where nothing is left. */
+  /** Stores what has changed by now, after what is being stored already; false where a write failed. */
   flush(): Promise<boolean> {
     this.#lastFlush = this.#lastFlush.then(() => this.#flush());
     return this.#lastFlush;
@@ -73,18 +87,28 @@
 
   async #flush(): Promise<boolean> {
     const { scheduler, snapshotEnds } = this.#options;
-    const acknowledge = snapshotEnds();
-    for (let jobs = scheduler.takeDirtyJobs(MAX_JOBS_PER_TRANSACTION); jobs.length > 0;) {
-      if (!await this.#write(jobs)) {
+    let jobsLeft = scheduler.dirtyJobCount;
+    do {
+      this.#checkpoints.push({ jobsAhead: scheduler.dirtyJobCount, confirm: snapshotEnds() });
+      const jobs = scheduler.takeDirtyJobs(MAX_PUTS_PER_TRANSACTION, putCountOf);
+      if (jobs.length > 0 && !await this.#write(jobs)) {
         jobs.forEach((job) => scheduler.markDirty(job));
+        this.#checkpoints = [];
         return false;
       }
-      jobs = scheduler.takeDirtyJobs(MAX_JOBS_PER_TRANSACTION);
-    }
-    acknowledge();
+      this.#confirm(jobs.length);
+      jobsLeft -= jobs.length;
+    } while (jobsLeft > 0 && !this.#isStopped);
     return true;
   }
 
+  #confirm(storedCount: number): void {
+    this.#checkpoints.forEach((checkpoint) => checkpoint.jobsAhead -= storedCount);
+    while (this.#checkpoints.length > 0 && this.#checkpoints[0]!.jobsAhead <= 0) {
+      this.#checkpoints.shift()!.confirm();
+    }
+  }
+
   async #write(jobs: readonly JobRecord[]): Promise<boolean> {
     const { scheduler, store, clock, log, statistics, fencingToken } = this.#options;
     const startedAtMs = clock.nowMs();
@@ -134,6 +158,10 @@
   }
 }
 
+function putCountOf(job: JobRecord): number {
+  return job.isRetirable() ? 2 : 1;
+}
+
 function progressItemOf(job: JobRecord): ports.scheduling.StorePut {
   return { key: storeKeys.progressKey(job.job.jobId), value: JSON.stringify(job.progress()) };
 }
--- a/packages/scheduler/src/journal_test.ts
+++ b/packages/scheduler/src/journal_test.ts
@@ -82,15 +82,14 @@
 useSimulatedTime();
 
 const LOADS = [
-  { jobCount: 10, latencyMs: 8, isKnownRed: false },
-  { jobCount: 60, latencyMs: 50, isKnownRed: true },
-  { jobCount: 200, latencyMs: 200, isKnownRed: true },
+  { jobCount: 10, latencyMs: 8 },
+  { jobCount: 60, latencyMs: 50 },
+  { jobCount: 200, latencyMs: 200 },
 ];
 
 describe.each(LOADS)("$jobCount jobs change, store answers in $latencyMs ms", (load) => {
-  const { jobCount, latencyMs, isKnownRed } = load;
-  const run = isKnownRed ? test.fails : test;
-  run("ends are confirmed while jobs change faster than they are stored", async () => {
+  const { jobCount, latencyMs } = load;
+  test("ends are confirmed while jobs change faster than they are stored", async () => {
     const one = bench({ jobCount, transact: slowStore(latencyMs) });
     const { jobs, scheduler, journal } = one;
     let longestWaitMs = 0;
