Count runs found at a takeover until an earlier owner's lease can have ended

Cause: a new owner knows of no lease that it has not sent itself, so it took the lease of runs that it had just found as ended 150 ms after the first report. Its second report renews the lease, 80 ms later where the processor has time, and too late where it has not. Evidence: 'Run taken over' at 10.53 s, 'Run lost ... the lease has lapsed' with ageMs 160 at 10.69 s, a second start of the same task elsewhere at 11.09 s. Class: a bound that holds only while the process itself is quick.

The first report of a worker under a token now stands for the longest lease that an earlier owner can have given. Later than that nothing of it runs, since the report has shut that owner out. The test failed before in three of its four cases.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -250,6 +250,9 @@
     readonly receivedAtMs: number;
   }): void {
     worker.setClock(report.workerClockMs, at.receivedAtMs);
+    if (!worker.hasReported) {
+      worker.noteEarlierLease();
+    }
     const unknownRuns = new Set<string>();
     worker.ends.noteListed(report.ends.at(-1)?.endNumber ?? 0, at.receivedAtMs);
     for (const end of report.ends) {
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -3,6 +3,7 @@
 import { expect, test } from "vitest";
 import * as fixtures from "./test/fixtures.ts";
 import type { Order, Scheduler } from "./scheduler.ts";
+import { WORKER_LEASE_MS } from "./worker_record.ts";
 
 const NOW = { nowMs: 10_000, wallMs: 10_000 };
 
@@ -125,6 +126,29 @@
   expect(starts(scheduler.decide(NOW))).toEqual(["j.0.0.1#1 w1"]);
 });
 
+const LEASE_ENDS = [
+  { name: "a slow owner's second report", afterMs: 1_000, isStillThere: true },
+  { name: "the longest lease of an earlier owner", afterMs: WORKER_LEASE_MS, isStillThere: true },
+  { name: "that lease on a slow clock", afterMs: WORKER_LEASE_MS * 1.02, isStillThere: true },
+  { name: "more than that", afterMs: WORKER_LEASE_MS * 1.02 + 500, isStillThere: false },
+];
+
+test.each(LEASE_ENDS)(
+  "a run found at a takeover counts until its lease can have ended: $name",
+  ({ afterMs, isStillThere }) => {
+    const scheduler = fixtures.unsettledScheduler(2);
+    const worker = scheduler.putWorker(fixtures.workerInfo("w1"), 0);
+    put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
+    const running = [{ task: "j.0.0.0", runId: 1, checkpoint: "", percent: 10, load: 0 }];
+    scheduler.report(worker, fixtures.emptyReport({ running }), {
+      sentAtMs: 99,
+      receivedAtMs: 100,
+    });
+    scheduler.expireLeases(100 + afterMs);
+    expect(worker.runs.size).toBe(isStillThere ? 1 : 0);
+  },
+);
+
 test("an end of a job that isn't known yet is not acknowledged", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -8,6 +8,11 @@
 import type * as schema from "@jackdawlink/schema";
 import * as resources from "./resources.ts";
 
+/**
+ * How long a worker's tasks go on without a renewal. A change of owner takes under 4 s with a dead owner's
+ * lease, and reports renew every 1.5 s.
+ */
+export const WORKER_LEASE_MS = 6_000;
 /** A worker's clock may be this much slow. */
 const MAX_CLOCK_DRIFT = 0.02;
 /** Delay of an answer and of timers beyond the drift. */
@@ -94,6 +99,12 @@
     return leaseUntilMs;
   }
 
+  /** An earlier owner may have renewed the lease until just before it was shut out. */
+  noteEarlierLease(): void {
+    const leaseUntilMs = this.#workerClockMs + WORKER_LEASE_MS;
+    this.leaseUntilWorkerMs = Math.max(this.leaseUntilWorkerMs, leaseUntilMs);
+  }
+
   /** The latest time on our clock at which something ordered may still run on the worker. */
   lapsesByMs(): number {
     const leftMs = Math.max(0, this.leaseUntilWorkerMs - this.#workerClockMs);
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -14,7 +14,7 @@
 import * as storeKeys from "./store_keys.ts";
 import { TermStatistics } from "./term_statistics.ts";
 import { VmManager } from "./vm_manager.ts";
-import { WORKER_LEASE_MS, WorkerSession } from "./worker_session.ts";
+import { WorkerSession } from "./worker_session.ts";
 
 type Scheduler = policy.scheduling.scheduler.Scheduler;
 type Order = policy.scheduling.scheduler.Order;
@@ -27,7 +27,8 @@
 /** An entry that is missing this long after the store's return is gone. */
 const MISSING_ENTRY_MS = 2_500;
 /** Workers' clocks may be 2% slow, and answers take a while. */
-const UNSEEN_RUN_MS = policy.scheduling.mandate.PROOF_MS + WORKER_LEASE_MS * 1.02 + 700;
+const UNSEEN_RUN_MS = policy.scheduling.mandate.PROOF_MS +
+  policy.scheduling.workerRecord.WORKER_LEASE_MS * 1.02 + 700;
 
 export interface OwnerTermOptions {
   readonly start: TermStart;
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -13,11 +13,7 @@
 type Run = policy.scheduling.jobRecord.Run;
 type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
 
-/**
- * How long a worker's tasks go on without a renewal. A change of owner takes under 4 s with a dead owner's
- * lease, and reports renew every 1.5 s.
- */
-export const WORKER_LEASE_MS = 6_000;
+const { WORKER_LEASE_MS } = policy.scheduling.workerRecord;
 /** How long a report waits for an end; each renews the lease. */
 const REPORT_WAIT_MS = 1_500;
 /** Ends that come close together share a report. */
