--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -18,6 +18,11 @@
 const REPORT_WAIT_MS = 1_500;
 /** Ends that come close together share a report. */
 const REPORT_GAP_MS = 80;
+/**
+ * A report lists all ends that are not acknowledged, and does not wait while there are any. Until they are
+ * stored, the next one is put off so long, which keeps a slow journal from making reports long and frequent.
+ */
+const MAX_STORE_WAIT_MS = 500;
 const RETRY_INTERVAL_MS = 200;
 /** While the ownership is proven by workers alone, idle ones are asked too. */
 const PROOF_INTERVAL_MS = 700;
@@ -44,6 +49,7 @@
 export class WorkerSession {
   readonly #options: WorkerSessionOptions;
   readonly #wakeUp = new WakeUp();
+  readonly #stored = new WakeUp();
   readonly #gate = new OrderGate();
   #isStopped = false;
   #isAnswering = true;
@@ -61,6 +67,7 @@
   noteStoredEnd(endNumber: number): void {
     if (endNumber > this.worker.ends.stored) {
       this.worker.ends.stored = endNumber;
+      this.#stored.wake();
       this.#wakeUp.wake();
     }
   }
@@ -72,6 +79,7 @@
 
   stop(): void {
     this.#isStopped = true;
+    this.#stored.wake();
     this.#wakeUp.wake();
   }
 
@@ -83,6 +91,18 @@
       }
       const isAnswered = await this.#askForReport();
       await pause(isAnswered ? REPORT_GAP_MS : RETRY_INTERVAL_MS);
+      await this.#waitUntilStored();
+    }
+  }
+
+  async #waitUntilStored(): Promise<void> {
+    const { worker: { ends }, clock } = this.#options;
+    const untilMs = clock.nowMs() + MAX_STORE_WAIT_MS;
+    for (let nowMs = clock.nowMs(); nowMs < untilMs; nowMs = clock.nowMs()) {
+      if (this.#isStopped || ends.stored >= ends.processed) {
+        return;
+      }
+      await this.#stored.wait(untilMs - nowMs);
     }
   }
 
--- /dev/null
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -0,0 +1,91 @@
+import * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import * as adapters from "@jackdawlink/adapters";
+import * as testing from "@jackdawlink/testing";
+import { expect, test, vi } from "vitest";
+import { NodeMetrics } from "./metrics.ts";
+import { TermStatistics } from "./term_statistics.ts";
+import { useSimulatedTime } from "./test/model_world.ts";
+import { WorkerSession } from "./worker_session.ts";
+
+const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
+
+/** A session with a busy worker that lists one end until it is acknowledged. */
+function sessionWithOneEnd(): { session: WorkerSession; holds: number[] } {
+  const clock = testing.schedulingFixtures.TIMER_CLOCK;
+  const log = adapters.log.SILENT_LOG;
+  const scheduler = new policy.scheduling.scheduler.Scheduler({
+    term: 1,
+    takeover: { revision: 1, atMs: 0, staleOwnerMs: 0 },
+    log,
+  });
+  scheduler.retireJob("ended", "complete");
+  scheduler.putJob({
+    jobId: "running",
+    queue: "quick",
+    workspace: "acme",
+    acceptedUnixMs: 0,
+    spec: { payload: "p", steps: [testing.schedulingFixtures.step()] },
+  }, { acceptedRevision: 1, seenAtMs: 0 });
+  const worker = scheduler.putWorker({
+    workerId: "w",
+    vm: "vm",
+    pool: "pool",
+    address: "w",
+    isDraining: false,
+    total: TOTAL,
+    labels: [],
+    startedUnixMs: 1,
+  }, Date.now());
+  const end = {
+    endNumber: 1,
+    task: "ended.0.0.0",
+    runId: 1,
+    kind: "done",
+    checkpoint: "",
+  } as const;
+  const running = [{ task: "running.0.0.0", runId: 1, checkpoint: "", percent: 1, load: 0 }];
+  /** The ends that were acknowledged by each report. */
+  const holds: number[] = [];
+  const client = {
+    hold: async (_worker, { acknowledgedEnd, waitMs }) => {
+      holds.push(acknowledgedEnd);
+      const ends = acknowledgedEnd < 1 ? [end] : [];
+      await testing.waitFor.pause(ends.length > 0 ? 2 : waitMs + 2);
+      return {
+        kind: "report",
+        report: { startedUnixMs: 1, workerClockMs: Date.now(), running, ends },
+      };
+    },
+  } as Partial<ports.scheduling.WorkerClient> as ports.scheduling.WorkerClient;
+  const session = new WorkerSession({
+    worker,
+    scheduler,
+    client,
+    clock,
+    log,
+    statistics: new TermStatistics({ scheduler, clock, log, metrics: new NodeMetrics() }),
+    fencingToken: 1,
+    mayOrder: () => true,
+    needsProof: () => false,
+    onProof: () => {},
+    onChange: () => {},
+    onFenced: () => {},
+  });
+  void session.run();
+  return { session, holds };
+}
+
+useSimulatedTime();
+
+test("a worker whose ends wait for the journal is asked rarely, and at once when they are stored", async () => {
+  const { session, holds } = sessionWithOneEnd();
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(holds.length).toBeGreaterThan(5);
+  expect(holds.length).toBeLessThanOrEqual(20);
+  expect(new Set(holds)).toEqual(new Set([0]));
+  session.noteStoredEnd(1);
+  await vi.advanceTimersByTimeAsync(100);
+  expect(holds.at(-1)).toBe(1);
+  session.stop();
+});
