--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -139,6 +139,29 @@
   },
 );
 
+/** Ends have to be acknowledged within this time on every known site. */
+const ACKNOWLEDGEMENT_BOUND_MS = 4_000;
+
+test.each(SEEDS)(
+  "ends are acknowledged in time while jobs keep coming and the store is slow, seed %s",
+  async (seed) => {
+    const world = new World(seed);
+    await vi.advanceTimersByTimeAsync(2_000);
+    let oldestEndMs = 0;
+    for (let atMs = 0; atMs < TRAFFIC_MS + REST_MS; atMs += STEP_MS) {
+      world.store.faults.slowMs = atMs < TRAFFIC_MS ? 240 : 0;
+      for (let count = 0; atMs < TRAFFIC_MS && count < 4; count++) {
+        void world.submit();
+      }
+      await vi.advanceTimersByTimeAsync(STEP_MS);
+      oldestEndMs = Math.max(oldestEndMs, world.fleet.oldestEndMs());
+    }
+    world.nodes.forEach((node) => node.kill());
+    expect(world.witness.violations).toEqual([]);
+    expect(oldestEndMs).toBeLessThan(ACKNOWLEDGEMENT_BOUND_MS);
+  },
+);
+
 test("jobs that are over are stored small, and are not run again for a new owner", async () => {
   const world = new World(5);
   await vi.advanceTimersByTimeAsync(2_000);
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -53,6 +53,8 @@
   readonly runs = new Map<string, ModelRun>();
   readonly highestEnded = new Map<string, number>();
   readonly ends: schema.scheduling.ReportedEnd[] = [];
+  /** When each end that is not acknowledged came to be listed, by its number. */
+  readonly endedAtMs = new Map<number, number>();
   readonly waiting = new Set<() => void>();
   fencingToken = 0;
   leaseUntilMs = 0;
@@ -118,6 +120,13 @@
     return [...this.#vms.keys()];
   }
 
+  /** How long the oldest end that is not acknowledged has been listed, over all workers that are up. */
+  oldestEndMs(): number {
+    const workers = [...this.#vms.values()].flatMap(({ worker }) => worker ?? []);
+    const endedAtMs = workers.flatMap((worker) => [...worker.endedAtMs.values()]);
+    return endedAtMs.length === 0 ? 0 : Date.now() - Math.min(...endedAtMs);
+  }
+
   workerOf(vm: string): string | undefined {
     return this.#vms.get(vm)?.worker?.workerId;
   }
@@ -403,6 +412,7 @@
     worker.runs.delete(run.task);
     const highest = worker.highestEnded.get(run.task) ?? 0;
     worker.highestEnded.set(run.task, Math.max(highest, run.runId));
+    worker.endedAtMs.set(worker.endCount + 1, Date.now());
     worker.ends.push({
       endNumber: ++worker.endCount,
       task: run.task,
@@ -418,6 +428,7 @@
   #acknowledge(worker: ModelWorker, endNumber: number): void {
     while (worker.ends.length > 0 && worker.ends[0]!.endNumber <= endNumber) {
       const end = worker.ends.shift()!;
+      worker.endedAtMs.delete(end.endNumber);
       this.#options.witness.acknowledged(end.task, end.kind);
     }
   }
--- a/packages/testing/src/scheduling_model/model_store.ts
+++ b/packages/testing/src/scheduling_model/model_store.ts
@@ -30,6 +30,8 @@
   lostShare: number;
   /** Whether lost writes happen late instead of at once. */
   isLate: boolean;
+  /** How long a call takes beyond its usual time. */
+  slowMs: number;
 }
 
 interface Change extends ports.scheduling.StoreChange {
@@ -38,7 +40,7 @@
 
 /** One store for any number of nodes. */
 export class ModelStore {
-  readonly faults: StoreFaults = { cut: new Set(), lostShare: 0, isLate: false };
+  readonly faults: StoreFaults = { cut: new Set(), lostShare: 0, isLate: false, slowMs: 0 };
   readonly #random: SeededRandom;
   readonly #items = new Map<string, StoreItem & { leaseId?: number }>();
   readonly #leases = new Map<number, { ttlMs: number; untilMs: number }>();
@@ -91,7 +93,7 @@
     { node, isAlive, isWrite }: { node: string; isAlive: () => boolean; isWrite: boolean },
     run: () => T,
   ): Answer<T> {
-    await pause(LATENCY_MS / 2);
+    await pause(LATENCY_MS / 2 + this.faults.slowMs);
     if (this.#isCut(node)) {
       await pause(LATENCY_MS / 2);
       return err(new ModelRefusalError("The store refused the call"));
