--- a/packages/scheduler/src/journal_test.ts
+++ b/packages/scheduler/src/journal_test.ts
@@ -1,14 +1,13 @@
-import * as policy from "@jackdawlink/policy";
+import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
 import { err, ok } from "neverthrow";
 import { describe, expect, test, vi } from "vitest";
 import { Journal } from "./journal.ts";
-import { NodeMetrics } from "./metrics.ts";
 import * as storeKeys from "./store_keys.ts";
-import { TermStatistics } from "./term_statistics.ts";
 import { useSimulatedTime } from "./test/model_world.ts";
+import { putJob, termFixture } from "./test/term_fixture.ts";
 
 /** Ends have to be acknowledged within this time on every known site. */
 const ACKNOWLEDGEMENT_BOUND_MS = 4_000;
@@ -31,33 +30,18 @@
     readonly transact: ports.scheduling.SchedulingStore["transact"];
   },
 ): Bench {
-  const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
-  const clock = testing.schedulingFixtures.TIMER_CLOCK;
-  const scheduler = new policy.scheduling.scheduler.Scheduler({
-    term: 1,
-    takeover: { revision: 1, atMs: 0, staleOwnerMs: 0 },
-    log,
-  });
+  const parts = termFixture();
+  const { scheduler } = parts;
   for (let index = 0; index < jobCount; index++) {
-    const steps = [testing.schedulingFixtures.step()];
-    scheduler.putJob({
-      jobId: index.toString(16).padStart(16, "0"),
-      queue: "quick",
-      workspace: "acme",
-      acceptedUnixMs: Date.now(),
-      spec: { payload: "p", steps },
-    }, { acceptedRevision: 1, seenAtMs: Date.now() });
+    putJob(scheduler, index.toString(16).padStart(16, "0"));
   }
   const result: Bench = {
     jobs: [...scheduler.jobs.values()],
     scheduler,
     confirmedAtMs: Date.now(),
     journal: new Journal({
-      scheduler,
+      ...parts,
       store: { transact } as ports.scheduling.SchedulingStore,
-      clock,
-      log,
-      statistics: new TermStatistics({ scheduler, clock, log, metrics: new NodeMetrics() }),
       fencingToken: 1,
       snapshotEnds: () => {
         const atMs = Date.now();
@@ -104,6 +88,19 @@
   });
 });
 
+test("a flush does not wait for jobs that change after it", async () => {
+  const { jobs, scheduler, journal } = bench({ jobCount: 60, transact: slowStore(50) });
+  jobs.forEach((job) => scheduler.markDirty(job));
+  let isFlushed = false;
+  void journal.flush().then(() => isFlushed = true);
+  for (let elapsedMs = 0; elapsedMs < 400; elapsedMs += STEP_MS) {
+    jobs.forEach((job) => scheduler.markDirty(job));
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+  }
+  journal.stop();
+  expect(isFlushed).toBe(true);
+});
+
 test("ends are not confirmed before all jobs that they changed are stored", async () => {
   const stored = new Set<string>();
   let callCount = 0;
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -152,6 +152,7 @@
     this.#isStopped = true;
     this.mandate.end();
     this.#journal.stop();
+    this.#statistics.stop();
     this.#vmManager.stop();
     this.#followers.forEach((follower) => follower.stop());
     this.#sessions.forEach((session) => session.stop());
--- a/packages/scheduler/src/term_statistics.ts
+++ b/packages/scheduler/src/term_statistics.ts
@@ -97,6 +97,14 @@
     this.#reportCount = 0;
   }
 
+  /** A node that does not own the scheduling has nothing to catch up with. */
+  stop(): void {
+    const { metrics } = this.#options;
+    metrics.ends.reset();
+    metrics.oldestEndSeconds.set(0);
+    metrics.jobsToStore.set(0);
+  }
+
   #endBacklog(nowMs: number): EndBacklog {
     const sum: EndBacklog = {
       unprocessed: 0,
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -1,32 +1,18 @@
-import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
-import * as adapters from "@jackdawlink/adapters";
 import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
-import { NodeMetrics } from "./metrics.ts";
-import { TermStatistics } from "./term_statistics.ts";
 import { useSimulatedTime } from "./test/model_world.ts";
+import { putJob, termFixture } from "./test/term_fixture.ts";
 import { WorkerSession } from "./worker_session.ts";
 
 const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
 
 /** A session with a busy worker that lists one end until it is acknowledged. */
 function sessionWithOneEnd(): { session: WorkerSession; holds: number[] } {
-  const clock = testing.schedulingFixtures.TIMER_CLOCK;
-  const log = adapters.log.SILENT_LOG;
-  const scheduler = new policy.scheduling.scheduler.Scheduler({
-    term: 1,
-    takeover: { revision: 1, atMs: 0, staleOwnerMs: 0 },
-    log,
-  });
+  const parts = termFixture();
+  const { scheduler } = parts;
   scheduler.retireJob("ended", "complete");
-  scheduler.putJob({
-    jobId: "running",
-    queue: "quick",
-    workspace: "acme",
-    acceptedUnixMs: 0,
-    spec: { payload: "p", steps: [testing.schedulingFixtures.step()] },
-  }, { acceptedRevision: 1, seenAtMs: 0 });
+  putJob(scheduler, "running");
   const worker = scheduler.putWorker({
     workerId: "w",
     vm: "vm",
@@ -59,12 +45,9 @@
     },
   } as Partial<ports.scheduling.WorkerClient> as ports.scheduling.WorkerClient;
   const session = new WorkerSession({
+    ...parts,
     worker,
-    scheduler,
     client,
-    clock,
-    log,
-    statistics: new TermStatistics({ scheduler, clock, log, metrics: new NodeMetrics() }),
     fencingToken: 1,
     mayOrder: () => true,
     needsProof: () => false,
