Keep the same worker free for a lasting task until it is placed

Cause: the worker to keep free was chosen anew at each decision, as the emptiest by processor, also one that already had as many tasks of the step as it may have. Kept free, such a worker stays the emptiest, while those that may take the task are filled again with short ones. Class: starvation of a large request by small ones.

The worker is now one that may take the task and has room for it without its short tasks, and stays the same until the task is placed. A line tells which one, whenever it changes.

--- a/packages/policy/src/scheduling/placement.ts
+++ b/packages/policy/src/scheduling/placement.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as schema from "@jackdawlink/schema";
 import * as resources from "./resources.ts";
 import type { StepRecord, TaskRecord } from "./job_record.ts";
 import type { WorkerRecord } from "./worker_record.ts";
@@ -21,16 +22,20 @@
 /** For each failure in a row on the worker. */
 const FAILURE_PENALTY = 10;
 
-/** A task to place, and what limits the choice. */
-export interface PlacementRequest {
+/** A step, and what limits the workers for it. */
+export interface EligibilityRequest {
   readonly step: StepRecord;
-  readonly task: TaskRecord;
   readonly workers: readonly WorkerRecord[];
   readonly nowMs: number;
   /** Workers that the queue's policy allows; undefined where all are. */
   readonly allowed?: ReadonlyMap<string, unknown>;
   /** Workers kept free for a task that found no room. */
   readonly reserved: ReadonlySet<string>;
+}
+
+/** A task to place. */
+export interface PlacementRequest extends EligibilityRequest {
+  readonly task: TaskRecord;
   /** The rack that the step's other tasks use, where they should share one. */
   readonly preferredRack?: string;
 }
@@ -54,11 +59,42 @@
   return best;
 }
 
+/**
+ * The worker to keep free for a lasting task that found no room anywhere. The one that is held already stays
+ * so, since a worker falls empty only while it gets no other tasks; otherwise it is the emptiest of those that
+ * will have room without their short tasks.
+ */
+export function chooseReservation(
+  request: EligibilityRequest,
+  heldWorkerId: string | undefined,
+): WorkerRecord | undefined {
+  const room = resources.roomOf(request.step.spec);
+  const candidates = request.workers.filter((worker) =>
+    isEligible(request, worker) && resources.fits(room, freeOfShortTasks(worker))
+  );
+  return candidates.find(({ info }) => info.workerId === heldWorkerId) ??
+    candidates.sort((a, b) =>
+      Number(a.isLeavingSoon) - Number(b.isLeavingSoon) ||
+      b.free.cpuMillicores - a.free.cpuMillicores
+    )[0];
+}
+
+function freeOfShortTasks(worker: WorkerRecord): schema.scheduling.Resources {
+  return [...worker.runs.values()]
+    .filter(({ step }) => step.spec.isLasting)
+    .reduce((free, run) => resources.subtract(free, run.room), worker.info.total);
+}
+
 function isPossible(request: PlacementRequest, worker: WorkerRecord): boolean {
+  return resources.fits(resources.roomOf(request.step.spec), worker.free) &&
+    isEligible(request, worker);
+}
+
+/** Whether the worker may run the step's tasks, its free room aside. */
+function isEligible(request: EligibilityRequest, worker: WorkerRecord): boolean {
   const { step, nowMs, allowed, reserved } = request;
   const { requiredLabel } = step.spec;
   return worker.isOpen(nowMs) && !reserved.has(worker.info.workerId) &&
-    resources.fits(resources.roomOf(step.spec), worker.free) &&
     (requiredLabel === undefined || worker.info.labels.includes(requiredLabel)) &&
     (allowed === undefined || allowed.has(worker.info.workerId)) &&
     hasSpreadRoom(step, worker);
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -9,7 +9,7 @@
 import * as order from "./order.ts";
 import { AdviceBook, type Tickets } from "./advice_book.ts";
 import { decidePaces } from "./pacing.ts";
-import { chooseWorker } from "./placement.ts";
+import { chooseReservation, chooseWorker, type EligibilityRequest } from "./placement.ts";
 import * as resources from "./resources.ts";
 import { parseTask } from "./task_names.ts";
 import { groupByPool, type PoolWorkers } from "./pool_workers.ts";
@@ -82,6 +82,8 @@
   readonly #retired = new Map<string, schema.scheduling.JobState>();
   readonly #dirty = new Set<JobRecord>();
   readonly #orders: Order[] = [];
+  /** The worker that is kept free for each lasting step that found no room. */
+  readonly #heldWorkers = new WeakMap<StepRecord, string>();
   readonly #durationRatios = new Map<string, number>();
   readonly #workspaces = new WorkspaceBook();
   readonly #advice = new AdviceBook();
@@ -528,7 +530,7 @@
       }
       const worker = this.#chooseWorker(task, { step, pool, reserved, nowMs, allowed: tickets });
       if (worker === undefined) {
-        this.#reserve(step, workers, reserved, nowMs);
+        this.#reserve({ step, workers, reserved, nowMs, allowed: tickets }, reserved);
         break;
       }
       placed.push(
@@ -565,23 +567,27 @@
     return worker;
   }
 
-  /** Keeps the emptiest worker free for a lasting task that found no room, as it must not wait for long. */
-  #reserve(
-    step: StepRecord,
-    workers: readonly WorkerRecord[],
-    reserved: Set<string>,
-    nowMs: number,
-  ): void {
+  /** Keeps a worker free for a lasting task that found no room, as it must not wait for long. */
+  #reserve(request: EligibilityRequest, reserved: Set<string>): void {
+    const { step } = request;
     if (!step.spec.isLasting || step.spec.usesSpareCpu) {
       return;
     }
-    const candidates = workers.filter((worker) =>
-      worker.isOpen(nowMs) && !reserved.has(worker.info.workerId) &&
-      resources.fits(resources.roomOf(step.spec), worker.info.total)
-    );
-    const emptiest = candidates.sort((a, b) => b.free.cpuMillicores - a.free.cpuMillicores)[0];
-    if (emptiest !== undefined) {
-      reserved.add(emptiest.info.workerId);
+    const held = this.#heldWorkers.get(step);
+    const worker = chooseReservation(request, held);
+    if (worker === undefined) {
+      return;
+    }
+    const { workerId } = worker.info;
+    reserved.add(workerId);
+    if (workerId !== held) {
+      this.#heldWorkers.set(step, workerId);
+      this.#options.log.info("Worker is kept free for a lasting task", {
+        step: step.name,
+        worker: workerId,
+        freeMillicores: worker.free.cpuMillicores,
+        runs: worker.runs.size,
+      });
     }
   }
 
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -2,6 +2,7 @@
 import * as testing from "@jackdawlink/testing";
 import { expect, test } from "vitest";
 import * as fixtures from "./test/fixtures.ts";
+import type { Run } from "./job_record.ts";
 import type { Order, Scheduler } from "./scheduler.ts";
 import { WORKER_LEASE_MS } from "./worker_record.ts";
 
@@ -43,6 +44,68 @@
   );
 }
 
+/** Workers in simulated time, with more short tasks than they have room for. */
+class OverloadedPool {
+  #nowMs = 10_000;
+  #jobCount = 0;
+  readonly #endsAtMs = new Map<Run, number>();
+  readonly #scheduler: Scheduler;
+  readonly #random: testing.seededRandom.SeededRandom;
+
+  constructor(scheduler: Scheduler, random: testing.seededRandom.SeededRandom) {
+    this.#scheduler = scheduler;
+    this.#random = random;
+  }
+
+  play(durationMs: number): void {
+    for (const untilMs = this.#nowMs + durationMs; this.#nowMs < untilMs; this.#nowMs += 50) {
+      while (this.#scheduler.activeJobs.size < 30) {
+        this.#submit();
+      }
+      for (const [run, endsAtMs] of this.#endsAtMs) {
+        if (endsAtMs <= this.#nowMs) {
+          this.end(run, "done");
+        }
+      }
+      for (const order of this.#scheduler.decide({ nowMs: this.#nowMs, wallMs: this.#nowMs })) {
+        if (order.kind === "start" && !order.run.step.spec.isLasting) {
+          this.#endsAtMs.set(order.run, this.#nowMs + this.#random.between(400, 2_000));
+        }
+      }
+    }
+  }
+
+  end(run: Run, kind: "done" | "stopped"): void {
+    this.#endsAtMs.delete(run);
+    const worker = this.#scheduler.workers.get(run.workerId)!;
+    const end = { endNumber: worker.ends.processed + 1, task: run.task.name, runId: run.runId };
+    const running = [...worker.runs.values()].filter((other) => other !== run).map((other) => ({
+      task: other.task.name,
+      runId: other.runId,
+      checkpoint: "",
+      percent: 50,
+      load: 0,
+    }));
+    this.#scheduler.report(
+      worker,
+      fixtures.emptyReport({ running, ends: [{ ...end, kind, checkpoint: "" }] }),
+      { sentAtMs: this.#nowMs - 1, receivedAtMs: this.#nowMs },
+    );
+  }
+
+  #submit(): void {
+    const step = testing.schedulingFixtures.step({
+      taskCount: this.#random.between(1, 8),
+      resources: {
+        cpuMillicores: this.#random.between(5, 15) * 100,
+        memoryMb: 1_000,
+        gpuCount: 0,
+      },
+    });
+    put(this.#scheduler, fixtures.job(`short-${++this.#jobCount}`, [step]));
+  }
+}
+
 test("a step starts once all tasks of the steps before it are done", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   put(
@@ -149,6 +212,28 @@
   },
 );
 
+test.each([1, 2, 3, 4])(
+  "a lasting task that lost its worker is placed within 3 s while its pool is overloaded, seed %s",
+  (seed) => {
+    const random = new testing.seededRandom.SeededRandom(seed);
+    const scheduler = fixtures.scheduler(["w1", "w2", "w3", "w4", "w5", "w6"]);
+    const lasting = testing.schedulingFixtures.step({
+      taskCount: 4,
+      resources: { cpuMillicores: 4_000, memoryMb: 4_000, gpuCount: 0 },
+      isLasting: true,
+      maxTasksPerWorker: 1,
+    });
+    put(scheduler, fixtures.job("lasting", [lasting]));
+    const world = new OverloadedPool(scheduler, random);
+    world.play(2_000);
+    const lost = scheduler.jobs.get("lasting")!.runs()[0]!;
+    scheduler.workers.get(lost.workerId)!.cordon = "maintenance";
+    world.end(lost, "stopped");
+    world.play(3_000);
+    expect(scheduler.jobs.get("lasting")!.runs()).toHaveLength(4);
+  },
+);
+
 test("an end of a job that isn't known yet is not acknowledged", () => {
   const scheduler = fixtures.scheduler(["w1"]);
   report(scheduler, "w1", [{ task: "j.0.0.0", runId: 1, kind: "done" }]);
