Open no session with a worker that has ended, and count failed calls to workers

Cause: the platform keeps the registration of a worker for 4.5 s after its process has ended. When a VM went to standby, each list of registrations added its worker again, and the session of a removed worker was closed only after its registration was gone. Such a session, which had never had a report, asked the VM that was off every 200 ms, and each request built and threw away a connection.

Change: the scheduler remembers which incarnation has ended; its registration adds no worker until a list of VMs names it as running, it starts anew, or the registration is removed. Sessions of ended workers close at once. A worker without runs that does not respond is asked with a growing period, up to the 0.9 s that a silent one had before, and at once when its registration changes. Registrations that have not changed are not decoded again, and a heartbeat alone causes no decision. WorkerSessions is a module of its own. The Backlog line and a metric count calls to workers without an answer, and tell the processor time of the process.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -9,6 +9,7 @@
 import { JobRecord, type Run, runKey, type StepRecord, type TaskRecord } from "./job_record.ts";
 import * as stepOrder from "./step_order.ts";
 import { AdviceCache, type Tickets } from "./advice_cache.ts";
+import { EndedIncarnations } from "./ended_incarnations.ts";
 import { decidePaceChanges } from "./pacing.ts";
 import { chooseReservation, chooseWorker, type EligibilityRequest } from "./placement.ts";
 import * as resources from "./resources.ts";
@@ -92,6 +93,7 @@
   readonly #durationRatios = new Map<string, number>();
   readonly #workspaces = new WorkspaceUsage();
   readonly #advice = new AdviceCache();
+  readonly #endedIncarnations = new EndedIncarnations();
   readonly #queues = new Map<string, schema.scheduling.Queue>();
   /**
    * True once every worker that may run tasks of a previous owner has reported, or its lease has
@@ -167,9 +169,12 @@
 
   /**
    * Adds or updates a worker. A different start time under the same id means a restart, which lost
-   * its runs.
+   * its runs. Returns undefined if the registration is that of an incarnation that is over.
    */
-  putWorker(info: schema.scheduling.WorkerInfo, nowMs: number): WorkerRecord {
+  putWorker(info: schema.scheduling.WorkerInfo, nowMs: number): WorkerRecord | undefined {
+    if (this.#endedIncarnations.has(info)) {
+      return undefined;
+    }
     const present = this.workers.get(info.workerId);
     if (present !== undefined && present.info.startedUnixMs === info.startedUnixMs) {
       present.info = info;
@@ -184,8 +189,19 @@
     return worker;
   }
 
+  /** Records that a worker's registration has been removed. It is kept while runs depend on it. */
+  recordWorkerUnlisted(workerId: string): void {
+    this.#endedIncarnations.recordUnlisted(workerId);
+    const worker = this.workers.get(workerId);
+    if (worker !== undefined) {
+      worker.isListed = false;
+    }
+  }
+
   /** Removes a worker whose process is gone, and all its runs. */
   dropWorker(worker: WorkerRecord, nowMs: number, reason: string): void {
+    worker.hasEnded = true;
+    this.#endedIncarnations.record(worker.info, nowMs);
     for (const run of [...worker.runs.values()]) {
       this.#loseRun(run, nowMs, reason);
     }
@@ -216,6 +232,7 @@
         this.dropWorker(worker, nowMs, "its VM is down");
       }
     }
+    alive.forEach((id) => this.#endedIncarnations.recordAlive(id, askedAtMs));
     this.hasUnknownWorkers = [...alive].some((id) => !this.workers.has(id));
     const isOfThisTerm = askedAtMs >= this.#options.takeover.atMs;
     if (!this.isSettled && isOfThisTerm && this.#haveAllReported(alive)) {
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -210,7 +210,7 @@
   "keeps a run found at a takeover until its lease must have expired: $name",
   ({ afterMs, isStillThere }) => {
     const scheduler = fixtures.unsettledScheduler(2);
-    const worker = scheduler.putWorker(fixtures.workerInfo("w1"), 0);
+    const worker = scheduler.putWorker(fixtures.workerInfo("w1"), 0)!;
     put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
     const running = [{ task: "j.0.0.0", runId: 1, checkpoint: "", percent: 10, load: 0 }];
     scheduler.applyReport(worker, fixtures.emptyReport({ running }), {
@@ -297,6 +297,40 @@
   expect(starts(scheduler.decide(NOW))).toEqual(expected);
 });
 
+const END = { endedAtMs: 10_000, startedUnixMs: fixtures.workerInfo("w1").startedUnixMs };
+const UP = [listedVm("w1", "up")];
+
+test.each<{
+  name: string;
+  startedUnixMs?: number;
+  then?: (scheduler: Scheduler) => void;
+  isAdded: boolean;
+}>([
+  { name: "nothing else is known", isAdded: false },
+  { name: "it has started anew", startedUnixMs: END.startedUnixMs + 1, isAdded: true },
+  {
+    name: "a later list of VMs names it as running",
+    then: (scheduler) => scheduler.applyVmList(UP, { askedAtMs: 10_001, nowMs: 10_005 }),
+    isAdded: true,
+  },
+  {
+    name: "a list of VMs that was requested before its end names it as running",
+    then: (scheduler) => scheduler.applyVmList(UP, { askedAtMs: 9_999, nowMs: 10_005 }),
+    isAdded: false,
+  },
+  {
+    name: "its registration was removed and is back",
+    then: (scheduler) => scheduler.recordWorkerUnlisted("w1"),
+    isAdded: true,
+  },
+])("adds a worker that has ended again: $isAdded, when $name", ({ then, isAdded, ...changed }) => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  scheduler.dropWorker(scheduler.workers.get("w1")!, END.endedAtMs, "test");
+  then?.(scheduler);
+  const info = { ...fixtures.workerInfo("w1"), ...changed };
+  expect(scheduler.putWorker(info, 10_010) !== undefined).toBe(isAdded);
+});
+
 test("does not settle a takeover while the VM of an unreported worker is not listed", () => {
   const scheduler = fixtures.unsettledScheduler();
   scheduler.putWorker(fixtures.workerInfo("w1"), 0);
--- a/packages/policy/src/scheduling/test/fixtures.ts
+++ b/packages/policy/src/scheduling/test/fixtures.ts
@@ -103,7 +103,7 @@
   });
   made.settle(0, "test");
   for (const workerId of workerIds) {
-    const worker = made.putWorker(workerInfo(workerId), 0);
+    const worker = made.putWorker(workerInfo(workerId), 0)!;
     made.applyReport(worker, emptyReport(), { sentAtMs: 0, receivedAtMs: 1 });
   }
   return made;
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -28,6 +28,8 @@
   info: schema.scheduling.WorkerInfo;
   readonly runs = new Map<string, Run>();
   used: schema.scheduling.Resources = resources.NO_RESOURCES;
+  /** True once this incarnation is known to be over. */
+  hasEnded = false;
   /** True once the worker has reported under the current fencing token. */
   hasReported = false;
   /** Reported tasks whose jobs are not loaded yet; until then the free resources are unknown. */
--- a/packages/scheduler/src/metrics.ts
+++ b/packages/scheduler/src/metrics.ts
@@ -69,6 +69,20 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.#registry],
   });
+  readonly workerCalls = new prom.Counter({
+    name: "jackdawlink_worker_calls_total",
+    help: "The owner's calls to workers by outcome; unknown if no answer came",
+    labelNames: ["outcome"],
+    registers: [this.#registry],
+  });
+  readonly cpuSeconds = new prom.Gauge({
+    name: "jackdawlink_process_cpu_seconds",
+    help: "Processor time that this process has used",
+    registers: [this.#registry],
+    collect(): void {
+      this.set(processCpuMs() / 1_000);
+    },
+  });
   readonly isOwner = new prom.Gauge({
     name: "jackdawlink_owner",
     help: "1 while this node owns the scheduling",
@@ -80,3 +94,9 @@
     return this.#registry.metrics();
   }
 }
+
+/** The processor time that this process has used, in ms. */
+export function processCpuMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / 1_000;
+}
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -16,6 +16,7 @@
 import { TermStatistics } from "./term_statistics.ts";
 import { VmManager } from "./vm_manager.ts";
 import { WorkerSession } from "./worker_session.ts";
+import { WorkerSessions } from "./worker_sessions.ts";
 
 type Scheduler = policy.scheduling.scheduler.Scheduler;
 type Order = policy.scheduling.scheduler.Order;
@@ -25,8 +26,6 @@
 const TICK_INTERVAL_MS = 100;
 /** Well below 600 ms, the slack that a latency objective leaves beyond a job's longest chain of work. */
 const MAX_DECISION_GAP_MS = 30;
-/** A worker's entry that is still missing this long after the store has come back has been removed. */
-const SESSION_CLOSE_DELAY_MS = 2_500;
 /**
  * All worker leases granted by a previous owner have expired this long after a takeover: its last ownership
  * proof, one lease on a worker clock that may be 2% slow, and a margin for delayed responses.
@@ -57,12 +56,10 @@
   readonly #options: OwnerTermOptions;
   readonly #statistics: TermStatistics;
   readonly #journal: Journal;
-  readonly #sessions = new Map<string, WorkerSession>();
+  readonly #sessions: WorkerSessions;
   readonly #vmManager: VmManager;
   readonly #followers: PrefixFollower[] = [];
   readonly #startedAtMs: number;
-  /** When each worker's entry was removed from the store. */
-  readonly #unlistedSinceMs = new Map<string, number>();
   /** Cancelled job ids; a cancellation may be seen before the job itself. */
   readonly #cancelledJobIds = new Set<string>();
   #isLoaded = false;
@@ -90,6 +87,14 @@
       log,
       metrics: options.metrics,
     });
+    this.#sessions = new WorkerSessions({
+      scheduler: this.scheduler,
+      documents: options.documents,
+      clock,
+      log,
+      createSession: (worker) => this.#createSession(worker),
+      onChange: () => this.#scheduleDecision(),
+    });
     this.#journal = new Journal({
       scheduler: this.scheduler,
       store,
@@ -97,7 +102,7 @@
       log,
       statistics: this.#statistics,
       fencingToken: start.fencingToken,
-      snapshotEnds: () => this.#snapshotEnds(),
+      snapshotEnds: () => this.#sessions.snapshotEnds(),
       onConflict: () => options.onFenced("the owner record has changed"),
     });
     this.#vmManager = new VmManager({
@@ -161,7 +166,7 @@
     this.#statistics.stop();
     this.#vmManager.stop();
     this.#followers.forEach((follower) => follower.stop());
-    this.#sessions.forEach((session) => session.stop());
+    this.#sessions.stop();
   }
 
   /** Stores pending job progress, before the ownership is released. */
@@ -192,7 +197,7 @@
     }
     const progressItems = new Map(progress.value.items.map((item) => [item.key, item.value]));
     this.#applyIntake(intake.value.items, progressItems);
-    workers.value.items.forEach((item) => this.#applyWorkerEntry(item.key, item.value));
+    workers.value.items.forEach((item) => this.#sessions.applyEntry(item));
     this.#isLoaded = true;
     if (!start.hadPreviousOwner) {
       this.scheduler.settle(clock.nowMs(), "there was no previous owner");
@@ -205,8 +210,8 @@
       mayBeIncomplete: () => false,
     });
     this.#follow(documents.workerPrefix, workers.value.asOfRevision, {
-      onList: (items) => this.#applyWorkerList(items),
-      onChange: ({ key, value }) => this.#applyWorkerEntry(key, value),
+      onList: (items) => this.#sessions.applyList(items),
+      onChange: (change) => this.#sessions.applyEntry(change),
       mayBeIncomplete: () => this.scheduler.hasUnknownWorkers,
     });
     void this.#vmManager.run(config);
@@ -302,63 +307,9 @@
     });
   }
 
-  #applyWorkerEntry(key: string, value: string | undefined): void {
-    const { documents, clock, log } = this.#options;
-    const workerId = key.slice(documents.workerPrefix.length);
-    if (value === undefined) {
-      const worker = this.scheduler.workers.get(workerId);
-      if (worker?.isListed) {
-        this.#unlistedSinceMs.set(workerId, clock.nowMs());
-        worker.isListed = false;
-        log.info("Worker entry removed", { worker: workerId, runs: worker.runs.size });
-        this.#scheduleDecision();
-      }
-      return;
-    }
-    const info = documents.decodeWorker(key, value);
-    if (info.isErr()) {
-      log.info("Could not decode a worker entry", { worker: workerId, reason: info.error.message });
-      return;
-    }
-    this.#unlistedSinceMs.delete(workerId);
-    const previous = this.scheduler.workers.get(workerId);
-    const wasDraining = previous?.info.isDraining;
-    const worker = this.scheduler.putWorker(info.value, clock.nowMs());
-    if (worker !== previous) {
-      log.info("Worker added", {
-        worker: workerId,
-        vm: info.value.vm,
-        pool: info.value.pool,
-        startedUnixMs: info.value.startedUnixMs,
-      });
-    }
-    if (info.value.isDraining && !wasDraining) {
-      log.info("Worker is draining", { worker: workerId, runs: worker.runs.size });
-    }
-    this.#openSession(worker);
-    this.#scheduleDecision();
-  }
-
-  #applyWorkerList(items: readonly ports.scheduling.StoreItem[]): void {
-    const listed = new Set(items.map(({ key }) => key));
-    for (const workerId of this.scheduler.workers.keys()) {
-      const key = this.#options.documents.workerPrefix + workerId;
-      if (!listed.has(key)) {
-        this.#applyWorkerEntry(key, undefined);
-      }
-    }
-    items.forEach((item) => this.#applyWorkerEntry(item.key, item.value));
-  }
-
-  #openSession(worker: policy.scheduling.workerRecord.WorkerRecord): void {
-    const { workerId } = worker.info;
-    const existing = this.#sessions.get(workerId);
-    if (existing?.worker === worker) {
-      return;
-    }
-    existing?.stop();
+  #createSession(worker: policy.scheduling.workerRecord.WorkerRecord): WorkerSession {
     const { workers, clock, log, start, onFenced } = this.#options;
-    const session = new WorkerSession({
+    return new WorkerSession({
       worker,
       scheduler: this.scheduler,
       client: workers,
@@ -371,18 +322,8 @@
         !this.ownershipProof.isStoreProofValid(clock.nowMs() + RETRY_INTERVAL_MS),
       onWorkerProof: (id, askedAtMs) => this.ownershipProof.recordWorkerProof(id, askedAtMs),
       onChange: () => this.#scheduleDecision(),
-      onFenced: () => onFenced(`worker ${workerId} has seen a higher fencing token`),
+      onFenced: () => onFenced(`worker ${worker.info.workerId} has seen a higher fencing token`),
     });
-    this.#sessions.set(workerId, session);
-    void session.run();
-  }
-
-  /** Captures the task ends processed so far; the returned function marks them as stored. */
-  #snapshotEnds(): () => void {
-    const ends = [...this.#sessions.values()].map((session) =>
-      [session, session.worker.ends.processed] as const
-    );
-    return () => ends.forEach(([session, end]) => session.markEndsStored(end));
   }
 
   /**
@@ -419,7 +360,7 @@
     const nowMs = clock.nowMs();
     this.#settleAfterLeases(nowMs);
     this.scheduler.expireLeases(nowMs);
-    this.#closeRemovedSessions(nowMs);
+    this.#sessions.closeRemoved(nowMs);
     if (this.#canIssueOrders()) {
       const orders = this.scheduler.decide({ nowMs, wallMs: clock.wallMs() });
       orders.forEach((order) => this.#executeOrder(order));
@@ -427,19 +368,6 @@
     this.#journal.wake();
   }
 
-  /** Closes the sessions of workers that the scheduler has removed and that are no longer listed. */
-  #closeRemovedSessions(nowMs: number): void {
-    for (const [workerId, session] of this.#sessions) {
-      const isRemoved = this.scheduler.workers.get(workerId) !== session.worker;
-      const sinceMs = this.#unlistedSinceMs.get(workerId) ?? nowMs;
-      if (isRemoved && nowMs - sinceMs >= SESSION_CLOSE_DELAY_MS) {
-        session.stop();
-        this.#sessions.delete(workerId);
-        this.#unlistedSinceMs.delete(workerId);
-      }
-    }
-  }
-
   readonly #orderHandlers: {
     readonly [Kind in Order["kind"]]: (order: Extract<Order, { kind: Kind }>) => void;
   } = {
--- a/packages/scheduler/src/pause.ts
+++ b/packages/scheduler/src/pause.ts
@@ -23,6 +23,11 @@
     }
   }
 
+  /** Forgets a wake-up that came while nothing was waiting. */
+  reset(): void {
+    this.#isPending = false;
+  }
+
   /** Resolves at the next wake-up, or after `maxMs`. */
   async wait(maxMs?: number): Promise<void> {
     if (this.#isPending) {
--- a/packages/scheduler/src/term_statistics.ts
+++ b/packages/scheduler/src/term_statistics.ts
@@ -6,7 +6,7 @@
  */
 import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
-import type { NodeMetrics } from "./metrics.ts";
+import { type NodeMetrics, processCpuMs } from "./metrics.ts";
 
 const LOG_INTERVAL_MS = 1_000;
 
@@ -35,6 +35,9 @@
   #writeCount = 0;
   #longestWriteMs = 0;
   #reportCount = 0;
+  #workerCallCount = 0;
+  #failedWorkerCallCount = 0;
+  #cpuMs = processCpuMs();
 
   constructor(options: TermStatisticsOptions) {
     this.#options = options;
@@ -53,6 +56,13 @@
     this.#options.metrics.journalWriteSeconds.observe(tookMs / 1_000);
   }
 
+  /** Counts a call to a worker; the outcome `unknown` means that no answer came. */
+  recordWorkerCall(outcome: string): void {
+    this.#workerCallCount++;
+    this.#failedWorkerCallCount += outcome === "unknown" ? 1 : 0;
+    this.#options.metrics.workerCalls.inc({ outcome });
+  }
+
   /** Counts a report; `acknowledgedWaitsMs` are the times that ends waited for their acknowledgement. */
   recordReport(acknowledgedWaitsMs: readonly number[]): void {
     this.#reportCount++;
@@ -61,7 +71,10 @@
     );
   }
 
-  /** Reports once per interval. A large `intervalMs` in the log means that the process was short of CPU time. */
+  /**
+   * Reports once per interval. A large `intervalMs` in the log, or a `cpuMs` near the VM's share of it, means
+   * that the process was short of CPU time.
+   */
   tick(): void {
     const { clock, log, metrics, scheduler } = this.#options;
     const nowMs = clock.nowMs();
@@ -70,6 +83,7 @@
       return;
     }
     this.#loggedAtMs = nowMs;
+    const cpuMs = processCpuMs();
     const backlog = this.#endBacklog(nowMs);
     metrics.ends.set({ stage: "unprocessed" }, backlog.unprocessed);
     metrics.ends.set({ stage: "unstored" }, backlog.unstored);
@@ -87,10 +101,16 @@
       journalWrites: this.#writeCount,
       longestWriteMs: Math.round(this.#longestWriteMs),
       reports: this.#reportCount,
+      workerCalls: this.#workerCallCount,
+      failedWorkerCalls: this.#failedWorkerCallCount,
       decisions: this.#decisionCount,
       decisionMs: Math.round(this.#decisionMs),
       intervalMs: Math.round(intervalMs),
+      cpuMs: Math.round(cpuMs - this.#cpuMs),
     });
+    this.#cpuMs = cpuMs;
+    this.#workerCallCount = 0;
+    this.#failedWorkerCallCount = 0;
     this.#decisionCount = 0;
     this.#decisionMs = 0;
     this.#writeCount = 0;
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -26,6 +26,11 @@
  */
 const MAX_JOURNAL_WAIT_MS = 500;
 const RETRY_INTERVAL_MS = 200;
+/**
+ * The longest period between report requests to an idle worker that gives no response. A worker that only
+ * times out is asked this often in any case: a request takes 700 ms to time out.
+ */
+const MAX_RETRY_PERIOD_MS = 900;
 /** Poll interval for idle workers while only workers can prove the ownership. */
 const PROOF_INTERVAL_MS = 700;
 
@@ -55,8 +60,10 @@
   readonly #storedSignal = new WakeSignal();
   readonly #startLimiter = new OrderLimiter();
   #isStopped = false;
+  readonly #retrySignal = new WakeSignal();
   #isResponding = true;
   #reportRequestedAtMs = 0;
+  #retryPeriodMs = RETRY_INTERVAL_MS;
 
   constructor(options: WorkerSessionOptions) {
     this.#options = options;
@@ -80,9 +87,15 @@
     this.#wakeUp.wake();
   }
 
+  /** Repeats a failed report request at once: the worker's registration shows that its process is alive. */
+  retryNow(): void {
+    this.#retrySignal.wake();
+  }
+
   stop(): void {
     this.#isStopped = true;
     this.#storedSignal.wake();
+    this.#retrySignal.wake();
     this.#wakeUp.wake();
   }
 
@@ -93,12 +106,29 @@
         await this.#wakeUp.wait(PROOF_INTERVAL_MS);
         continue;
       }
-      const isSuccessful = await this.#requestReport();
-      await pause(isSuccessful ? REPORT_INTERVAL_MS : RETRY_INTERVAL_MS);
+      if (await this.#requestReport()) {
+        this.#retryPeriodMs = RETRY_INTERVAL_MS;
+        await pause(REPORT_INTERVAL_MS);
+      } else {
+        await this.#waitForRetry();
+      }
       await this.#waitUntilStored();
     }
   }
 
+  /** Waits before a failed request is repeated; for longer each time while the worker has no runs. */
+  async #waitForRetry(): Promise<void> {
+    const { worker, clock } = this.#options;
+    if (worker.runs.size > 0) {
+      this.#retryPeriodMs = RETRY_INTERVAL_MS;
+      return pause(RETRY_INTERVAL_MS);
+    }
+    const untilMs = this.#reportRequestedAtMs + this.#retryPeriodMs;
+    this.#retryPeriodMs = Math.min(2 * this.#retryPeriodMs, MAX_RETRY_PERIOD_MS);
+    this.#retrySignal.reset();
+    await this.#retrySignal.wait(Math.max(RETRY_INTERVAL_MS, untilMs - clock.nowMs()));
+  }
+
   /** Waits until the journal has stored all processed task ends, for `MAX_JOURNAL_WAIT_MS` at most. */
   async #waitUntilStored(): Promise<void> {
     const { worker: { ends }, clock } = this.#options;
@@ -281,7 +311,8 @@
     outcome: { readonly kind: string },
     askedAtMs: number,
   ): void {
-    const { worker, log, onWorkerProof, onFenced } = this.#options;
+    const { worker, log, statistics, onWorkerProof, onFenced } = this.#options;
+    statistics.recordWorkerCall(outcome.kind);
     const isResponding = outcome.kind !== "unknown";
     if (isResponding !== this.#isResponding) {
       log.info(isResponding ? "Worker is responding again" : "Worker is not responding", {
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -2,27 +2,50 @@
 import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
 import { useSimulatedTime } from "./test/model_world.ts";
-import { putJob, termFixture } from "./test/term_fixture.ts";
+import { putJob, type TermFixture, termFixture } from "./test/term_fixture.ts";
 import { WorkerSession } from "./worker_session.ts";
 
 const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
 
+const WORKER = {
+  workerId: "w",
+  vm: "vm",
+  pool: "pool",
+  address: "w",
+  isDraining: false,
+  total: TOTAL,
+  labels: [],
+  startedUnixMs: 1,
+};
+
+/** Runs a session of an owner that may give orders. */
+function openSession(
+  parts: TermFixture,
+  hold: ports.scheduling.WorkerClient["hold"],
+): WorkerSession {
+  const session = new WorkerSession({
+    ...parts,
+    worker: parts.scheduler.putWorker(WORKER, Date.now())!,
+    client: { hold } as Partial<
+      ports.scheduling.WorkerClient
+    > as ports.scheduling.WorkerClient,
+    fencingToken: 1,
+    canIssueOrders: () => true,
+    needsWorkerProof: () => false,
+    onWorkerProof: () => {},
+    onChange: () => {},
+    onFenced: () => {},
+  });
+  void session.run();
+  return session;
+}
+
 /** A session with a busy worker that lists one task end until it is acknowledged. */
 function openSessionWithOneEnd(): { session: WorkerSession; acknowledgedEnds: number[] } {
   const parts = termFixture();
   const { scheduler } = parts;
   scheduler.retireJob("ended", "complete");
   putJob(scheduler, "running");
-  const worker = scheduler.putWorker({
-    workerId: "w",
-    vm: "vm",
-    pool: "pool",
-    address: "w",
-    isDraining: false,
-    total: TOTAL,
-    labels: [],
-    startedUnixMs: 1,
-  }, Date.now());
   const end = {
     endNumber: 1,
     task: "ended.0.0.0",
@@ -33,29 +56,15 @@
   const running = [{ task: "running.0.0.0", runId: 1, checkpoint: "", percent: 1, load: 0 }];
   /** The last end acknowledged by each report request. */
   const acknowledgedEnds: number[] = [];
-  const client = {
-    hold: async (_worker, { acknowledgedEnd, waitMs }) => {
-      acknowledgedEnds.push(acknowledgedEnd);
-      const ends = acknowledgedEnd < 1 ? [end] : [];
-      await testing.waitFor.pause(ends.length > 0 ? 2 : waitMs + 2);
-      return {
-        kind: "report",
-        report: { startedUnixMs: 1, workerClockMs: Date.now(), running, ends },
-      };
-    },
-  } as Partial<ports.scheduling.WorkerClient> as ports.scheduling.WorkerClient;
-  const session = new WorkerSession({
-    ...parts,
-    worker,
-    client,
-    fencingToken: 1,
-    canIssueOrders: () => true,
-    needsWorkerProof: () => false,
-    onWorkerProof: () => {},
-    onChange: () => {},
-    onFenced: () => {},
+  const session = openSession(parts, async (_worker, { acknowledgedEnd, waitMs }) => {
+    acknowledgedEnds.push(acknowledgedEnd);
+    const ends = acknowledgedEnd < 1 ? [end] : [];
+    await testing.waitFor.pause(ends.length > 0 ? 2 : waitMs + 2);
+    return {
+      kind: "report",
+      report: { startedUnixMs: 1, workerClockMs: Date.now(), running, ends },
+    };
   });
-  void session.run();
   return { session, acknowledgedEnds };
 }
 
@@ -72,3 +81,33 @@
   expect(acknowledgedEnds.at(-1)).toBe(1);
   session.stop();
 });
+
+const UNRESPONSIVE = [
+  { name: "is refused", failureMs: 2, period: { minMs: 850, maxMs: 950 } },
+  { name: "times out", failureMs: 700, period: { minMs: 850, maxMs: 950 } },
+];
+
+test.each(UNRESPONSIVE)(
+  "asks an idle worker less and less often when each request $name, and at once when its entry changes",
+  async ({ failureMs, period }) => {
+    const askedAtMs: number[] = [];
+    const session = openSession(termFixture(), async () => {
+      askedAtMs.push(Date.now());
+      await testing.waitFor.pause(failureMs);
+      return { kind: "unknown", reason: "test" };
+    });
+    await vi.advanceTimersByTimeAsync(10_000);
+    const gapMs = askedAtMs.at(-1)! - askedAtMs.at(-2)!;
+    expect(gapMs).toBeGreaterThan(period.minMs);
+    expect(gapMs).toBeLessThan(period.maxMs);
+    const count = askedAtMs.length;
+    while (askedAtMs.length === count) {
+      await vi.advanceTimersByTimeAsync(1);
+    }
+    await vi.advanceTimersByTimeAsync(failureMs + 50);
+    session.retryNow();
+    await vi.advanceTimersByTimeAsync(1);
+    expect(askedAtMs).toHaveLength(count + 2);
+    session.stop();
+  },
+);
--- /dev/null
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -0,0 +1,173 @@
+/**
+ * Keeps one session with each worker that is registered in the store and whose process may be running.
+ *
+ * @module
+ */
+import type * as policy from "@jackdawlink/policy";
+import type * as ports from "@jackdawlink/ports";
+import type { WorkerSession } from "./worker_session.ts";
+
+type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
+
+/** A worker's entry that is still missing this long after the store has come back has been removed. */
+const SESSION_CLOSE_DELAY_MS = 2_500;
+
+export interface WorkerSessionsOptions {
+  readonly scheduler: policy.scheduling.scheduler.Scheduler;
+  readonly documents: ports.scheduling.Documents;
+  readonly clock: ports.clock.Clock;
+  readonly log: ports.log.Log;
+  readonly createSession: (worker: WorkerRecord) => WorkerSession;
+  /** Called when something has changed that scheduling decisions depend on. */
+  readonly onChange: () => void;
+}
+
+/** A worker's entry in the store; `value` is undefined if it has been removed. */
+export interface WorkerEntry {
+  readonly key: string;
+  readonly value: string | undefined;
+  /** The store revision of the entry's last change; heartbeats change it too. */
+  readonly revision: number;
+}
+
+/** Opens, finds and closes sessions as workers register, leave and end. */
+export class WorkerSessions {
+  readonly #options: WorkerSessionsOptions;
+  readonly #sessions = new Map<string, WorkerSession>();
+  /** The revision of each worker's entry that was applied last. */
+  readonly #appliedRevisions = new Map<string, number>();
+  /** When each worker's entry was removed from the store. */
+  readonly #unlistedSinceMs = new Map<string, number>();
+
+  constructor(options: WorkerSessionsOptions) {
+    this.#options = options;
+  }
+
+  get(workerId: string): WorkerSession | undefined {
+    return this.#sessions.get(workerId);
+  }
+
+  /** Applies a complete list of entries; workers that it lacks are no longer registered. */
+  applyList(entries: readonly WorkerEntry[]): void {
+    const listed = new Set(entries.map(({ key }) => this.#workerIdOf(key)));
+    for (const workerId of this.#options.scheduler.workers.keys()) {
+      if (!listed.has(workerId)) {
+        this.#applyRemoval(workerId);
+      }
+    }
+    entries.forEach((entry) => this.applyEntry(entry));
+  }
+
+  applyEntry({ key, value, revision }: WorkerEntry): void {
+    const workerId = this.#workerIdOf(key);
+    if (value === undefined) {
+      this.#applyRemoval(workerId);
+    } else if (!this.#isApplied(workerId, revision)) {
+      this.#applyRegistration({ key, value, workerId });
+      this.#appliedRevisions.set(workerId, revision);
+    }
+  }
+
+  /**
+   * Closes the sessions of workers that have ended, and of those that the scheduler has removed and that are
+   * no longer listed.
+   */
+  closeRemoved(nowMs: number): void {
+    for (const [workerId, session] of this.#sessions) {
+      const isRemoved = this.#options.scheduler.workers.get(workerId) !== session.worker;
+      const sinceMs = this.#unlistedSinceMs.get(workerId) ?? nowMs;
+      if (session.worker.hasEnded || (isRemoved && nowMs - sinceMs >= SESSION_CLOSE_DELAY_MS)) {
+        session.stop();
+        this.#sessions.delete(workerId);
+        this.#appliedRevisions.delete(workerId);
+        this.#unlistedSinceMs.delete(workerId);
+      }
+    }
+  }
+
+  /** Captures the task ends processed so far; the returned function marks them as stored. */
+  snapshotEnds(): () => void {
+    const ends = [...this.#sessions.values()].map((session) =>
+      [session, session.worker.ends.processed] as const
+    );
+    return () => ends.forEach(([session, end]) => session.markEndsStored(end));
+  }
+
+  stop(): void {
+    this.#sessions.forEach((session) => session.stop());
+  }
+
+  #workerIdOf(key: string): string {
+    return key.slice(this.#options.documents.workerPrefix.length);
+  }
+
+  /** Whether this revision of an entry has been applied to the worker's current record. */
+  #isApplied(workerId: string, revision: number): boolean {
+    const worker = this.#options.scheduler.workers.get(workerId);
+    return worker !== undefined && worker.isListed &&
+      worker === this.#sessions.get(workerId)?.worker &&
+      this.#appliedRevisions.get(workerId) === revision;
+  }
+
+  #applyRemoval(workerId: string): void {
+    const { scheduler, clock, log, onChange } = this.#options;
+    const worker = scheduler.workers.get(workerId);
+    const wasListed = worker?.isListed ?? false;
+    scheduler.recordWorkerUnlisted(workerId);
+    if (worker !== undefined && wasListed) {
+      this.#unlistedSinceMs.set(workerId, clock.nowMs());
+      log.info("Worker entry removed", { worker: workerId, runs: worker.runs.size });
+      onChange();
+    }
+  }
+
+  #applyRegistration({ key, value, workerId }: {
+    readonly key: string;
+    readonly value: string;
+    readonly workerId: string;
+  }): void {
+    const { scheduler, documents, clock, log, onChange } = this.#options;
+    const info = documents.decodeWorker(key, value);
+    if (info.isErr()) {
+      log.info("Could not decode a worker entry", { worker: workerId, reason: info.error.message });
+      return;
+    }
+    this.#unlistedSinceMs.delete(workerId);
+    const previous = scheduler.workers.get(workerId);
+    const wasDraining = previous?.info.isDraining ?? false;
+    const wasListed = previous?.isListed ?? false;
+    const worker = scheduler.putWorker(info.value, clock.nowMs());
+    if (worker === undefined) {
+      return;
+    }
+    if (worker !== previous) {
+      log.info("Worker added", {
+        worker: workerId,
+        vm: info.value.vm,
+        pool: info.value.pool,
+        startedUnixMs: info.value.startedUnixMs,
+      });
+    }
+    if (info.value.isDraining && !wasDraining) {
+      log.info("Worker is draining", { worker: workerId, runs: worker.runs.size });
+    }
+    this.#open(worker);
+    // A heartbeat alone changes nothing that decisions depend on.
+    if (worker !== previous || !wasListed || info.value.isDraining !== wasDraining) {
+      onChange();
+    }
+  }
+
+  #open(worker: WorkerRecord): void {
+    const { workerId } = worker.info;
+    const existing = this.#sessions.get(workerId);
+    if (existing?.worker === worker) {
+      existing.retryNow();
+      return;
+    }
+    existing?.stop();
+    const session = this.#options.createSession(worker);
+    this.#sessions.set(workerId, session);
+    void session.run();
+  }
+}
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -19,13 +19,15 @@
 const LATENCY_MS = 2;
 const ORDER_TIMEOUT_MS = 400;
 const LATE_ORDER_DELAY_MS = [2_000, 12_000] as const;
-const ENTRY_EXPIRY_MS = 4_500;
+const HEARTBEAT_INTERVAL_MS = 1_500;
+const ENTRY_EXPIRY_MS = 3 * HEARTBEAT_INTERVAL_MS;
 const STOP_DURATION_MS = 300;
 const MOVE_DURATION_MS = 1_500;
 const MAINTENANCE_DURATION_MS = 2_000;
 /** Speed of the workers' clocks relative to real time. */
 const WORKER_CLOCK_RATE = 0.98;
 const LEASE_CHECK_INTERVAL_MS = 20;
+const CONNECTION_REFUSED = { kind: "unknown", reason: "connection refused" } as const;
 
 /** Faults between nodes and workers. */
 export interface FleetFaults {
@@ -57,6 +59,10 @@
   /** When each unacknowledged end was first reported, by end number. */
   readonly endedAtMs = new Map<number, number>();
   readonly reportWaiters = new Set<() => void>();
+  /** When the first call of a node arrived; undefined before. */
+  firstCalledAtMs: number | undefined;
+  /** Calls of nodes that came after the end of the process. */
+  callsAfterEnd = 0;
   fencingToken = 0;
   leaseUntilMs = 0;
   endCount = 0;
@@ -107,7 +113,7 @@
   readonly #vms = new Map<string, ModelVm>();
   readonly #workersByAddress = new Map<string, ModelWorker>();
   readonly #maintenanceStartsByWave = new Map<number, Map<string, number>>();
-  #workerCount = 0;
+  readonly #workers: ModelWorker[] = [];
   /** The highest number of VMs that were down for maintenance at the same time. */
   maxVmsInMaintenance = 0;
 
@@ -137,12 +143,26 @@
     return this.#vms.get(vm)?.worker?.workerId;
   }
 
-  /** Kills the worker of a VM; the VM starts a new worker after `downMs`. */
-  crash(vm: string, downMs: number): void {
+  /** By worker process that is over, how many calls came after its end. */
+  callsAfterEnd(): number[] {
+    return this.#workers.filter(({ isAlive }) => !isAlive).map((worker) => worker.callsAfterEnd);
+  }
+
+  /** How long the worker of a VM ran before a node first called it; undefined if none has. */
+  firstCallDelayMs(vm: string): number | undefined {
+    const worker = this.#vms.get(vm)?.worker;
+    return worker?.firstCalledAtMs === undefined
+      ? undefined
+      : worker.firstCalledAtMs - worker.startedAtMs;
+  }
+
+  /** Kills the worker of a VM; the VM starts a new worker after `downMs`, by default with a new id. */
+  crash(vm: string, downMs: number, { keepsId = false } = {}): void {
     const record = this.#vms.get(vm)!;
     if (record.state === "up" && record.worker !== undefined) {
+      const workerId = keepsId ? record.worker.workerId : undefined;
       this.#endWorker(record, "down", ENTRY_EXPIRY_MS);
-      setTimeout(() => this.#bringUp(record), downMs);
+      setTimeout(() => this.#bringUp(record, workerId), downMs);
     }
   }
 
@@ -236,7 +256,7 @@
   }
 
   #takeDown(record: ModelVm, state: "moving" | "upkeep", downMs: number): void {
-    this.#endWorker(record, state, 0);
+    this.#endWorker(record, state, ENTRY_EXPIRY_MS);
     setTimeout(() => this.#bringUp(record), downMs);
   }
 
@@ -247,18 +267,27 @@
     return known;
   }
 
-  #bringUp(record: ModelVm): void {
+  #bringUp(record: ModelVm, workerId?: string): void {
     record.state = "up";
     if (record.pool !== this.#options.standbyPool) {
-      this.#startWorker(record);
+      this.#startWorker(record, workerId);
     }
   }
 
-  #startWorker(record: ModelVm): void {
-    const { store, documents, encodeWorker, total } = this.#options;
-    const worker = new ModelWorker(`w${++this.#workerCount}`, record.vm);
+  #startWorker(record: ModelVm, workerId = `w${this.#workers.length + 1}`): void {
+    const worker = new ModelWorker(workerId, record.vm);
     record.worker = worker;
+    this.#workers.push(worker);
     this.#workersByAddress.set(worker.workerId, worker);
+    this.#writeEntry(record, worker);
+  }
+
+  /** Writes the worker's entry now and with each heartbeat. */
+  #writeEntry(record: ModelVm, worker: ModelWorker): void {
+    const { store, documents, encodeWorker, total } = this.#options;
+    if (!worker.isAlive) {
+      return;
+    }
     store.write(
       documents.workerPrefix + worker.workerId,
       encodeWorker({
@@ -272,6 +301,7 @@
         startedUnixMs: worker.startedAtMs,
       }),
     );
+    setTimeout(() => this.#writeEntry(record, worker), HEARTBEAT_INTERVAL_MS);
   }
 
   #endWorker(record: ModelVm, state: schema.scheduling.VmState, expiryMs: number): void {
@@ -288,7 +318,12 @@
         );
       }
       const key = this.#options.documents.workerPrefix + worker.workerId;
-      setTimeout(() => this.#options.store.write(key, undefined), expiryMs);
+      setTimeout(() => {
+        // A restart under the same id has renewed the entry.
+        if (this.#workersByAddress.get(worker.workerId) === worker) {
+          this.#options.store.write(key, undefined);
+        }
+      }, expiryMs);
     }
   }
 
@@ -299,6 +334,9 @@
   ): Promise<OrderOutcome> {
     const { random } = this.#options;
     await pause(LATENCY_MS);
+    if (this.#refusesConnections(address)) {
+      return CONNECTION_REFUSED;
+    }
     const worker = this.#reachableWorker(from.node, address);
     if (worker === undefined || !from.isAlive()) {
       return this.#noAnswer(from);
@@ -311,12 +349,26 @@
     return random.chance(this.faults.answerLossProbability) ? this.#noAnswer(from) : outcome;
   }
 
+  /** Whether the process at an address is over, so that a call fails at once. */
+  #refusesConnections(address: string): boolean {
+    const worker = this.#workersByAddress.get(address);
+    if (worker?.isAlive === false) {
+      worker.callsAfterEnd++;
+      return true;
+    }
+    return false;
+  }
+
   #reachableWorker(node: string, address: string): ModelWorker | undefined {
     const worker = this.#workersByAddress.get(address);
     const { blockedLinks } = this.faults;
     const isCut = blockedLinks.has(`${node}>${address}`) || blockedLinks.has(`*>${address}`) ||
       blockedLinks.has(`${node}>*`);
-    return worker?.isAlive && !isCut ? worker : undefined;
+    if (!worker?.isAlive || isCut) {
+      return undefined;
+    }
+    worker.firstCalledAtMs ??= Date.now();
+    return worker;
   }
 
   async #noAnswer(
@@ -332,6 +384,9 @@
     order: Parameters<ports.scheduling.WorkerClient["hold"]>[1],
   ): ReturnType<ports.scheduling.WorkerClient["hold"]> {
     await pause(LATENCY_MS);
+    if (this.#refusesConnections(address)) {
+      return CONNECTION_REFUSED;
+    }
     const worker = this.#reachableWorker(from.node, address);
     const unknown = { kind: "unknown", reason: "no answer" } as const;
     if (worker === undefined || !from.isAlive()) {
