Settle a takeover although VMs keep coming up

Cause: a takeover was settled only by a list of VMs on which every worker that is up had reported.

Change: TakeoverCensus fixes the workers to wait for once the previous owner can give no more orders, 1.6 s after the takeover: those that run on VMs that the next list, or the one after it, shows for the first time. A worker that starts later cannot run anything of the previous owner. The takeover settles with the report of the last of them, not only with a list.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -13,6 +13,7 @@
 import { decidePaceChanges } from "./pacing.ts";
 import { chooseReservation, chooseWorker, type EligibilityRequest } from "./placement.ts";
 import * as resources from "./resources.ts";
+import { aliveWorkerIds, MAX_MISSED_LISTS, TakeoverCensus } from "./takeover_census.ts";
 import { parseTaskName } from "./task_names.ts";
 import { groupByPool, type PoolWorkers } from "./pool_workers.ts";
 import { WorkerRecord } from "./worker_record.ts";
@@ -29,8 +30,6 @@
  * previous owner.
  */
 const PREVIOUS_OWNER_STOP_MS = 2_000;
-/** A VM that moves between two pages while they are read is missing from a single list only. */
-const MISSED_LISTS_BEFORE_REMOVAL = 2;
 
 /** A command that the caller carries out against a worker or the advice service. */
 export type Order =
@@ -94,6 +93,7 @@
   readonly #workspaces = new WorkspaceUsage();
   readonly #advice = new AdviceCache();
   readonly #endedIncarnations = new EndedIncarnations();
+  readonly #census: TakeoverCensus;
   readonly #queues = new Map<string, schema.scheduling.Queue>();
   /**
    * True once every worker that may run tasks of a previous owner has reported, or its lease has
@@ -105,6 +105,8 @@
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
+    const { atMs, staleOwnerMs } = options.takeover;
+    this.#census = new TakeoverCensus({ previousOwnerEndsAtMs: atMs + staleOwnerMs });
   }
 
   setConfig(config: schema.scheduling.SchedulingConfig): void {
@@ -220,32 +222,41 @@
     listed: readonly schema.scheduling.ListedVm[],
     { askedAtMs, nowMs }: { readonly askedAtMs: number; readonly nowMs: number },
   ): void {
-    const alive = new Set(
-      listed.flatMap(({ state, workerId }) => state === "up" && workerId ? [workerId] : []),
-    );
+    const alive = aliveWorkerIds(listed);
     const listedVms = new Set(listed.map(({ vm }) => vm));
     for (const worker of [...this.workers.values()]) {
       worker.missedListCount = listedVms.has(worker.info.vm) ? 0 : worker.missedListCount + 1;
       const isGone = worker.missedListCount === 0 ||
-        worker.missedListCount >= MISSED_LISTS_BEFORE_REMOVAL;
+        worker.missedListCount > MAX_MISSED_LISTS;
       if (isGone && worker.knownSinceMs < askedAtMs && !alive.has(worker.info.workerId)) {
         this.dropWorker(worker, nowMs, "its VM is down");
       }
     }
     alive.forEach((id) => this.#endedIncarnations.recordAlive(id, askedAtMs));
     this.hasUnknownWorkers = [...alive].some((id) => !this.workers.has(id));
+    if (this.isSettled) {
+      return;
+    }
+    const hasReported = (id: string) => this.workers.get(id)?.hasReported ?? false;
+    this.#census.recordList(listed, { askedAtMs, hasReported });
     const isOfThisTerm = askedAtMs >= this.#options.takeover.atMs;
-    if (!this.isSettled && isOfThisTerm && this.#haveAllReported(alive)) {
+    if (isOfThisTerm && [...alive].every(hasReported) && this.#haveUnlistedReported()) {
       this.settle(nowMs, "all workers have reported");
     }
+    this.#settleAfterCensus(nowMs);
   }
 
-  /** Whether all workers whose VM is up on the list, or missing from it, have reported. */
-  #haveAllReported(alive: ReadonlySet<string>): boolean {
-    return [...alive].every((id) => this.workers.get(id)?.hasReported) &&
-      [...this.workers.values()].every((worker) =>
-        worker.hasReported || worker.missedListCount === 0
-      );
+  #settleAfterCensus(nowMs: number): void {
+    if (!this.isSettled && this.#census.isComplete && this.#haveUnlistedReported()) {
+      this.settle(nowMs, "all workers of the previous owner's time have reported");
+    }
+  }
+
+  /** Whether all workers whose VM is missing from the last list have reported. */
+  #haveUnlistedReported(): boolean {
+    return [...this.workers.values()].every((worker) =>
+      worker.hasReported || worker.missedListCount === 0
+    );
   }
 
   /** Marks the takeover as settled: no run of a previous owner can be unknown any more. */
@@ -320,6 +331,8 @@
       }
     }
     worker.hasReported = true;
+    this.#census.recordReport(worker.info.workerId);
+    this.#settleAfterCensus(at.receivedAtMs);
   }
 
   #belongsToRetiredJob(taskName: string): boolean {
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -331,6 +331,83 @@
   expect(scheduler.putWorker(info, 10_010) !== undefined).toBe(isAdded);
 });
 
+/** The previous owner of `unsettledScheduler` may give orders until then. */
+const PREVIOUS_OWNER_ENDS_AT_MS = 1_600;
+
+test.each<{
+  name: string;
+  lists: { askedAtMs: number; listed: schema.scheduling.ListedVm[] }[];
+  isSettled: boolean;
+}>([
+  {
+    name: "a worker that started later has not reported",
+    lists: [
+      { askedAtMs: 1_700, listed: [listedVm("old", "up"), listedVm("new", "moving")] },
+      { askedAtMs: 1_950, listed: [listedVm("old", "up"), listedVm("new", "up")] },
+    ],
+    isSettled: true,
+  },
+  {
+    name: "a worker of its predecessor's time has not reported",
+    lists: [
+      { askedAtMs: 1_700, listed: [listedVm("old", "up"), listedVm("silent", "up")] },
+      { askedAtMs: 1_950, listed: [listedVm("old", "up"), listedVm("silent", "up")] },
+    ],
+    isSettled: false,
+  },
+  {
+    name: "a worker that has not reported is gone",
+    lists: [
+      { askedAtMs: 1_700, listed: [listedVm("old", "up"), listedVm("silent", "up")] },
+      { askedAtMs: 1_950, listed: [listedVm("old", "up"), listedVm("silent", "down")] },
+    ],
+    isSettled: true,
+  },
+  {
+    name: "a VM was missing from the first list",
+    lists: [
+      { askedAtMs: 1_700, listed: [listedVm("old", "up")] },
+      { askedAtMs: 1_950, listed: [listedVm("old", "up"), listedVm("silent", "up")] },
+      { askedAtMs: 2_200, listed: [listedVm("old", "up"), listedVm("silent", "up")] },
+    ],
+    isSettled: false,
+  },
+  {
+    name: "a VM is missing from one later list",
+    lists: [
+      { askedAtMs: 1_700, listed: [listedVm("old", "up"), listedVm("silent", "up")] },
+      { askedAtMs: 1_950, listed: [listedVm("old", "up"), listedVm("other", "up")] },
+    ],
+    isSettled: false,
+  },
+  {
+    name: "its predecessor may have given orders to a worker that was moving on an earlier list",
+    lists: [
+      { askedAtMs: 300, listed: [listedVm("old", "up"), listedVm("new", "moving")] },
+      {
+        askedAtMs: PREVIOUS_OWNER_ENDS_AT_MS,
+        listed: [listedVm("old", "up"), listedVm("new", "up")],
+      },
+      { askedAtMs: 1_950, listed: [listedVm("old", "up"), listedVm("new", "up")] },
+    ],
+    isSettled: false,
+  },
+])("settles a takeover: $isSettled, when $name", ({ lists, isSettled }) => {
+  const scheduler = fixtures.unsettledScheduler();
+  const old = scheduler.putWorker(fixtures.workerInfo("old"), 0)!;
+  scheduler.applyReport(old, fixtures.emptyReport(), { sentAtMs: 10, receivedAtMs: 20 });
+  for (const { askedAtMs, listed } of lists) {
+    // Another worker keeps coming up, as VMs move all the time.
+    const passing = listedVm(`passing-${askedAtMs}`, "up");
+    const wasMoving = lists.map((list) => listedVm(`passing-${list.askedAtMs}`, "moving"));
+    scheduler.applyVmList(
+      [...listed, passing, ...wasMoving.filter(({ vm }) => vm !== passing.vm)],
+      { askedAtMs, nowMs: askedAtMs + 5 },
+    );
+  }
+  expect(scheduler.isSettled).toBe(isSettled);
+});
+
 test("does not settle a takeover while the VM of an unreported worker is not listed", () => {
   const scheduler = fixtures.unsettledScheduler();
   scheduler.putWorker(fixtures.workerInfo("w1"), 0);
