Pass the ownership on when the store refuses the owner alone

The owner went on placing tasks, but could store no end, so that no job that finished then was told to its caller; and the new owner had to allow for 1.6 s in which the old one might still give orders.

Change: after two failed renewals in a row the owner asks a few connected peers whether the store serves them. If one answers that it read the owner's record with the same token, the owner ends its term first and then tells all peers, of which one takes over by the same conditional write as ever. A takeover from an owner that has stopped, also in a planned stop, allows for no stale orders. An outage of the whole store, a slow store and a single failed renewal leave the owner as it is. A store that is silent fails renewals only after their time limit of 1 s, so there the lease decides as before.

--- a/packages/policy/src/scheduling/ownership_proof.ts
+++ b/packages/policy/src/scheduling/ownership_proof.ts
@@ -13,6 +13,16 @@
  */
 export const PROOF_VALIDITY_MS = 1_600;
 
+/**
+ * How many renewals in a row have to fail before the owner asks its peers whether the store serves them.
+ * A single answer may be lost; a slow store fails none.
+ */
+export const FAILED_RENEWALS_BEFORE_OFFER = 2;
+/** How often it asks. */
+export const OFFER_INTERVAL_MS = 300;
+/** How many peers it asks at a time; the store may refuse a third of all nodes. */
+export const MAX_OFFERED_PEERS = 6;
+
 /** The ownership proofs of one term. */
 export class OwnershipProof {
   #storeProofAtMs = Number.NEGATIVE_INFINITY;
--- a/packages/scheduler/src/caller_service.ts
+++ b/packages/scheduler/src/caller_service.ts
@@ -224,7 +224,7 @@
   }
 
   /** Tells the owner of a stored change. The owner watches the store too, so a lost message only adds delay. */
-  async #notifyOwner(request: PeerRequest): Promise<void> {
+  async #notifyOwner(request: JobRequest): Promise<void> {
     const answer = await this.#requestFromOwner(request);
     if (answer?.kind !== "noted") {
       this.#options.log.info("Could not notify the owner", { what: request.kind });
@@ -232,11 +232,11 @@
   }
 
   /** Sends a request to the owner, which may be this node; undefined if it could not be reached. */
-  async #requestFromOwner(request: PeerRequest): Promise<PeerResponse | undefined> {
+  async #requestFromOwner(request: JobRequest): Promise<PeerResponse | undefined> {
     const { currentTerm, ownerAddress, peers, log } = this.#options;
     const term = currentTerm();
     if (term !== undefined) {
-      return handlePeerRequest(term, request);
+      return handleJobRequest(term, request);
     }
     const address = ownerAddress();
     if (address === undefined) {
@@ -251,10 +251,13 @@
   }
 }
 
+/** The requests that concern jobs; the others concern the ownership. */
+export type JobRequest = Exclude<PeerRequest, { kind: "takeover-offer" }>;
+
 /** Handles an entry's request as the owner; `not-owner` if this node has no loaded term. */
-export function handlePeerRequest(
+export function handleJobRequest(
   term: OwnerTerm | undefined,
-  request: PeerRequest,
+  request: JobRequest,
 ): PeerResponse {
   if (term === undefined || !term.isLoaded) {
     return { kind: "not-owner" };
--- a/packages/scheduler/src/caller_service_test.ts
+++ b/packages/scheduler/src/caller_service_test.ts
@@ -68,7 +68,7 @@
       isRefusal: (error) => error instanceof testing.modelStore.ModelRefusalError,
     }),
     documents: DOCUMENTS,
-    peers: new PeerClient(SILENT),
+    peers: new PeerClient({ log: SILENT, onNotice: () => {} }),
     clock: CLOCK,
     log: SILENT,
     revokeMs: REVOKE_MS,
--- a/packages/scheduler/src/node.ts
+++ b/packages/scheduler/src/node.ts
@@ -6,14 +6,15 @@
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
-import { CallerService, handlePeerRequest } from "./caller_service.ts";
+import { CallerService, handleJobRequest } from "./caller_service.ts";
 import { ConfigFollower } from "./config_follower.ts";
+import { Handover } from "./handover.ts";
 import { JobStore } from "./job_store.ts";
 import type { NodeMetrics } from "./metrics.ts";
 import { OwnerTerm } from "./owner_term.ts";
 import { Ownership, type TermStart } from "./ownership.ts";
 import { pause } from "./pause.ts";
-import { PeerClient, PeerServer } from "./peer_rpc.ts";
+import { PeerClient, type PeerRequest, type PeerResponse, PeerServer } from "./peer_rpc.ts";
 
 /** The takeover attempts of candidates are spread over this time. */
 const CANDIDATE_SPREAD_MS = 40;
@@ -48,6 +49,7 @@
   readonly #ownership: Ownership;
   readonly #peers: PeerClient;
   readonly #peerServer: PeerServer;
+  readonly #handover: Handover;
   #term: OwnerTerm | undefined;
   /** A term that starts as soon as the first configuration has been read. */
   #deferredStart: TermStart | undefined;
@@ -75,11 +77,23 @@
       onProof: (askedAtMs) => this.#term?.ownershipProof.recordStoreProof(askedAtMs),
       onEnd: () => this.#endTerm(),
     });
-    this.#peers = new PeerClient(logs("peer"));
+    this.#peers = new PeerClient({
+      log: logs("peer"),
+      onNotice: (notice) => void this.#handover.handleNotice(notice),
+    });
     this.#peerServer = new PeerServer(peerAddress, {
-      handle: (request) => handlePeerRequest(this.#term, request),
+      handle: (request) => this.#handlePeerRequest(request),
       log: logs("peer"),
     });
+    this.#handover = new Handover({
+      ownership: this.#ownership,
+      store,
+      clock,
+      log: logs("owner"),
+      notifyPeers: (notice, maxCount = Number.POSITIVE_INFINITY) =>
+        this.#peerServer.notify(notice, { maxCount, random: options.random }),
+      offerTakeover: (fencingToken) => void this.#offerTakeover(fencingToken),
+    });
     this.callers = new CallerService({
       configs: this.#configs,
       jobs: new JobStore({ store, clock, isRefusal: options.isStoreRefusal }),
@@ -96,6 +110,7 @@
   start(): void {
     void this.#configs.run();
     this.#ownership.start();
+    void this.#handover.run();
   }
 
   /** Releases the ownership so that another node takes over; callers are still served. */
@@ -110,11 +125,33 @@
   stop(): void {
     this.#configs.stop();
     this.#ownership.stop();
+    this.#handover.stop();
     this.#endTerm();
     this.#peers.close();
     this.#peerServer.close();
   }
 
+  #handlePeerRequest(request: PeerRequest): PeerResponse {
+    if (request.kind === "takeover-offer") {
+      this.#handover.acceptOffer(request.fencingToken);
+      return { kind: "noted" };
+    }
+    return handleJobRequest(this.#term, request);
+  }
+
+  async #offerTakeover(fencingToken: number): Promise<void> {
+    const address = this.#ownership.ownerAddress;
+    const answer = address === undefined
+      ? undefined
+      : await this.#peers.request(address, { kind: "takeover-offer", fencingToken });
+    if (answer?.isErr()) {
+      this.#options.logs("owner").info("Could not offer to take over", {
+        address,
+        reason: answer.error.message,
+      });
+    }
+  }
+
   #applyConfig(config: schema.scheduling.SchedulingConfig): void {
     this.#term?.setConfig(config);
     if (this.#deferredStart !== undefined) {
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -76,7 +76,9 @@
       takeover: {
         revision: start.fencingToken,
         atMs: this.#startedAtMs,
-        staleOwnerMs: policy.scheduling.ownershipProof.PROOF_VALIDITY_MS,
+        staleOwnerMs: start.hasPreviousOwnerStopped
+          ? 0
+          : policy.scheduling.ownershipProof.PROOF_VALIDITY_MS,
       },
       log,
     });
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -30,6 +30,8 @@
   readonly term: number;
   /** True if a previous owner may have left tasks running. */
   readonly hadPreviousOwner: boolean;
+  /** True if the previous owner had stopped giving orders before this takeover. */
+  readonly hasPreviousOwnerStopped: boolean;
 }
 
 export interface OwnershipOptions {
@@ -61,13 +63,23 @@
   readonly revision: number;
 }
 
+/** The lease of the owner record while this node is the owner. */
+interface HeldLease {
+  readonly leaseId: number;
+  readonly fencingToken: number;
+  /** How many renewals in a row the store has refused or left without an answer. */
+  failedRenewalCount: number;
+}
+
 /** Watches the owner record, takes the ownership over when no node holds it, and renews the lease. */
 export class Ownership {
   readonly #options: OwnershipOptions;
   readonly #wakeUp = new WakeSignal();
   #knownOwner: KnownOwner = { record: undefined, revision: 0 };
   #hasReadOwner = false;
-  #lease: { readonly leaseId: number; readonly fencingToken: number } | undefined;
+  #lease: HeldLease | undefined;
+  /** The fencing token of the last owner that is known to have ended its term. */
+  #releasedToken: number | undefined;
   #term = 0;
   #isStopped = false;
   #isCandidate = true;
@@ -82,6 +94,17 @@
     return record?.isHeld ? record.peerAddress : undefined;
   }
 
+  /** The fencing token, and how renewals go, while this node is the owner. */
+  get held(): Readonly<Omit<HeldLease, "leaseId">> | undefined {
+    return this.#lease;
+  }
+
+  /** Records that the owner with this token has ended its term, though the store still names it. */
+  recordRelease(fencingToken: number): void {
+    this.#releasedToken = fencingToken;
+    this.#wakeUp.wake();
+  }
+
   /** Starts the loops that watch the owner record, take over and renew the lease. */
   start(): void {
     void this.#followOwner();
@@ -180,10 +203,16 @@
     const { record } = this.#knownOwner;
     const { node, incarnation } = this.#options;
     return this.#hasReadOwner && this.#lease === undefined &&
-      (record === undefined || !record.isHeld ||
+      (record === undefined || this.#hasOwnerStopped() ||
         (record.node === node && record.incarnation !== incarnation));
   }
 
+  /** Whether the owner that the record names has ended its term itself. */
+  #hasOwnerStopped(): boolean {
+    const { record, revision } = this.#knownOwner;
+    return record !== undefined && (!record.isHeld || revision === this.#releasedToken);
+  }
+
   /** Takes the ownership over whenever it is free, after this candidate's delay. */
   async #runElection(): Promise<void> {
     while (!this.#isStopped) {
@@ -231,6 +260,7 @@
   async #tryTakeover(lastTerm: StoredTerm): Promise<void> {
     const { store, clock, log, strength, onStart, onProof } = this.#options;
     const previous = this.#knownOwner;
+    const hasPreviousOwnerStopped = this.#hasOwnerStopped();
     const lease = await store.grantLease(OWNER_LEASE_MS);
     if (lease.isErr()) {
       log.info("Could not get a lease for the ownership", { reason: lease.error.message });
@@ -267,13 +297,14 @@
     const fencingToken = answer.value.revision;
     this.#knownOwner = { record: this.#buildOwnerRecord(term), revision: fencingToken };
     this.#term = term;
-    this.#lease = { leaseId: lease.value.leaseId, fencingToken };
+    this.#lease = { leaseId: lease.value.leaseId, fencingToken, failedRenewalCount: 0 };
     log.info("Ownership taken", { token: fencingToken, strength, ...termRecord });
     onProof(askedAtMs);
     onStart({
       fencingToken,
       term,
       hadPreviousOwner: term > 1,
+      hasPreviousOwnerStopped,
     });
   }
 
@@ -289,9 +320,12 @@
       const renewed = await store.keepLease(held.leaseId);
       if (this.#lease === held) {
         if (renewed.isOk() && renewed.value) {
+          held.failedRenewalCount = 0;
           onProof(askedAtMs);
         } else if (renewed.isOk()) {
           this.#endOwnership("the lease has expired");
+        } else {
+          held.failedRenewalCount++;
         }
       }
       await pause(renewed.isOk() ? RENEW_INTERVAL_MS : RETRY_INTERVAL_MS);
--- a/packages/scheduler/src/peer_rpc.ts
+++ b/packages/scheduler/src/peer_rpc.ts
@@ -20,6 +20,11 @@
   v.object({ kind: v.literal("pending"), queue: v.string() }),
   v.object({ kind: v.literal("accepted"), job: schema.scheduling.jobSchema, revision: v.number() }),
   v.object({ kind: v.literal("cancelled"), jobId: v.string() }),
+  v.object({ kind: v.literal("takeover-offer"), fencingToken: v.number() }),
+]);
+const noticeSchema = v.variant("kind", [
+  v.object({ kind: v.literal("store-lost"), fencingToken: v.number() }),
+  v.object({ kind: v.literal("released"), fencingToken: v.number() }),
 ]);
 const responseSchema = v.variant("kind", [
   v.object({ kind: v.literal("state"), state: schema.scheduling.jobStateSchema }),
@@ -30,12 +35,20 @@
 ]);
 const requestFrameSchema = v.tuple([v.number(), requestSchema]);
 const responseFrameSchema = v.tuple([v.number(), responseSchema]);
+/** Notices have no response, and a null in place of the request id. */
+const noticeFrameSchema = v.tuple([v.null(), noticeSchema]);
 
-/** A request of an entry: reads a job's state or a queue's count, or reports a stored change. */
+/**
+ * A request of an entry: reads a job's state or a queue's count, reports a stored change, or tells that the
+ * store serves the entry.
+ */
 export type PeerRequest = v.InferOutput<typeof requestSchema>;
 /** The owner's response; `not-owner` if the node does not own the scheduling. */
 export type PeerResponse = v.InferOutput<typeof responseSchema>;
 
+/** What the owner tells connected nodes: the store refuses it, or it has ended its term. */
+export type PeerNotice = v.InferOutput<typeof noticeSchema>;
+
 const packr = new Packr({ useRecords: false });
 
 /** Serves the requests of other nodes. */
@@ -64,6 +77,21 @@
     });
   }
 
+  /** Sends a notice to up to `maxCount` of the connected nodes, chosen by `random`. */
+  notify(notice: PeerNotice, { maxCount, random }: {
+    readonly maxCount: number;
+    readonly random: () => number;
+  }): void {
+    const frame = packr.pack([null, notice]);
+    const open = [...this.#server.clients].filter(({ readyState }) =>
+      readyState === WebSocket.OPEN
+    );
+    const firstIndex = Math.floor(random() * open.length);
+    for (let count = 0; count < Math.min(maxCount, open.length); count++) {
+      open[(firstIndex + count) % open.length]!.send(frame);
+    }
+  }
+
   close(): void {
     this.#server.clients.forEach((socket) => socket.terminate());
     this.#server.close();
@@ -73,6 +101,7 @@
 /** Sends requests to one node at a time, the owner, over a persistent connection. */
 export class PeerClient {
   readonly #log: ports.log.Log;
+  readonly #onNotice: (notice: PeerNotice) => void;
   readonly #pendingRequests = new Map<number, (response: PeerResponse | undefined) => void>();
   #connection: {
     readonly address: string;
@@ -81,8 +110,13 @@
   } | undefined;
   #lastId = 0;
 
-  constructor(log: ports.log.Log) {
+  constructor({ log, onNotice }: {
+    readonly log: ports.log.Log;
+    /** Called with each notice of a node to which this client is connected. */
+    readonly onNotice: (notice: PeerNotice) => void;
+  }) {
     this.#log = log;
+    this.#onNotice = onNotice;
   }
 
   /** Sends a request and waits for its response; opens a connection if there is none to the address. */
@@ -140,9 +174,15 @@
     );
     socket.on("close", () => this.#failPendingRequests(socket));
     socket.on("message", (data: Buffer) => {
-      const frame = v.safeParse(responseFrameSchema, unpack(data));
+      const message = unpack(data);
+      const frame = v.safeParse(responseFrameSchema, message);
+      const notice = v.safeParse(noticeFrameSchema, message);
       if (frame.success) {
         this.#pendingRequests.get(frame.output[0])?.(frame.output[1]);
+      } else if (notice.success) {
+        this.#onNotice(notice.output[1]);
+      } else {
+        this.#log.warn("Could not decode a peer's message", { address, bytes: data.length });
       }
     });
     this.#connection = { address, socket, opened };
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -10,6 +10,7 @@
 import * as testing from "@jackdawlink/testing";
 import { ok } from "neverthrow";
 import { afterEach, beforeEach, vi } from "vitest";
+import { Handover } from "../handover.ts";
 import { JobStore } from "../job_store.ts";
 import { NodeMetrics } from "../metrics.ts";
 import { OwnerTerm } from "../owner_term.ts";
@@ -20,6 +21,7 @@
 const MAX_ATTEMPTS = 3;
 const CANCEL_RETRY_INTERVAL_MS = 250;
 const RESTART_DELAY_MS = 600;
+const PEER_LATENCY_MS = 2;
 
 const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
 const SILENT = adapters.log.SILENT_LOG;
@@ -57,6 +59,7 @@
   readonly #strength: number;
   #isAlive = false;
   #ownership: Ownership | undefined;
+  #handover: Handover | undefined;
   #term: OwnerTerm | undefined;
   #startCount = 0;
 
@@ -111,10 +114,33 @@
       },
     });
     this.#ownership.start();
+    this.#handover = new Handover({
+      ownership: this.#ownership,
+      store: client,
+      clock: CLOCK,
+      log: SILENT,
+      notifyPeers: (notice, maxCount = Number.POSITIVE_INFINITY) =>
+        this.#world.peersOf(this).slice(0, maxCount).forEach((peer) =>
+          setTimeout(() => void peer.#handover?.handleNotice(notice), PEER_LATENCY_MS)
+        ),
+      offerTakeover: (fencingToken) =>
+        void setTimeout(
+          () =>
+            this.#world.peersOf(this).forEach((peer) => peer.#handover?.acceptOffer(fencingToken)),
+          PEER_LATENCY_MS,
+        ),
+    });
+    void this.#handover.run();
+  }
+
+  get isAlive(): boolean {
+    return this.#isAlive;
   }
 
   kill(): void {
     this.#isAlive = false;
+    this.#handover?.stop();
+    this.#handover = undefined;
     this.#ownership?.stop();
     this.#term?.stop();
     this.#term = undefined;
@@ -178,6 +204,11 @@
     return this.nodes.find(({ term }) => term !== undefined);
   }
 
+  /** The other nodes that are running. */
+  peersOf(node: ModelNode): ModelNode[] {
+    return this.nodes.filter((other) => other !== node && other.isAlive);
+  }
+
   async submit(): Promise<void> {
     const { random } = this;
     const jobId = (++this.#submittedCount).toString(16).padStart(16, "0");
