Take VMs down for a wave where no capacity is lost first

Cause: a wave took the idle VMs in the order of the list.

Change: idle VMs in standby go down first, then those that their pool can spare, then those that it needs; the last are left alone while the wave has ample slack, as VMs were that were about to move.

Result: cases in plans_test.ts; the order failed before.

--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -11,7 +11,7 @@
 import { OwnershipProof } from "./ownership_proof.ts";
 import * as stepOrder from "./step_order.ts";
 import { decidePaceChanges } from "./pacing.ts";
-import { planMoves } from "./pool_plan.ts";
+import { neededVms, planMoves } from "./pool_plan.ts";
 import { TokenBucket } from "./token_bucket.ts";
 import { NO_RESOURCES } from "./resources.ts";
 import { planWave } from "./wave_plan.ts";
@@ -173,6 +173,25 @@
     expect(moved).toBe(110);
   });
 
+  test.each([
+    {
+      name: "all idle VMs of a pool that is short",
+      cores: 60,
+      vms: [idle("1"), idle("2"), idle("3")],
+      expected: ["1", "2", "3"],
+    },
+    {
+      name: "as many as the demand takes",
+      cores: 25,
+      vms: [idle("1"), idle("2"), idle("3")],
+      expected: ["2", "3"],
+    },
+    { name: "none in standby", cores: 60, vms: [standby("1")], expected: [] },
+  ])("tells which idle VMs their pool needs: $name", ({ cores, vms, expected }) => {
+    const demands = [demand("a", cores), demand("spare", 0, true)];
+    expect([...neededVms(demands, vms)]).toEqual(expected);
+  });
+
   test("does not move a VM with unstored task ends", () => {
     const view = idle("1");
     view.worker!.ends.processed = 3;
@@ -272,6 +291,17 @@
       nowMs: 0,
       expected: { maintain: ["3"], drain: [], isUrgent: false },
     },
+    {
+      name: "of the idle VMs, those in standby go down first, and those that a pool needs last",
+      vms: [
+        fixtures.vmView("1"),
+        fixtures.vmView("2"),
+        fixtures.vmView("3", { pool: "spare", isStandby: true, worker: undefined }),
+      ],
+      wanted: new Set(["1"]),
+      nowMs: 14_000,
+      expected: { maintain: ["3", "2"], drain: [], isUrgent: true },
+    },
   ])("$name", ({ vms, given, nowMs, expected, ...more }) => {
     expect(planWave(state(given), { vms, wanted: more.wanted ?? wanted, nowMs })).toEqual(expected);
   });
--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -104,6 +104,26 @@
   return moves;
 }
 
+/** The idle VMs that their pools cannot spare. */
+export function neededVms(
+  demands: readonly PoolDemand[],
+  vms: readonly VmView[],
+): Set<string> {
+  const active = demands.filter(({ isStandby }) => !isStandby);
+  const held = new Map(
+    active.map(({ pool }) => [pool, vms.filter((view) => isHeldBy(view, pool))]),
+  );
+  const needed = new Set<string>();
+  for (const view of vms.filter((view) => held.has(view.pool) && isIdle(view))) {
+    if (isSurplus(view, active, held)) {
+      remove(held.get(view.pool), view);
+    } else {
+      needed.add(view.vm);
+    }
+  }
+  return needed;
+}
+
 /** Whether the VM counts for the pool's capacity; VMs that are about to go down don't. */
 function isHeldBy(view: VmView, pool: string): boolean {
   const isLeaving = view.worker !== undefined &&
--- a/packages/policy/src/scheduling/wave_plan.ts
+++ b/packages/policy/src/scheduling/wave_plan.ts
@@ -42,7 +42,7 @@
   { wave, startedAtMs, done, down }: WaveState,
   { vms, wanted, nowMs }: {
     readonly vms: readonly VmView[];
-    /** Idle VMs that a pool needs right now; the wave takes them only once its slack is short. */
+    /** Idle VMs that a pool needs right now; the wave takes them last, once its slack is short. */
     readonly wanted: ReadonlySet<string>;
     readonly nowMs: number;
   },
@@ -53,7 +53,9 @@
   const roundCount = Math.ceil(remaining.length / wave.maxConcurrent);
   const slackMs = startedAtMs + wave.durationMs - nowMs - roundCount * ROUND_MS;
   const hasAmpleSlack = slackMs >= AMPLE_SLACK_MS;
-  const idle = remaining.filter((view) => isIdle(view) && !(hasAmpleSlack && wanted.has(view.vm)));
+  const idle = remaining
+    .filter((view) => isIdle(view) && !(hasAmpleSlack && wanted.has(view.vm)))
+    .sort((a, b) => lossOf(a, wanted) - lossOf(b, wanted));
   const maintain = idle.slice(0, slotCount).map(({ vm }) => vm);
   const busy = remaining.filter((view) =>
     view.state === "up" && !view.isUncertain && !isIdle(view)
@@ -70,6 +72,11 @@
   return { maintain, drain, isUrgent: slackMs < URGENT_SLACK_MS };
 }
 
+/** How much capacity is lost while an idle VM is down: none in standby, most where it is needed. */
+function lossOf({ vm, isStandby }: VmView, wanted: ReadonlySet<string>): number {
+  return wanted.has(vm) ? 2 : Number(!isStandby);
+}
+
 function longRunningStepsOf({ worker }: VmView): StepRecord[] {
   return [...worker?.runs.values() ?? []].map(({ step }) => step)
     .filter(({ spec }) => spec.isLasting);
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -112,8 +112,14 @@
     this.#waves.recordVmStates(views);
     this.#markLeavingWorkers(views);
     if (canIssueOrders) {
-      const moves = this.#planMoves(views);
-      const startedVms = this.#advanceWaves(views, new Set(moves.map(({ vm }) => vm)));
+      const demands = this.#poolDemands();
+      this.#logDemand(demands, views);
+      const moves = this.#planMoves(demands, views);
+      const needed = policy.scheduling.poolPlan.neededVms(demands, views);
+      const startedVms = this.#advanceWaves(
+        views,
+        new Set([...moves.map(({ vm }) => vm), ...needed]),
+      );
       this.#evacuateDrainingWorkers();
       const byVm = new Map(views.map((view) => [view.vm, view]));
       for (const move of moves.filter(({ vm }) => !startedVms.has(vm))) {
@@ -209,7 +215,7 @@
   }
 
   /** Runs the next steps of all active waves; returns the VMs that start their maintenance now. */
-  #advanceWaves(views: readonly VmView[], vmsToMove: ReadonlySet<string>): Set<string> {
+  #advanceWaves(views: readonly VmView[], wanted: ReadonlySet<string>): Set<string> {
     const nowMs = this.#options.clock.nowMs();
     const drained = new Set<string>();
     const startedVms = new Set<string>();
@@ -217,7 +223,7 @@
     for (const state of this.#waves.activeWaves()) {
       const plan = policy.scheduling.wavePlan.planWave(state, {
         vms: views,
-        wanted: vmsToMove,
+        wanted,
         nowMs,
       });
       for (const vm of plan.maintain) {
@@ -275,12 +281,13 @@
     this.#options.onChange();
   }
 
-  #planMoves(views: readonly VmView[]): policy.scheduling.poolPlan.PoolMove[] {
+  /** What each pool needs now and shortly. */
+  #poolDemands(): policy.scheduling.poolPlan.PoolDemand[] {
     const { scheduler, clock } = this.#options;
     const nowMs = clock.nowMs();
     const demand = scheduler.demandByPool({ nowMs, wallMs: clock.wallMs() }, DEMAND_LOOKAHEAD_MS);
     const minWorkers = scheduler.minWorkersByPool();
-    const demands = (this.#config?.pools ?? []).map(({ name, isStandby }) => ({
+    return (this.#config?.pools ?? []).map(({ name, isStandby }) => ({
       pool: name,
       isStandby,
       minVms: minWorkers.get(name) ?? 0,
@@ -290,7 +297,13 @@
         nowMs,
       ),
     }));
-    this.#logDemand(demands, views);
+  }
+
+  #planMoves(
+    demands: readonly policy.scheduling.poolPlan.PoolDemand[],
+    views: readonly VmView[],
+  ): policy.scheduling.poolPlan.PoolMove[] {
+    const nowMs = this.#options.clock.nowMs();
     const frozen = new Set(
       views.filter(({ worker, vm }) =>
         worker?.cordon !== undefined || this.#pendingOrderVms.has(vm)
