Refuse jobs with more tasks than an owner can hold

Cause: the number of a job's tasks had no bound. An accepted job of 1e9 tasks makes the owner allocate them all, which ends the process, and as the job is stored, each later owner in turn.

Change: a job has at most 100,000 tasks over all its occurrences. Entries refuse more with 400 before anything is stored; an owner that finds such a job in the store logs it as one that it cannot decode.

Result: two cases in caller_service_test.ts, 200 before.

--- a/packages/scheduler/src/caller_service.ts
+++ b/packages/scheduler/src/caller_service.ts
@@ -151,6 +151,10 @@
     if (spec.isErr()) {
       return { status: 400, reason: spec.error.message };
     }
+    if (schema.scheduling.countTasks(spec.value) > schema.scheduling.MAX_TASKS_PER_JOB) {
+      const { MAX_TASKS_PER_JOB } = schema.scheduling;
+      return { status: 400, reason: `a job has at most ${MAX_TASKS_PER_JOB} tasks` };
+    }
     if (jobs.isUnavailable(configs.confirmedAtMs)) {
       return {
         status: 503,
--- a/packages/scheduler/src/caller_service_test.ts
+++ b/packages/scheduler/src/caller_service_test.ts
@@ -14,6 +14,15 @@
 const CLOCK = testing.schedulingFixtures.TIMER_CLOCK;
 const SILENT = adapters.log.SILENT_LOG;
 const STEP = testing.schedulingFixtures.step();
+const SUBMISSIONS: Readonly<Record<string, schema.scheduling.JobSpec>> = {
+  good: { payload: "p", steps: [STEP] },
+  huge: { payload: "p", steps: [STEP, { ...STEP, taskCount: 1_000_000_000 }] },
+  often: {
+    payload: "p",
+    steps: [STEP],
+    timetable: { occurrenceCount: 1_000_000_000, startUnixMs: 0, intervalMs: 1 },
+  },
+};
 const PRIVATE_QUEUE = testing.schedulingFixtures.queue("closed", { host: "h", pathPrefix: "/a/" });
 const PUBLIC_QUEUE = testing.schedulingFixtures.queue("public", {
   host: "h",
@@ -38,10 +47,12 @@
 
 const DOCUMENTS = testing.schedulingFixtures.documents({
   decodeConfig: (text) => ok(JSON.parse(text) as schema.scheduling.SchedulingConfig),
-  decodeSubmission: (text) =>
-    text === "good"
-      ? ok({ payload: "p", steps: [STEP] })
-      : err(new schema.errors.InvalidInputError("The job is not valid")),
+  decodeSubmission: (text) => {
+    const spec = SUBMISSIONS[text];
+    return spec === undefined
+      ? err(new schema.errors.InvalidInputError("The job is not valid"))
+      : ok(spec);
+  },
 });
 
 let store: testing.modelStore.ModelStore;
@@ -104,6 +115,20 @@
     body: "bad",
     expected: 400,
   },
+  {
+    name: "rejects a job with more tasks than an owner can hold",
+    method: "POST",
+    path: `/a/${JOB_ID}`,
+    body: "huge",
+    expected: 400,
+  },
+  {
+    name: "rejects a timetable with more tasks than an owner can hold",
+    method: "POST",
+    path: `/a/${JOB_ID}`,
+    body: "often",
+    expected: 400,
+  },
   {
     name: "rejects a body over the configured size",
     method: "POST",
--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -59,13 +59,22 @@
   intervalMs: countSchema,
 });
 
+/**
+ * The most tasks of a job over all occurrences. The owner keeps all of them in memory, so that a single job
+ * beyond any real one could end each owner in turn.
+ */
+export const MAX_TASKS_PER_JOB = 100_000;
+
 /** A job as submitted. */
-export const jobSpecSchema = v.object({
-  /** Opaque; passed to the workers unchanged. */
-  payload: v.string(),
-  steps: v.pipe(v.array(stepSchema), v.minLength(1)),
-  timetable: v.optional(timetableSchema),
-});
+export const jobSpecSchema = v.pipe(
+  v.object({
+    /** Opaque; passed to the workers unchanged. */
+    payload: v.string(),
+    steps: v.pipe(v.array(stepSchema), v.minLength(1)),
+    timetable: v.optional(timetableSchema),
+  }),
+  v.check((spec) => countTasks(spec) <= MAX_TASKS_PER_JOB, "The job has too many tasks"),
+);
 
 /** An accepted job as stored. */
 export const jobSchema = v.object({
@@ -253,3 +262,12 @@
   readonly durationMs: number;
   readonly maxConcurrent: number;
 }
+
+/** The number of a job's tasks over all occurrences. */
+export function countTasks({ steps, timetable }: {
+  readonly steps: readonly { readonly taskCount: number }[];
+  readonly timetable?: { readonly occurrenceCount: number } | undefined;
+}): number {
+  return steps.reduce((sum, { taskCount }) => sum + taskCount, 0) *
+    (timetable?.occurrenceCount ?? 1);
+}
