Let decisions under load share the events of some milliseconds

Change: a decision is followed by at least 4 ms without one; the first after a pause still comes at once. A failed renewal of the ownership is repeated after 100 ms instead of 200, as a handover waits for the second one.

Result: events of each millisecond cause 150 to 250 decisions a second instead of one each (decision_pacing_test.ts).

--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * as decisionPacing from "./decision_pacing.ts";
 export * as demandTrend from "./demand_trend.ts";
 export * as endProgress from "./end_progress.ts";
 export * as evacuation from "./evacuation.ts";
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -24,8 +24,6 @@
 const RETRY_INTERVAL_MS = 200;
 /** Drives time-based work, such as lease expiry; events schedule a decision at once. */
 const TICK_INTERVAL_MS = 100;
-/** Well below 600 ms, the slack that a latency objective leaves beyond a job's longest chain of work. */
-const MAX_DECISION_GAP_MS = 30;
 /**
  * All worker leases granted by a previous owner have expired this long after a takeover: its last ownership
  * proof, one lease on a worker clock that may be 2% slow, and a margin for delayed responses.
@@ -330,8 +328,8 @@
 
   /**
    * Schedules one decision for all events that arrive until it runs. After a decision, the event loop gets
-   * as much time for I/O as the decision took, up to `MAX_DECISION_GAP_MS`: on a slow VM, back-to-back
-   * decisions during a burst would delay responses and requests.
+   * at least as much time for I/O as the decision took, within bounds: on a slow VM, back-to-back decisions
+   * during a burst would delay responses and requests.
    */
   #scheduleDecision(): void {
     if (this.#isDecisionDue) {
@@ -344,7 +342,8 @@
       this.#decide();
       const endedAtMs = this.#options.clock.nowMs();
       this.#statistics.recordDecision(endedAtMs - startedAtMs);
-      this.#nextDecisionAtMs = endedAtMs + Math.min(endedAtMs - startedAtMs, MAX_DECISION_GAP_MS);
+      this.#nextDecisionAtMs = endedAtMs +
+        policy.scheduling.decisionPacing.gapAfterMs(endedAtMs - startedAtMs);
     };
     const waitMs = this.#nextDecisionAtMs - this.#options.clock.nowMs();
     if (waitMs > 0) {
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -13,6 +13,8 @@
 /** A dead owner is replaced after this time. It leaves room for three renewals by a slow store. */
 const OWNER_LEASE_MS = 2_000;
 const RENEW_INTERVAL_MS = 500;
+/** Short, as a handover waits for the second renewal that fails. */
+const RENEW_RETRY_INTERVAL_MS = 100;
 const RETRY_INTERVAL_MS = 200;
 /** A watch can silently stop delivering changes and only its return shows that it still works. */
 const WATCH_WAIT_MS = 2_000;
@@ -328,7 +330,7 @@
           held.failedRenewalCount++;
         }
       }
-      await pause(renewed.isOk() ? RENEW_INTERVAL_MS : RETRY_INTERVAL_MS);
+      await pause(renewed.isOk() ? RENEW_INTERVAL_MS : RENEW_RETRY_INTERVAL_MS);
     }
   }
 
