Check that an owner has ended its term when it tells its peers so

A planted owner that went on passed the model, as the workers' fences stop it at once; the test looks at the owner's term at the moment of the notice now.

--- a/packages/scheduler/src/handover_model_test.ts
+++ b/packages/scheduler/src/handover_model_test.ts
@@ -36,6 +36,7 @@
     await vi.advanceTimersByTimeAsync(MAX_HANDOVER_MS);
     const after = world.nodes.find((node) => node !== before && node.term !== undefined);
     expect(before.term).toBeUndefined();
+    expect(world.releases).toEqual([{ node: before.name, hasTerm: false }]);
     expect(after?.term?.scheduler.isSettled).toBe(true);
     await vi.advanceTimersByTimeAsync(20_000);
     world.nodes.forEach((node) => node.kill());
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -119,10 +119,14 @@
       store: client,
       clock: CLOCK,
       log: SILENT,
-      notifyPeers: (notice, maxCount = Number.POSITIVE_INFINITY) =>
+      notifyPeers: (notice, maxCount = Number.POSITIVE_INFINITY) => {
+        if (notice.kind === "released") {
+          this.#world.releases.push({ node: this.name, hasTerm: this.#term !== undefined });
+        }
         this.#world.peersOf(this).slice(0, maxCount).forEach((peer) =>
           setTimeout(() => void peer.#handover?.handleNotice(notice), PEER_LATENCY_MS)
-        ),
+        );
+      },
       offerTakeover: (fencingToken) =>
         void setTimeout(
           () =>
@@ -159,6 +163,8 @@
   readonly store: testing.modelStore.ModelStore;
   readonly fleet: testing.modelFleet.ModelFleet;
   readonly nodes: readonly ModelNode[];
+  /** Handovers that nodes announced, and whether the node was still scheduling at that moment. */
+  readonly releases: { readonly node: string; readonly hasTerm: boolean }[] = [];
   /** The ids of the accepted jobs. */
   readonly jobIds: string[] = [];
   readonly #specs = new Map<string, schema.scheduling.JobSpec>();
