Allow for stale orders after a short term of an owner that has stopped

Cause: a takeover from an owner that had ended its term itself allowed for no stale orders.

Change: stale orders are ruled out only if the last term has been seen for as long as a proof is valid.

Result: ownership_test.ts, whose case with a term of 0.5 s failed before.

--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -32,7 +32,7 @@
   readonly term: number;
   /** True if a previous owner may have left tasks running. */
   readonly hadPreviousOwner: boolean;
-  /** True if the previous owner had stopped giving orders before this takeover. */
+  /** True if neither the previous owner nor one before it can give orders any more. */
   readonly hasPreviousOwnerStopped: boolean;
 }
 
@@ -82,6 +82,8 @@
   #lease: HeldLease | undefined;
   /** The fencing token of the last owner that is known to have ended its term. */
   #releasedToken: number | undefined;
+  /** The last term whose owner this node has seen, and since when. */
+  #seenTerm = { term: 0, sinceMs: 0 };
   #term = 0;
   #isStopped = false;
   #isCandidate = true;
@@ -185,6 +187,9 @@
     const record = decoded?.isOk() ? decoded.value : undefined;
     this.#hasReadOwner = true;
     this.#knownOwner = { record, revision: value === undefined ? 0 : revision };
+    if (record !== undefined && record.term > this.#seenTerm.term) {
+      this.#seenTerm = { term: record.term, sinceMs: this.#options.clock.nowMs() };
+    }
     log.info("Owner record changed", {
       node: record?.node,
       held: record?.isHeld,
@@ -215,6 +220,14 @@
     return record !== undefined && (!record.isHeld || revision === this.#releasedToken);
   }
 
+  /** Whether the last term has lasted so long that no proof of an owner before it is still valid. */
+  #isEarlierOwnerOver(): boolean {
+    const { record } = this.#knownOwner;
+    const { term, sinceMs } = this.#seenTerm;
+    return record?.term === term &&
+      this.#options.clock.nowMs() - sinceMs >= policy.scheduling.ownershipProof.PROOF_VALIDITY_MS;
+  }
+
   /** Takes the ownership over whenever it is free, after this candidate's delay. */
   async #runElection(): Promise<void> {
     while (!this.#isStopped) {
@@ -262,7 +275,7 @@
   async #tryTakeover(lastTerm: StoredTerm): Promise<void> {
     const { store, clock, log, strength, onStart, onProof } = this.#options;
     const previous = this.#knownOwner;
-    const hasPreviousOwnerStopped = this.#hasOwnerStopped();
+    const hasPreviousOwnerStopped = this.#hasOwnerStopped() && this.#isEarlierOwnerOver();
     const lease = await store.grantLease(OWNER_LEASE_MS);
     if (lease.isErr()) {
       log.info("Could not get a lease for the ownership", { reason: lease.error.message });
--- /dev/null
+++ b/packages/scheduler/src/ownership_test.ts
@@ -0,0 +1,58 @@
+import * as adapters from "@jackdawlink/adapters";
+import * as policy from "@jackdawlink/policy";
+import * as testing from "@jackdawlink/testing";
+import { expect, test, vi } from "vitest";
+import { Ownership, type TermStart } from "./ownership.ts";
+import { useSimulatedTime } from "./test/model_world.ts";
+
+const { PROOF_VALIDITY_MS } = policy.scheduling.ownershipProof;
+const MAX_TAKEOVER_MS = 4_000;
+
+/** A candidate that records its terms. */
+function startCandidate(
+  store: testing.modelStore.ModelStore,
+  node: string,
+): { ownership: Ownership; starts: TermStart[] } {
+  const starts: TermStart[] = [];
+  const ownership = new Ownership({
+    node,
+    incarnation: `${node}-1`,
+    peerAddress: node,
+    store: store.clientFor(node, () => true),
+    clock: testing.schedulingFixtures.TIMER_CLOCK,
+    log: adapters.log.SILENT_LOG,
+    candidateDelayMs: 0,
+    strength: 1,
+    onStart: (start) => void starts.push(start),
+    onProof: () => {},
+    onEnd: () => {},
+  });
+  ownership.start();
+  return { ownership, starts };
+}
+
+useSimulatedTime();
+
+test.each([
+  { name: "has lasted longer than any earlier proof", lastedMs: 2_000, expected: true },
+  { name: "was shorter than an earlier owner's proof", lastedMs: 500, expected: false },
+])(
+  "takes over from an owner that has stopped, and allows for no stale orders: $expected, if its term $name",
+  async ({ lastedMs, expected }) => {
+    expect(lastedMs >= PROOF_VALIDITY_MS).toBe(expected);
+    const store = new testing.modelStore.ModelStore(new testing.seededRandom.SeededRandom(1));
+    const first = startCandidate(store, "n1");
+    await vi.advanceTimersByTimeAsync(MAX_TAKEOVER_MS);
+    const second = startCandidate(store, "n2");
+    // The store refuses the first owner, which does not learn that its lease has expired.
+    store.faults.rejectedNodes.add("n1");
+    await vi.waitFor(() => expect(second.starts).toHaveLength(1), { timeout: MAX_TAKEOVER_MS });
+    const third = startCandidate(store, "n3");
+    await vi.advanceTimersByTimeAsync(lastedMs);
+    void second.ownership.release();
+    await vi.waitFor(() => expect(third.starts).toHaveLength(1), { timeout: MAX_TAKEOVER_MS });
+    expect(second.starts[0]).toMatchObject({ hasPreviousOwnerStopped: false });
+    expect(third.starts[0]).toMatchObject({ hasPreviousOwnerStopped: expected });
+    [first, second, third].forEach(({ ownership }) => ownership.stop());
+  },
+);
