Group a pool's VMs in one place, and decode a notice only where no response fits

Cause: planMoves and neededVms built the same map, and each response of a peer was also parsed as a notice.

Change: heldByPool serves both; the notice is tried after the response.

--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -63,9 +63,7 @@
 ): PoolMove[] {
   const standby = demands.find(({ isStandby }) => isStandby);
   const active = demands.filter(({ isStandby }) => !isStandby);
-  const held = new Map(
-    active.map(({ pool }) => [pool, vms.filter((view) => isHeldBy(view, pool))]),
-  );
+  const held = heldByPool(active, vms);
   const movable = vms.filter((view) => isIdle(view) && !frozen.has(view.vm));
   const standbyVms = movable.filter((view) => view.pool === standby?.pool)
     .sort((a, b) => Number(due.has(a.vm)) - Number(due.has(b.vm)));
@@ -110,9 +108,7 @@
   vms: readonly VmView[],
 ): Set<string> {
   const active = demands.filter(({ isStandby }) => !isStandby);
-  const held = new Map(
-    active.map(({ pool }) => [pool, vms.filter((view) => isHeldBy(view, pool))]),
-  );
+  const held = heldByPool(active, vms);
   const needed = new Set<string>();
   for (const view of vms.filter((view) => held.has(view.pool) && isIdle(view))) {
     if (isSurplus(view, active, held)) {
@@ -124,6 +120,16 @@
   return needed;
 }
 
+/** The VMs that count for the capacity of each pool. */
+function heldByPool(
+  demands: readonly PoolDemand[],
+  vms: readonly VmView[],
+): Map<string, VmView[]> {
+  return new Map(
+    demands.map(({ pool }) => [pool, vms.filter((view) => isHeldBy(view, pool))]),
+  );
+}
+
 /** Whether the VM counts for the pool's capacity; VMs that are about to go down don't. */
 function isHeldBy(view: VmView, pool: string): boolean {
   const isLeaving = view.worker !== undefined &&
--- a/packages/scheduler/src/peer_rpc.ts
+++ b/packages/scheduler/src/peer_rpc.ts
@@ -176,10 +176,12 @@
     socket.on("message", (data: Buffer) => {
       const message = unpack(data);
       const frame = v.safeParse(responseFrameSchema, message);
-      const notice = v.safeParse(noticeFrameSchema, message);
       if (frame.success) {
         this.#pendingRequests.get(frame.output[0])?.(frame.output[1]);
-      } else if (notice.success) {
+        return;
+      }
+      const notice = v.safeParse(noticeFrameSchema, message);
+      if (notice.success) {
         this.#onNotice(notice.output[1]);
       } else {
         this.#log.warn("Could not decode a peer's message", { address, bytes: data.length });
