--- a/packages/adapters/src/clock.ts
+++ b/packages/adapters/src/clock.ts
@@ -19,20 +19,29 @@
 /** Smaller differences between the clocks come from their resolution and the order of the reads. */
 const MIN_JUMP_MS = 50;
 
+/** Options of {@link SystemClock}. */
+export interface SystemClockOptions {
+  readonly sources?: TimeSources;
+  /** Called when the wall clock has jumped against the monotonic clock, by a negative `jumpMs` if back. */
+  readonly onWallClockJump?: (jumpMs: number) => void;
+}
+
 /**
  * The monotonic clock, advanced when the wall clock jumps ahead of it, because the monotonic clock
  * may stop while the VM is suspended. Setting the wall clock back has no effect.
  */
 export class SystemClock implements ports.clock.Clock {
   readonly #sources: TimeSources;
+  readonly #onWallClockJump: ((jumpMs: number) => void) | undefined;
   readonly #startMonotonicMs: number;
   readonly #startWallMs: number;
   /** How far the wall clock was ahead of the monotonic clock at the last jump. */
   #skewMs = 0;
   #suspendedMs = 0;
 
-  constructor(sources: TimeSources = SYSTEM_TIME) {
+  constructor({ sources = SYSTEM_TIME, onWallClockJump }: SystemClockOptions = {}) {
     this.#sources = sources;
+    this.#onWallClockJump = onWallClockJump;
     this.#startMonotonicMs = sources.monotonicMs();
     this.#startWallMs = sources.wallMs();
   }
@@ -44,6 +53,7 @@
     if (Math.abs(jumpMs) >= MIN_JUMP_MS) {
       this.#skewMs = skewMs;
       this.#suspendedMs += Math.max(0, jumpMs);
+      this.#onWallClockJump?.(jumpMs);
     }
     return monotonicMs + this.#suspendedMs;
   }
--- a/packages/adapters/src/clock_test.ts
+++ b/packages/adapters/src/clock_test.ts
@@ -10,8 +10,7 @@
   ])("advances by the larger elapsed time with $title", ({ monotonicMs, wallMs, passedMs }) => {
     const time = { monotonicMs: 1_000, wallMs: 1_700_000_000_000 };
     const clock = new SystemClock({
-      monotonicMs: () => time.monotonicMs,
-      wallMs: () => time.wallMs,
+      sources: { monotonicMs: () => time.monotonicMs, wallMs: () => time.wallMs },
     });
     time.monotonicMs += monotonicMs;
     time.wallMs += wallMs;
@@ -24,8 +23,10 @@
   it("does not run fast when a wall clock of coarser resolution is read often", () => {
     const time = { monotonicMs: 0, wallMs: 1_700_000_000_000 };
     const clock = new SystemClock({
-      monotonicMs: () => time.monotonicMs,
-      wallMs: () => Math.floor(time.wallMs),
+      sources: {
+        monotonicMs: () => time.monotonicMs,
+        wallMs: () => Math.floor(time.wallMs),
+      },
     });
     for (let reads = 0; reads < 10_000; reads++) {
       time.monotonicMs += 0.3;
@@ -34,4 +35,20 @@
     }
     expect(clock.nowMs()).toBeCloseTo(3_000, 0);
   });
+
+  it("reports each jump of the wall clock once", () => {
+    const time = { monotonicMs: 0, wallMs: 1_700_000_000_000 };
+    const jumpsMs: number[] = [];
+    const clock = new SystemClock({
+      sources: { monotonicMs: () => time.monotonicMs, wallMs: () => time.wallMs },
+      onWallClockJump: (jumpMs) => jumpsMs.push(jumpMs),
+    });
+    for (const jumpMs of [0, 6_000, 0, -6_000, 20]) {
+      time.monotonicMs += 100;
+      time.wallMs += 100 + jumpMs;
+      clock.nowMs();
+      clock.nowMs();
+    }
+    expect(jumpsMs).toEqual([6_000, -6_000]);
+  });
 });
--- a/packages/scheduler/src/metrics.ts
+++ b/packages/scheduler/src/metrics.ts
@@ -35,6 +35,12 @@
     help: "Log lines left out because too many came at once",
     registers: [this.#registry],
   });
+  readonly wallClockJumps = new prom.Counter({
+    name: "jackdawlink_wall_clock_jumps_total",
+    help: "Jumps of the wall clock against the monotonic clock: set, or the VM was suspended",
+    labelNames: ["direction"],
+    registers: [this.#registry],
+  });
   readonly ends = new prom.Gauge({
     name: "jackdawlink_task_ends",
     help: "Ends of tasks that workers list, by the stage that they have not come to",
