Reproduce tasks that run twice after an owner's wall clock is set forward

In the recorded play the owner's wall clock was set forward by 6.000 s between two log lines, and in the same millisecond all its workers' leases counted as expired. Change: model nodes use the system's clock over a wall clock that tests can set; three scenarios.

--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -98,6 +98,41 @@
       }
     },
   },
+  {
+    name: "the owner's wall clock is set forward by 6 s",
+    injectFaults: (world, atMs) => {
+      if (isAt(4_000, atMs) || isAt(8_000, atMs)) {
+        world.owner?.setWallClock(6_000);
+      }
+    },
+  },
+  {
+    name: "the owner's wall clock is set forward by 6 s right after a takeover",
+    injectFaults: (world, atMs) => {
+      if (isAt(4_000, atMs)) {
+        const worker = world.fleet.workerOf("vm-0") ?? world.fleet.workerOf("vm-3");
+        world.fleet.faults.blockedLinks.add(`*>${worker}`);
+        world.restartOwner();
+        setTimeout(() => world.fleet.faults.blockedLinks.clear(), 9_000);
+      } else if (isAt(6_750, atMs)) {
+        world.owner?.setWallClock(6_000);
+      }
+    },
+  },
+  {
+    name:
+      "the owner's wall clock is set forward by 6 s, then a worker is cut off and the owner is killed",
+    injectFaults: (world, atMs) => {
+      if (isAt(4_000, atMs)) {
+        world.owner?.setWallClock(6_000);
+      } else if (isAt(5_250, atMs)) {
+        const worker = world.fleet.workerOf("vm-0") ?? world.fleet.workerOf("vm-3");
+        world.fleet.faults.blockedLinks.add(`*>${worker}`);
+        world.restartOwner();
+        setTimeout(() => world.fleet.faults.blockedLinks.clear(), 12_000);
+      }
+    },
+  },
   {
     name: "the store drops its history while the owner releases the ownership",
     injectFaults: (world, atMs) => {
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -57,6 +57,7 @@
   readonly name: string;
   readonly #world: World;
   readonly #strength: number;
+  #wallClockOffsetMs = 0;
   #isAlive = false;
   #ownership: Ownership | undefined;
   #handover: Handover | undefined;
@@ -80,12 +81,15 @@
     const { store, fleet, random } = this.#world;
     const client = store.clientFor(this.name, isAlive);
     const clients = fleet.clientsFor(this.name, isAlive);
+    const clock = new adapters.clock.SystemClock({
+      sources: { monotonicMs: Date.now, wallMs: () => Date.now() + this.#wallClockOffsetMs },
+    });
     this.#ownership = new Ownership({
       node: this.name,
       incarnation: `${this.name}-${startNumber}`,
       peerAddress: this.name,
       store: client,
-      clock: CLOCK,
+      clock,
       log: SILENT,
       candidateDelayMs: random.between(0, 40),
       strength: this.#strength,
@@ -98,13 +102,13 @@
           documents: DOCUMENTS,
           ...clients,
           advice: undefined,
-          clock: CLOCK,
+          clock,
           log: SILENT,
           metrics: new NodeMetrics(),
           config: CONFIG,
           onFenced: (reason) => ownership.resign(reason),
         });
-        this.#term.ownershipProof.recordStoreProof(Date.now());
+        this.#term.ownershipProof.recordStoreProof(clock.nowMs());
         void this.#term.run();
       },
       onProof: (askedAtMs) => this.#term?.ownershipProof.recordStoreProof(askedAtMs),
@@ -117,7 +121,7 @@
     this.#handover = new Handover({
       ownership: this.#ownership,
       store: client,
-      clock: CLOCK,
+      clock,
       log: SILENT,
       notifyPeers: (notice, maxCount = Number.POSITIVE_INFINITY) => {
         if (notice.kind === "released") {
@@ -137,6 +141,11 @@
     void this.#handover.run();
   }
 
+  /** Sets the wall clock forward, or back if `jumpMs` is negative. */
+  setWallClock(jumpMs: number): void {
+    this.#wallClockOffsetMs += jumpMs;
+  }
+
   get isAlive(): boolean {
     return this.#isAlive;
   }
