Let a worker's lease expire by the monotonic clock alone

What callers saw: long-running tasks were started again while their first runs still worked, for up to 1.2 s, though no worker, node or link was at fault. Cause: the owner's clock counts a jump of the wall clock as time during which the VM was suspended. For the owner's own rights that is the safe side. The same reading decided when workers' leases had expired, when a takeover had settled and when orders without a response could no longer be carried out, where counting too much time is the unsafe side. It also prolonged the leases that the owner sent, so that a new owner underestimated them. Change: the clock has a second reading that never counts more time than has passed. The scheduler, its sessions and the management of VMs use it throughout; only proofs of the ownership use the upper one.

--- a/packages/adapters/src/clock.ts
+++ b/packages/adapters/src/clock.ts
@@ -27,8 +27,8 @@
 }
 
 /**
- * The monotonic clock, advanced when the wall clock jumps ahead of it, because the monotonic clock
- * may stop while the VM is suspended. Setting the wall clock back has no effect.
+ * The monotonic clock as the lower reading. The upper one is advanced when the wall clock jumps ahead,
+ * because the monotonic clock may stop while the VM is suspended. Setting the wall clock back has no effect.
  */
 export class SystemClock implements ports.clock.Clock {
   readonly #sources: TimeSources;
@@ -58,6 +58,10 @@
     return monotonicMs + this.#suspendedMs;
   }
 
+  steadyMs(): number {
+    return this.#sources.monotonicMs() - this.#startMonotonicMs;
+  }
+
   wallMs(): number {
     return this.#sources.wallMs();
   }
--- a/packages/entry/src/membership/catch_up_test.ts
+++ b/packages/entry/src/membership/catch_up_test.ts
@@ -39,7 +39,7 @@
         send: (_memberId, message) => void sent.push(message),
         on: (type, handler) => void handlers.set(type, handler as Handler),
       },
-      clock: { nowMs: () => nowMs, wallMs: () => 0, after: () => () => {} },
+      clock: { nowMs: () => nowMs, steadyMs: () => nowMs, wallMs: () => 0, after: () => () => {} },
       log: SILENT_LOG,
       assembler,
       current: () => current,
--- a/packages/entry/src/membership/draining_vm_manager_test.ts
+++ b/packages/entry/src/membership/draining_vm_manager_test.ts
@@ -28,7 +28,12 @@
         },
         on: (type, handler) => void own.set(type, handler as never),
       },
-      clock: { nowMs: () => this.nowMs, wallMs: () => 0, after: () => () => {} },
+      clock: {
+        nowMs: () => this.nowMs,
+        steadyMs: () => this.nowMs,
+        wallMs: () => 0,
+        after: () => () => {},
+      },
       log: SILENT_LOG,
       headPollMs: HEAD_POLL_MS,
     });
--- a/packages/entry/src/permit_manager_test.ts
+++ b/packages/entry/src/permit_manager_test.ts
@@ -22,6 +22,10 @@
     return this.#nowMs;
   }
 
+  steadyMs() {
+    return this.#nowMs;
+  }
+
   wallMs() {
     return this.#nowMs;
   }
--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -15,6 +15,7 @@
 /** A clock with the real time of the test process. */
 export const clock: ports.clock.Clock = {
   nowMs: () => performance.now(),
+  steadyMs: () => performance.now(),
   wallMs: () => Date.now(),
   after: (delayMs, callback) => {
     const timer = setTimeout(callback, delayMs);
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -44,8 +44,9 @@
   | { readonly kind: "pace"; readonly run: Run; readonly percent: number }
   | { readonly kind: "advise"; readonly step: StepRecord; readonly workerIds: readonly string[] };
 
-/** The monotonic time and the wall-clock time (Unix time) of a decision. */
+/** The steady time and the wall-clock time (Unix time) of a decision. */
 export interface DecisionTime {
+  /** On the clock's steady reading, like all times of this module: a wait may be longer, never shorter. */
   readonly nowMs: number;
   readonly wallMs: number;
 }
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -2,6 +2,9 @@
  * The work of an elected owner during one term: loads the stored jobs and workers, follows their changes
  * in the store, runs the scheduler's decisions and sends the resulting orders to workers and VMs.
  *
+ * The scheduler mostly waits for what others may still do, so its time is the steady reading of the clock.
+ * Only the proofs of the ownership, which are this owner's right, use the upper reading.
+ *
  * @module
  */
 import * as policy from "@jackdawlink/policy";
@@ -68,7 +71,7 @@
   constructor(options: OwnerTermOptions) {
     this.#options = options;
     const { start, clock, store, log } = options;
-    this.#startedAtMs = clock.nowMs();
+    this.#startedAtMs = clock.steadyMs();
     this.scheduler = new policy.scheduling.scheduler.Scheduler({
       term: start.term,
       takeover: {
@@ -136,7 +139,7 @@
   /** Adds a job that an entry has just stored. */
   putJob(job: schema.scheduling.Job, acceptedRevision: number): void {
     if (this.#isLoaded && !this.#isStopped) {
-      this.scheduler.putJob(job, { acceptedRevision, seenAtMs: this.#options.clock.nowMs() });
+      this.scheduler.putJob(job, { acceptedRevision, seenAtMs: this.#options.clock.steadyMs() });
       this.#scheduleDecision();
     }
   }
@@ -200,7 +203,7 @@
     workers.value.items.forEach((item) => this.#sessions.applyEntry(item));
     this.#isLoaded = true;
     if (!start.hadPreviousOwner) {
-      this.scheduler.settle(clock.nowMs(), "there was no previous owner");
+      this.scheduler.settle(clock.steadyMs(), "there was no previous owner");
     }
     void this.#journal.run();
     this.#follow(storeKeys.INTAKE_PREFIX, intake.value.asOfRevision, {
@@ -221,7 +224,7 @@
       jobs: this.scheduler.jobs.size,
       active: this.scheduler.activeJobs.size,
       workers: this.scheduler.workers.size,
-      tookMs: Math.round(clock.nowMs() - this.#startedAtMs),
+      tookMs: Math.round(clock.steadyMs() - this.#startedAtMs),
     });
     return true;
   }
@@ -290,7 +293,7 @@
     if (progress?.isErr()) {
       return this.#logUnreadable(progress.error, acceptedRevision);
     }
-    const nowMs = clock.nowMs();
+    const nowMs = clock.steadyMs();
     const ageMs = this.#isLoaded ? 0 : Math.max(0, clock.wallMs() - job.acceptedUnixMs);
     this.scheduler.putJob(job, {
       acceptedRevision,
@@ -338,14 +341,14 @@
     this.#isDecisionDue = true;
     const decide = () => {
       this.#isDecisionDue = false;
-      const startedAtMs = this.#options.clock.nowMs();
+      const startedAtMs = this.#options.clock.steadyMs();
       this.#decide();
-      const endedAtMs = this.#options.clock.nowMs();
+      const endedAtMs = this.#options.clock.steadyMs();
       this.#statistics.recordDecision(endedAtMs - startedAtMs);
       this.#nextDecisionAtMs = endedAtMs +
         policy.scheduling.decisionPacing.gapAfterMs(endedAtMs - startedAtMs);
     };
-    const waitMs = this.#nextDecisionAtMs - this.#options.clock.nowMs();
+    const waitMs = this.#nextDecisionAtMs - this.#options.clock.steadyMs();
     if (waitMs > 0) {
       setTimeout(decide, waitMs);
     } else {
@@ -358,7 +361,7 @@
       return;
     }
     const { clock } = this.#options;
-    const nowMs = clock.nowMs();
+    const nowMs = clock.steadyMs();
     this.#settleAfterLeases(nowMs);
     this.scheduler.expireLeases(nowMs);
     this.#sessions.closeRemoved(nowMs);
@@ -405,7 +408,7 @@
     workerIds: readonly string[],
   ): Promise<void> {
     const { advice, clock, log } = this.#options;
-    const askedAtMs = clock.nowMs();
+    const askedAtMs = clock.steadyMs();
     const answer = await advice?.ask(step.name, workerIds);
     if (answer?.isOk()) {
       const { tickets, validMs } = answer.value;
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -188,7 +188,7 @@
     this.#hasReadOwner = true;
     this.#knownOwner = { record, revision: value === undefined ? 0 : revision };
     if (record !== undefined && record.term > this.#seenTerm.term) {
-      this.#seenTerm = { term: record.term, sinceMs: this.#options.clock.nowMs() };
+      this.#seenTerm = { term: record.term, sinceMs: this.#options.clock.steadyMs() };
     }
     log.info("Owner record changed", {
       node: record?.node,
@@ -225,7 +225,8 @@
     const { record } = this.#knownOwner;
     const { term, sinceMs } = this.#seenTerm;
     return record?.term === term &&
-      this.#options.clock.nowMs() - sinceMs >= policy.scheduling.ownershipProof.PROOF_VALIDITY_MS;
+      this.#options.clock.steadyMs() - sinceMs >=
+        policy.scheduling.ownershipProof.PROOF_VALIDITY_MS;
   }
 
   /** Takes the ownership over whenever it is free, after this candidate's delay. */
--- a/packages/scheduler/src/term_statistics.ts
+++ b/packages/scheduler/src/term_statistics.ts
@@ -41,7 +41,7 @@
 
   constructor(options: TermStatisticsOptions) {
     this.#options = options;
-    this.#loggedAtMs = options.clock.nowMs();
+    this.#loggedAtMs = options.clock.steadyMs();
   }
 
   recordDecision(tookMs: number): void {
@@ -77,7 +77,7 @@
    */
   tick(): void {
     const { clock, log, metrics, scheduler } = this.#options;
-    const nowMs = clock.nowMs();
+    const nowMs = clock.steadyMs();
     const intervalMs = nowMs - this.#loggedAtMs;
     if (intervalMs < LOG_INTERVAL_MS) {
       return;
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -42,6 +42,7 @@
   readonly clock: ports.clock.Clock;
   readonly log: ports.log.Log;
   readonly holder: ports.scheduling.VmOrderHolder;
+  /** The start of the term on the clock's steady reading. */
   readonly startedAtMs: number;
   /** True if a previous owner's VM orders may still be in flight. */
   readonly hadPreviousOwner: boolean;
@@ -92,10 +93,10 @@
   /** Lists all VMs once, updates the scheduler, and orders what the plans call for. */
   async #reconcile(): Promise<void> {
     const { clock, vms, log, scheduler, onChange } = this.#options;
-    if (clock.nowMs() - this.#wavesReadAtMs >= WAVE_READ_INTERVAL_MS) {
+    if (clock.steadyMs() - this.#wavesReadAtMs >= WAVE_READ_INTERVAL_MS) {
       await this.#readWaves();
     }
-    const askedAtMs = clock.nowMs();
+    const askedAtMs = clock.steadyMs();
     const listed = await vms.list();
     if (listed.isErr()) {
       log.info("Could not list VMs", { reason: listed.error.message });
@@ -105,7 +106,7 @@
       return;
     }
     this.#logStateChanges(listed.value);
-    scheduler.applyVmList(listed.value, { askedAtMs, nowMs: clock.nowMs() });
+    scheduler.applyVmList(listed.value, { askedAtMs, nowMs: clock.steadyMs() });
     onChange();
     const views = this.#buildViews(listed.value);
     const canIssueOrders = this.#options.canIssueOrders() && this.#isHandoverComplete();
@@ -148,7 +149,7 @@
   /** Whether orders of a previous owner can no longer be in flight. */
   #isHandoverComplete(): boolean {
     const { hadPreviousOwner, clock, startedAtMs } = this.#options;
-    return !hadPreviousOwner || clock.nowMs() - startedAtMs >= HANDOVER_DELAY_MS;
+    return !hadPreviousOwner || clock.steadyMs() - startedAtMs >= HANDOVER_DELAY_MS;
   }
 
   async #readWaves(): Promise<void> {
@@ -160,7 +161,7 @@
     if (waves.isErr() || done.isErr()) {
       return;
     }
-    this.#wavesReadAtMs = clock.nowMs();
+    this.#wavesReadAtMs = clock.steadyMs();
     const doneByWave = new Map(
       done.value.items.map((item) => [item.key, decodeDoneVms(item)]),
     );
@@ -178,7 +179,7 @@
   }
 
   #buildViews(listed: readonly schema.scheduling.ListedVm[]): VmView[] {
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.steadyMs();
     const standby = new Set(
       this.#config?.pools.filter(({ isStandby }) => isStandby).map(({ name }) => name),
     );
@@ -216,7 +217,7 @@
 
   /** Runs the next steps of all active waves; returns the VMs that start their maintenance now. */
   #advanceWaves(views: readonly VmView[], wanted: ReadonlySet<string>): Set<string> {
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.steadyMs();
     const drained = new Set<string>();
     const startedVms = new Set<string>();
     const byVm = new Map(views.map((view) => [view.vm, view]));
@@ -272,7 +273,7 @@
     const { scheduler, clock } = this.#options;
     for (const worker of scheduler.workers.values()) {
       if (worker.info.isDraining && worker.isListed && worker.runs.size > 0) {
-        const context = { nowMs: clock.nowMs(), isUrgent: false };
+        const context = { nowMs: clock.steadyMs(), isUrgent: false };
         for (const run of policy.scheduling.evacuation.runsToEvacuate(worker, context)) {
           scheduler.evacuate(run, "the worker is draining");
         }
@@ -284,7 +285,7 @@
   /** What each pool needs now and shortly. */
   #poolDemands(): policy.scheduling.poolPlan.PoolDemand[] {
     const { scheduler, clock } = this.#options;
-    const nowMs = clock.nowMs();
+    const nowMs = clock.steadyMs();
     const demand = scheduler.demandByPool({ nowMs, wallMs: clock.wallMs() }, DEMAND_LOOKAHEAD_MS);
     const minWorkers = scheduler.minWorkersByPool();
     return (this.#config?.pools ?? []).map(({ name, isStandby }) => ({
@@ -303,7 +304,7 @@
     demands: readonly policy.scheduling.poolPlan.PoolDemand[],
     views: readonly VmView[],
   ): policy.scheduling.poolPlan.PoolMove[] {
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.steadyMs();
     const frozen = new Set(
       views.filter(({ worker, vm }) =>
         worker?.cordon !== undefined || this.#pendingOrderVms.has(vm)
@@ -320,10 +321,10 @@
     views: readonly VmView[],
   ): void {
     const { clock, log } = this.#options;
-    if (clock.nowMs() - this.#demandLoggedAtMs < DEMAND_LOG_INTERVAL_MS) {
+    if (clock.steadyMs() - this.#demandLoggedAtMs < DEMAND_LOG_INTERVAL_MS) {
       return;
     }
-    this.#demandLoggedAtMs = clock.nowMs();
+    this.#demandLoggedAtMs = clock.steadyMs();
     for (const { pool, demand } of demands) {
       const vms = views.filter((view) => view.pool === pool);
       log.info("Pool demand", {
@@ -382,7 +383,7 @@
     }
     let outcome = await send();
     while (outcome.kind === "unknown" && !this.#isStopped) {
-      this.#uncertainUntilMs.set(vm, clock.nowMs() + MAX_ORDER_DELAY_MS);
+      this.#uncertainUntilMs.set(vm, clock.steadyMs() + MAX_ORDER_DELAY_MS);
       log.info("VM order got no response", { vm, order: order.kind, reason: outcome.reason });
       await pause(RECONCILE_INTERVAL_MS);
       outcome = this.#options.canIssueOrders() ? await send() : outcome;
@@ -402,7 +403,7 @@
     }
     if (worker !== undefined) {
       if (outcome.kind === "done") {
-        scheduler.dropWorker(worker, clock.nowMs(), `${order.kind} of its VM`);
+        scheduler.dropWorker(worker, clock.steadyMs(), `${order.kind} of its VM`);
       } else if (outcome.kind === "refused") {
         worker.cordon = undefined;
       }
--- a/packages/scheduler/src/wave_tracker.ts
+++ b/packages/scheduler/src/wave_tracker.ts
@@ -65,7 +65,7 @@
     if (!this.#waves.has(wave.wave)) {
       this.#waves.set(wave.wave, {
         wave,
-        startedAtMs: this.#options.clock.nowMs(),
+        startedAtMs: this.#options.clock.steadyMs(),
         done: new Set(doneVms),
         down: new Map(),
         storedDoneCount: doneVms?.length ?? 0,
@@ -107,7 +107,7 @@
 
   /** Records that a VM has been ordered down for maintenance. */
   recordDown(wave: number, view: VmView): void {
-    this.#waves.get(wave)?.down.set(view.vm, this.#options.clock.nowMs());
+    this.#waves.get(wave)?.down.set(view.vm, this.#options.clock.steadyMs());
   }
 
   /** Records that a maintenance order was not carried out. */
@@ -122,7 +122,7 @@
 
   /** Updates from the VM list which VMs are down, including VMs that a previous owner has ordered down. */
   recordVmStates(views: readonly VmView[]): void {
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.steadyMs();
     this.#listedVms = new Set(views.map(({ vm }) => vm));
     for (const { wave, down } of this.#waves.values()) {
       const waveVms = new Set(wave.vms);
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -45,7 +45,10 @@
   readonly canIssueOrders: () => boolean;
   /** True while the store cannot prove the ownership, so that proof from workers is needed. */
   readonly needsWorkerProof: () => boolean;
-  /** Called when the worker has accepted the fencing token in a request sent at `askedAtMs`. */
+  /**
+   * Called when the worker has accepted the fencing token in a request sent at `askedAtMs`, on the clock's
+   * upper reading.
+   */
   readonly onWorkerProof: (workerId: string, askedAtMs: number) => void;
   /** Called when something has changed that scheduling decisions depend on. */
   readonly onChange: () => void;
@@ -126,14 +129,14 @@
     const untilMs = this.#reportRequestedAtMs + this.#retryPeriodMs;
     this.#retryPeriodMs = Math.min(2 * this.#retryPeriodMs, MAX_RETRY_PERIOD_MS);
     this.#retrySignal.reset();
-    await this.#retrySignal.wait(Math.max(RETRY_INTERVAL_MS, untilMs - clock.nowMs()));
+    await this.#retrySignal.wait(Math.max(RETRY_INTERVAL_MS, untilMs - clock.steadyMs()));
   }
 
   /** Waits until the journal has stored all processed task ends, for `MAX_JOURNAL_WAIT_MS` at most. */
   async #waitUntilStored(): Promise<void> {
     const { worker: { ends }, clock } = this.#options;
-    const untilMs = clock.nowMs() + MAX_JOURNAL_WAIT_MS;
-    for (let nowMs = clock.nowMs(); nowMs < untilMs; nowMs = clock.nowMs()) {
+    const untilMs = clock.steadyMs() + MAX_JOURNAL_WAIT_MS;
+    for (let nowMs = clock.steadyMs(); nowMs < untilMs; nowMs = clock.steadyMs()) {
       if (this.#isStopped || ends.stored >= ends.processed) {
         return;
       }
@@ -144,7 +147,7 @@
   /** Sends a start order, and repeats it until its outcome is known or the run has been dropped. */
   async start(run: Run, ticket: string | undefined): Promise<void> {
     const { worker, scheduler, client, clock, fencingToken } = this.#options;
-    const leaseUntilWorkerMs = worker.extendLease(clock.nowMs(), WORKER_LEASE_MS);
+    const leaseUntilWorkerMs = worker.extendLease(clock.steadyMs(), WORKER_LEASE_MS);
     this.#wakeUp.wake();
     for (let isRepeated = false; this.#isTracked(run) && run.state === "starting";) {
       if (!this.#options.canIssueOrders()) {
@@ -173,7 +176,7 @@
         return;
       }
       this.#recordOutcome(outcome, askedAtMs);
-      scheduler.recordStartOutcome(run, outcome, { nowMs: clock.nowMs(), isRepeated });
+      scheduler.recordStartOutcome(run, outcome, { nowMs: clock.steadyMs(), isRepeated });
       if (outcome.kind !== "unknown") {
         this.#options.onChange();
         this.#wakeUp.wake();
@@ -211,7 +214,7 @@
       }
       this.#recordOutcome(outcome, askedAtMs);
       if (outcome.kind !== "unknown") {
-        scheduler.recordStopAccepted(run, clock.nowMs());
+        scheduler.recordStopAccepted(run, clock.steadyMs());
         this.#wakeUp.wake();
         return;
       }
@@ -254,14 +257,15 @@
     const { worker, clock, needsWorkerProof } = this.#options;
     return !worker.hasReported || worker.runs.size > 0 || worker.unknownTasks.size > 0 ||
       worker.ends.stored > worker.ends.acknowledged ||
-      (needsWorkerProof() && clock.nowMs() - this.#reportRequestedAtMs >= PROOF_INTERVAL_MS);
+      (needsWorkerProof() && clock.steadyMs() - this.#reportRequestedAtMs >= PROOF_INTERVAL_MS);
   }
 
   /** Requests a report and applies it; false if there was none. */
   async #requestReport(): Promise<boolean> {
     const { worker, scheduler, client, clock, fencingToken, canIssueOrders } = this.#options;
     const askedAtMs = clock.nowMs();
-    this.#reportRequestedAtMs = askedAtMs;
+    const sentAtMs = clock.steadyMs();
+    this.#reportRequestedAtMs = sentAtMs;
     // An unresponsive worker's lease must be left to expire, or its runs would never count as over.
     const renewsLease = this.#isResponding && worker.hasClock && canIssueOrders();
     const acknowledgedEnd = worker.ends.stored;
@@ -269,9 +273,7 @@
       fencingToken,
       acknowledgedEnd,
       waitMs: this.#isResponding && worker.hasReported && worker.runs.size > 0 ? REPORT_WAIT_MS : 0,
-      ...(renewsLease
-        ? { leaseUntilWorkerMs: worker.extendLease(askedAtMs, WORKER_LEASE_MS) }
-        : {}),
+      ...(renewsLease ? { leaseUntilWorkerMs: worker.extendLease(sentAtMs, WORKER_LEASE_MS) } : {}),
     });
     if (this.#isStopped) {
       return true;
@@ -284,8 +286,8 @@
       this.#dropWorker();
       return false;
     }
-    const receivedAtMs = clock.nowMs();
-    scheduler.applyReport(worker, answer.report, { sentAtMs: askedAtMs, receivedAtMs });
+    const receivedAtMs = clock.steadyMs();
+    scheduler.applyReport(worker, answer.report, { sentAtMs, receivedAtMs });
     this.#options.statistics.recordReport(
       worker.ends.recordAcknowledged(acknowledgedEnd, receivedAtMs),
     );
@@ -302,7 +304,7 @@
   #dropWorker(): void {
     const { scheduler, clock, worker, onChange } = this.#options;
     this.stop();
-    scheduler.dropWorker(worker, clock.nowMs(), "another incarnation answers at its address");
+    scheduler.dropWorker(worker, clock.steadyMs(), "another incarnation answers at its address");
     onChange();
   }
 
--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -115,7 +115,7 @@
     const wasListed = worker?.isListed ?? false;
     scheduler.recordWorkerUnlisted(workerId);
     if (worker !== undefined && wasListed) {
-      this.#unlistedSinceMs.set(workerId, clock.nowMs());
+      this.#unlistedSinceMs.set(workerId, clock.steadyMs());
       log.info("Worker entry removed", { worker: workerId, runs: worker.runs.size });
       onChange();
     }
@@ -136,7 +136,7 @@
     const previous = scheduler.workers.get(workerId);
     const wasDraining = previous?.info.isDraining ?? false;
     const wasListed = previous?.isListed ?? false;
-    const worker = scheduler.putWorker(info.value, clock.nowMs());
+    const worker = scheduler.putWorker(info.value, clock.steadyMs());
     if (worker === undefined) {
       return;
     }
--- a/packages/testing/src/replay/replay_clock.ts
+++ b/packages/testing/src/replay/replay_clock.ts
@@ -23,6 +23,10 @@
     return this.#nowMs;
   }
 
+  steadyMs(): number {
+    return this.#nowMs;
+  }
+
   wallMs(): number {
     return this.#nowMs;
   }
--- a/packages/testing/src/replay/test/replayed_entry.ts
+++ b/packages/testing/src/replay/test/replayed_entry.ts
@@ -145,6 +145,7 @@
     const { clock } = this.#options;
     return {
       nowMs: () => clock.nowMs(),
+      steadyMs: () => clock.steadyMs(),
       wallMs: () => clock.wallMs(),
       after: (delayMs, callback) =>
         clock.after(delayMs, () => {
--- a/packages/testing/src/scheduling_model/fixtures.ts
+++ b/packages/testing/src/scheduling_model/fixtures.ts
@@ -11,6 +11,7 @@
 /** Reads `Date` and the global timers, which tests replace by fake ones. */
 export const TIMER_CLOCK: ports.clock.Clock = {
   nowMs: () => Date.now(),
+  steadyMs: () => Date.now(),
   wallMs: () => Date.now(),
   after: (delayMs, callback) => {
     const timer = setTimeout(callback, delayMs);
--- a/packages/testing/src/test_clock.ts
+++ b/packages/testing/src/test_clock.ts
@@ -34,6 +34,10 @@
     return this.#nowMs;
   }
 
+  steadyMs(): number {
+    return this.#nowMs;
+  }
+
   wallMs(): number {
     return this.#wallStartMs + this.#nowMs;
   }
--- a/packages/testing/src/virtual_time.ts
+++ b/packages/testing/src/virtual_time.ts
@@ -13,6 +13,10 @@
     return this.#nowMs;
   }
 
+  steadyMs(): number {
+    return this.#nowMs;
+  }
+
   wallMs(): number {
     return this.#nowMs;
   }
