Confirm a jump of the wall clock by a second pair of reads

What callers saw: nothing that could be traced; proofs and the configuration could expire early, and more so with each occurrence, on VMs whose processor time is limited. Cause: the clock reads the monotonic and then the wall clock. A process that is preempted for 50 ms or more between the two reads took the delay for a jump, and `nowMs` ran ahead by it for good. Change: a suspected jump is confirmed by reading both clocks again. A delay only ever adds to the difference, so the smaller one counts. Where nothing jumps, each clock is still read once.

--- a/packages/adapters/src/clock.ts
+++ b/packages/adapters/src/clock.ts
@@ -47,15 +47,15 @@
   }
 
   nowMs(): number {
-    const monotonicMs = this.#sources.monotonicMs() - this.#startMonotonicMs;
-    const skewMs = this.#sources.wallMs() - this.#startWallMs - monotonicMs;
-    const jumpMs = skewMs - this.#skewMs;
-    if (Math.abs(jumpMs) >= MIN_JUMP_MS) {
-      this.#skewMs = skewMs;
-      this.#suspendedMs += Math.max(0, jumpMs);
-      this.#onWallClockJump?.(jumpMs);
+    const monotonicMs = this.steadyMs();
+    const jumpMs = this.#wallClockJumpMs(monotonicMs);
+    if (Math.abs(jumpMs) < MIN_JUMP_MS) {
+      return monotonicMs + this.#suspendedMs;
     }
-    return monotonicMs + this.#suspendedMs;
+    // Preemption between the two reads adds to the difference, so a second pair has to confirm it.
+    const confirmedAtMs = this.steadyMs();
+    this.#applyJump(Math.min(jumpMs, this.#wallClockJumpMs(confirmedAtMs)));
+    return confirmedAtMs + this.#suspendedMs;
   }
 
   steadyMs(): number {
@@ -66,6 +66,19 @@
     return this.#sources.wallMs();
   }
 
+  /** How far the wall clock has moved against the monotonic clock since the last jump. */
+  #wallClockJumpMs(monotonicMs: number): number {
+    return this.#sources.wallMs() - this.#startWallMs - monotonicMs - this.#skewMs;
+  }
+
+  #applyJump(jumpMs: number): void {
+    if (Math.abs(jumpMs) >= MIN_JUMP_MS) {
+      this.#skewMs += jumpMs;
+      this.#suspendedMs += Math.max(0, jumpMs);
+      this.#onWallClockJump?.(jumpMs);
+    }
+  }
+
   after(delayMs: number, callback: () => void): () => void {
     const timer = setTimeout(callback, delayMs);
     return () => clearTimeout(timer);
--- a/packages/adapters/src/clock_test.ts
+++ b/packages/adapters/src/clock_test.ts
@@ -60,4 +60,47 @@
     }
     expect(jumpsMs).toEqual([6_000, -6_000]);
   });
+
+  it.each([
+    { title: "no jump", jumpMs: 0, passedMs: 1_100, reportedMs: [] },
+    { title: "a jump forward", jumpMs: 6_000, passedMs: 7_100, reportedMs: [6_000] },
+    { title: "a jump back", jumpMs: -6_000, passedMs: 1_100, reportedMs: [-6_000] },
+  ])(
+    "does not run ahead when the process is preempted between the reads, with $title",
+    ({ jumpMs, passedMs, reportedMs }) => {
+      const time = { monotonicMs: 0, wallMs: 1_700_000_000_000 };
+      let preemptedMs = 0;
+      const jumpsMs: number[] = [];
+      const clock = new SystemClock({
+        sources: {
+          monotonicMs: () => time.monotonicMs,
+          wallMs: () => {
+            time.monotonicMs += preemptedMs;
+            time.wallMs += preemptedMs;
+            preemptedMs = 0;
+            return time.wallMs;
+          },
+        },
+        onWallClockJump: (jump) => jumpsMs.push(jump),
+      });
+      time.monotonicMs += 1_000;
+      time.wallMs += 1_000 + jumpMs;
+      preemptedMs = 100;
+      expect(clock.nowMs()).toBe(passedMs);
+      expect(clock.nowMs()).toBe(passedMs);
+      expect(jumpsMs).toEqual(reportedMs);
+    },
+  );
+
+  it("reads each source once while the wall clock does not jump", () => {
+    const reads = { monotonic: 0, wall: 0 };
+    const clock = new SystemClock({
+      sources: {
+        monotonicMs: () => 10 * reads.monotonic++,
+        wallMs: () => 10 * reads.wall++,
+      },
+    });
+    clock.nowMs();
+    expect(reads).toEqual({ monotonic: 2, wall: 2 });
+  });
 });
