Count an owner's first proof from its request to the store

What callers saw: nothing yet; a new owner could give orders for longer than its lease allows. Cause: a new term took the moment of its start as the time of its first proof. The store had been asked before: by the time that its answer took, or that the start was deferred for want of a configuration. Evidence: with a store that answers after 700 ms, the proof of a new owner was still valid 1,600 ms after the request, when it has to be over; the test failed. Change: the time of the request comes with the start of the term, which records it itself, so nodes and the model of a node need no line for it. The proof before the start went to no term and is gone.

--- a/packages/scheduler/src/node.ts
+++ b/packages/scheduler/src/node.ts
@@ -168,7 +168,6 @@
       return;
     }
     const { node, store, documents, workers, vms, advice, clock, logs, metrics } = this.#options;
-    const startedAtMs = clock.nowMs();
     const term = new OwnerTerm({
       start,
       node,
@@ -183,7 +182,6 @@
       config,
       onFenced: (reason) => this.#ownership.resign(reason),
     });
-    term.ownershipProof.recordStoreProof(startedAtMs);
     this.#term = term;
     metrics.isOwner.set(1);
     void term.run();
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -84,6 +84,7 @@
       log,
     });
     this.scheduler.setConfig(options.config);
+    this.ownershipProof.recordStoreProof(start.provenAtMs);
     this.#statistics = new TermStatistics({
       scheduler: this.scheduler,
       clock,
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -34,6 +34,8 @@
   readonly hadPreviousOwner: boolean;
   /** True if neither the previous owner nor one before it can give orders any more. */
   readonly hasPreviousOwnerStopped: boolean;
+  /** When the store was asked for the takeover, on the clock's upper reading. */
+  readonly provenAtMs: number;
 }
 
 export interface OwnershipOptions {
@@ -274,7 +276,7 @@
   }
 
   async #tryTakeover(lastTerm: StoredTerm): Promise<void> {
-    const { store, clock, log, strength, onStart, onProof } = this.#options;
+    const { store, clock, log, strength, onStart } = this.#options;
     const previous = this.#knownOwner;
     const hasPreviousOwnerStopped = this.#hasOwnerStopped() && this.#isEarlierOwnerOver();
     const lease = await store.grantLease(OWNER_LEASE_MS);
@@ -315,12 +317,12 @@
     this.#term = term;
     this.#lease = { leaseId: lease.value.leaseId, fencingToken, failedRenewalCount: 0 };
     log.info("Ownership taken", { token: fencingToken, strength, ...termRecord });
-    onProof(askedAtMs);
     onStart({
       fencingToken,
       term,
       hadPreviousOwner: term > 1,
       hasPreviousOwnerStopped,
+      provenAtMs: askedAtMs,
     });
   }
 
--- a/packages/scheduler/src/ownership_test.ts
+++ b/packages/scheduler/src/ownership_test.ts
@@ -3,7 +3,7 @@
 import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
 import { Ownership, type TermStart } from "./ownership.ts";
-import { useSimulatedTime } from "./test/model_world.ts";
+import { useSimulatedTime, World } from "./test/model_world.ts";
 
 const { PROOF_VALIDITY_MS } = policy.scheduling.ownershipProof;
 const MAX_TAKEOVER_MS = 4_000;
@@ -56,3 +56,18 @@
     [first, second, third].forEach(({ ownership }) => ownership.stop());
   },
 );
+
+test("a new owner does not give orders for longer than its first proof, however late the answer", async () => {
+  const world = new World(1);
+  const startedAtMs = Date.now();
+  world.store.faults.extraLatencyMs = 700;
+  await vi.waitFor(() => expect(world.owner).toBeDefined(), {
+    timeout: MAX_TAKEOVER_MS,
+    interval: 1,
+  });
+  const askedAtMs = Date.now() - startedAtMs - world.store.faults.extraLatencyMs;
+  const proof = world.owner!.term!.ownershipProof;
+  expect(proof.isStoreProofValid(askedAtMs)).toBe(true);
+  expect(proof.isStoreProofValid(askedAtMs + PROOF_VALIDITY_MS)).toBe(false);
+  world.nodes.forEach((node) => node.kill());
+});
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -108,7 +108,6 @@
           config: CONFIG,
           onFenced: (reason) => ownership.resign(reason),
         });
-        this.#term.ownershipProof.recordStoreProof(clock.nowMs());
         void this.#term.run();
       },
       onProof: (askedAtMs) => this.#term?.ownershipProof.recordStoreProof(askedAtMs),
