Hold the permit of an unanswered run by the monotonic clock

What callers saw: an entry could run more requests on a backend server, or for a team, than the limit allows, for up to the longest run of a service. Cause: the permit of a run whose outcome is unknown is held until the backend server must have ended the run. That moment was on the clock's upper reading, which a wall clock that is set forward moves ahead, though the run goes on. Evidence: with a wall clock set forward by 6 s during a run whose connection is then reset, the permit was free at once; the test failed. Change: the end of the run is computed and awaited on the steady reading.

--- a/packages/entry/src/requests/backend_attempt.ts
+++ b/packages/entry/src/requests/backend_attempt.ts
@@ -33,7 +33,7 @@
   readonly refusal: policy.outcome.RefusalType | null;
   /** Whether the backend server announced that it closes the connection. */
   readonly announcedClose: boolean;
-  /** When the run is certainly over, in the clock's time; null if it is over already. */
+  /** When the run is certainly over, on the clock's steady reading; null if it is over already. */
   readonly runEndsAtMs: number | null;
 }
 
@@ -120,7 +120,7 @@
       this.#abort(controller, this.#refusal);
       return;
     }
-    this.#sentAtMs = this.#options.clock.nowMs();
+    this.#sentAtMs = this.#options.clock.steadyMs();
   }
 
   #onResponseStart(
--- a/packages/entry/src/requests/service_runner.ts
+++ b/packages/entry/src/requests/service_runner.ts
@@ -283,7 +283,10 @@
       queueMicrotask(release);
       return;
     }
-    const delayMs = Math.max(0, runEndsAtMs + RUN_END_MARGIN_MS - this.#context.clock.nowMs());
+    const delayMs = Math.max(
+      0,
+      runEndsAtMs + RUN_END_MARGIN_MS - this.#context.clock.steadyMs(),
+    );
     this.#context.clock.after(delayMs, release);
   }
 
--- a/packages/entry/test/request_path_fixture.ts
+++ b/packages/entry/test/request_path_fixture.ts
@@ -12,16 +12,31 @@
 import * as v from "valibot";
 import * as requests from "../src/requests/mod.ts";
 
-/** A clock with the real time of the test process. */
-export const clock: ports.clock.Clock = {
-  nowMs: () => performance.now(),
-  steadyMs: () => performance.now(),
-  wallMs: () => Date.now(),
-  after: (delayMs, callback) => {
+/** A clock with the real time of the test process, whose wall clock can be set forward. */
+export class ProcessClock implements ports.clock.Clock {
+  #aheadMs = 0;
+
+  nowMs(): number {
+    return performance.now() + this.#aheadMs;
+  }
+
+  steadyMs(): number {
+    return performance.now();
+  }
+
+  wallMs(): number {
+    return Date.now() + this.#aheadMs;
+  }
+
+  after(delayMs: number, callback: () => void): () => void {
     const timer = setTimeout(callback, delayMs);
     return () => clearTimeout(timer);
-  },
-};
+  }
+
+  setForward(jumpMs: number): void {
+    this.#aheadMs += jumpMs;
+  }
+}
 
 /** Grants permits up to a total per team and a total per backend server. */
 export class FakePermits implements ports.permits.Permits {
@@ -214,6 +229,7 @@
 
 /** A request path with fake ports, behind a caller server. */
 export class Fixture {
+  readonly clock = new ProcessClock();
   readonly permits = new FakePermits();
   readonly claims = new FakeClaims();
   readonly membership = new FakeMembership();
@@ -235,7 +251,7 @@
     };
     this.path = new requests.requestPath.RequestPath({
       availabilityZone: "zone-a",
-      clock,
+      clock: this.clock,
       log: { debug: recordLine, info: recordLine, warn: recordLine, error: recordLine },
       permits: this.permits,
       claims: this.claims,
--- a/packages/entry/test/request_path_test.ts
+++ b/packages/entry/test/request_path_test.ts
@@ -404,6 +404,17 @@
     expect(fixture.permits.inUse()).toBe(1);
     await testing.waitFor.waitFor("release of the permit", () => fixture.permits.inUse() === 0);
   });
+
+  it("holds the permit of a run with unknown outcome when the wall clock is set forward", async () => {
+    const { servers, fixture } = await start(["a"], { service: { maxRunMs: 600 } });
+    await servers[0]!.setFaults([{ kind: "resetMidAnswer", count: 1 }]);
+    const sent = fixture.send("renew/x?runMs=200", { method: "POST" });
+    await testing.waitFor.waitFor("started run", async () => (await runsOf(servers)).length === 1);
+    fixture.clock.setForward(6_000);
+    expect(await sent).toMatchObject(UNKNOWN);
+    expect(fixture.permits.inUse()).toBe(1);
+    await testing.waitFor.waitFor("release of the permit", () => fixture.permits.inUse() === 0);
+  });
 });
 
 describe("callers that disconnect", () => {
