Log an odd worker entry once for each fault

What callers saw: nothing; the owner's log held a line for each read of the same odd entry. Cause: an entry that names no worker was decoded and logged again at each list (every 5 s, or every 0.5 s while a worker's entry is awaited) and at each write of the same text. Evidence: 20 lists with one odd entry gave 20 lines before. Change: the owner remembers which revision of an entry it has refused and why. It decodes the entry again when it has changed, and logs it when the fault is another one or the entry had been removed.

--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -5,6 +5,7 @@
  */
 import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
 import type { WorkerSession } from "./worker_session.ts";
 
 type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
@@ -36,6 +37,11 @@
   readonly #sessions = new Map<string, WorkerSession>();
   /** The revision of each worker's entry that was applied last. */
   readonly #appliedRevisions = new Map<string, number>();
+  /** The entries that name no worker, which are logged when their fault changes rather than at each read. */
+  readonly #refusedEntries = new Map<
+    string,
+    { readonly revision: number; readonly reason: string }
+  >();
   /** When each worker's entry was removed from the store. */
   readonly #unlistedSinceMs = new Map<string, number>();
 
@@ -55,17 +61,34 @@
         this.#applyRemoval(workerId);
       }
     }
+    for (const workerId of this.#refusedEntries.keys()) {
+      if (!listed.has(workerId)) {
+        this.#refusedEntries.delete(workerId);
+      }
+    }
     entries.forEach((entry) => this.applyEntry(entry));
   }
 
   applyEntry({ key, value, revision }: WorkerEntry): void {
     const workerId = this.#workerIdOf(key);
     if (value === undefined) {
+      this.#refusedEntries.delete(workerId);
       this.#applyRemoval(workerId);
-    } else if (!this.#isApplied(workerId, revision)) {
-      this.#applyRegistration({ key, value, workerId });
-      this.#appliedRevisions.set(workerId, revision);
+      return;
+    }
+    const isKnown = this.#isApplied(workerId, revision) ||
+      this.#refusedEntries.get(workerId)?.revision === revision;
+    if (isKnown) {
+      return;
+    }
+    const info = this.#options.documents.decodeWorker(key, value);
+    if (info.isErr()) {
+      this.#recordRefusal(workerId, { revision, reason: info.error.message });
+      return;
     }
+    this.#refusedEntries.delete(workerId);
+    this.#applyRegistration(info.value);
+    this.#appliedRevisions.set(workerId, revision);
   }
 
   /**
@@ -121,39 +144,44 @@
     }
   }
 
-  #applyRegistration({ key, value, workerId }: {
-    readonly key: string;
-    readonly value: string;
-    readonly workerId: string;
-  }): void {
-    const { scheduler, documents, clock, log, onChange } = this.#options;
-    const info = documents.decodeWorker(key, value);
-    if (info.isErr()) {
-      log.info("Could not decode a worker entry", { worker: workerId, reason: info.error.message });
-      return;
+  #recordRefusal(
+    workerId: string,
+    refused: { readonly revision: number; readonly reason: string },
+  ): void {
+    if (this.#refusedEntries.get(workerId)?.reason !== refused.reason) {
+      this.#options.log.info("Could not decode a worker entry", {
+        worker: workerId,
+        reason: refused.reason,
+      });
     }
+    this.#refusedEntries.set(workerId, refused);
+  }
+
+  #applyRegistration(info: schema.scheduling.WorkerInfo): void {
+    const { scheduler, clock, log, onChange } = this.#options;
+    const { workerId } = info;
     this.#unlistedSinceMs.delete(workerId);
     const previous = scheduler.workers.get(workerId);
     const wasDraining = previous?.info.isDraining ?? false;
     const wasListed = previous?.isListed ?? false;
-    const worker = scheduler.putWorker(info.value, clock.steadyMs());
+    const worker = scheduler.putWorker(info, clock.steadyMs());
     if (worker === undefined) {
       return;
     }
     if (worker !== previous) {
       log.info("Worker added", {
         worker: workerId,
-        vm: info.value.vm,
-        pool: info.value.pool,
-        startedUnixMs: info.value.startedUnixMs,
+        vm: info.vm,
+        pool: info.pool,
+        startedUnixMs: info.startedUnixMs,
       });
     }
-    if (info.value.isDraining && !wasDraining) {
+    if (info.isDraining && !wasDraining) {
       log.info("Worker is draining", { worker: workerId, runs: worker.runs.size });
     }
     this.#open(worker);
     // A heartbeat alone changes nothing that decisions depend on.
-    if (worker !== previous || !wasListed || info.value.isDraining !== wasDraining) {
+    if (worker !== previous || !wasListed || info.isDraining !== wasDraining) {
       onChange();
     }
   }
--- /dev/null
+++ b/packages/scheduler/src/worker_sessions_test.ts
@@ -0,0 +1,119 @@
+import type * as ports from "@jackdawlink/ports";
+import * as schema from "@jackdawlink/schema";
+import * as testing from "@jackdawlink/testing";
+import { err, ok } from "neverthrow";
+import { expect, test } from "vitest";
+import { termFixture } from "./test/term_fixture.ts";
+import type { WorkerSession } from "./worker_session.ts";
+import { type WorkerEntry, WorkerSessions } from "./worker_sessions.ts";
+
+const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
+
+/** Sessions that make no calls; an entry names a worker if its value begins with `sound`. */
+function sessionsFixture() {
+  const parts = termFixture();
+  const refused: string[] = [];
+  const opened: string[] = [];
+  let decodeCount = 0;
+  const log: ports.log.Log = {
+    ...parts.log,
+    info: (message, fields) => {
+      if (message === "Could not decode a worker entry") {
+        refused.push(`${fields?.["worker"]}: ${fields?.["reason"]}`);
+      }
+    },
+  };
+  const sessions = new WorkerSessions({
+    ...parts,
+    log,
+    documents: testing.schedulingFixtures.documents({
+      decodeWorker: (key, text) => {
+        decodeCount++;
+        const workerId = key.slice("workers/".length);
+        return text.startsWith("sound")
+          ? ok({
+            workerId,
+            vm: workerId,
+            pool: "pool",
+            address: workerId,
+            isDraining: false,
+            total: TOTAL,
+            labels: [],
+            startedUnixMs: 1,
+          })
+          : err(new schema.errors.InvalidInputError(text));
+      },
+    }),
+    createSession: (worker) => {
+      opened.push(worker.info.workerId);
+      return {
+        worker,
+        run: () => Promise.resolve(),
+        stop: () => {},
+        retryNow: () => {},
+      } as Partial<
+        WorkerSession
+      > as WorkerSession;
+    },
+    onChange: () => {},
+  });
+  return { ...parts, sessions, refused, opened, decodeCount: () => decodeCount };
+}
+
+function entry(id: string, value: string | undefined, revision: number): WorkerEntry {
+  return { key: `workers/${id}`, value, revision };
+}
+
+test("logs an odd entry once for each fault, not at each read or heartbeat", () => {
+  const { sessions, refused, decodeCount } = sessionsFixture();
+  for (let read = 0; read < 20; read++) {
+    sessions.applyList([entry("odd", "nested", 7), entry("a", "sound", 3)]);
+  }
+  expect(refused).toEqual(["odd: nested"]);
+  expect(decodeCount()).toBe(2);
+  for (let revision = 8; revision < 20; revision++) {
+    sessions.applyEntry(entry("odd", "nested", revision));
+  }
+  expect(refused).toEqual(["odd: nested"]);
+  sessions.applyEntry(entry("odd", "no address", 20));
+  expect(refused).toEqual(["odd: nested", "odd: no address"]);
+});
+
+test.each([
+  {
+    name: "a watch",
+    remove: (sessions: WorkerSessions) => sessions.applyEntry(entry("odd", undefined, 8)),
+  },
+  { name: "a list", remove: (sessions: WorkerSessions) => sessions.applyList([]) },
+])("logs an odd entry again after $name has shown its removal", ({ remove }) => {
+  const { sessions, refused } = sessionsFixture();
+  sessions.applyEntry(entry("odd", "nested", 7));
+  remove(sessions);
+  sessions.applyEntry(entry("odd", "nested", 9));
+  expect(refused).toHaveLength(2);
+});
+
+test("opens the sessions of the sound workers around an odd entry", () => {
+  const { sessions, opened } = sessionsFixture();
+  sessions.applyList([entry("a", "sound", 1), entry("odd", "nested", 2), entry("z", "sound", 3)]);
+  expect(opened).toEqual(["a", "z"]);
+});
+
+test("keeps the worker whose entry another writer has made odd, until it writes again", () => {
+  const { sessions, scheduler, opened } = sessionsFixture();
+  sessions.applyEntry(entry("a", "sound", 1));
+  const worker = scheduler.workers.get("a");
+  sessions.applyEntry(entry("a", "nested", 2));
+  expect(scheduler.workers.get("a")).toBe(worker);
+  expect(worker?.isListed).toBe(true);
+  sessions.applyEntry(entry("a", "sound again", 3));
+  expect(scheduler.workers.get("a")).toBe(worker);
+  expect(opened).toEqual(["a"]);
+});
+
+test("opens a session once an odd entry has become sound", () => {
+  const { sessions, opened } = sessionsFixture();
+  sessions.applyEntry(entry("a", "nested", 1));
+  sessions.applyEntry(entry("a", "sound", 2));
+  expect(opened).toEqual(["a"]);
+});
