Withdraw starts on a worker whose capacity has shrunk

A worker's total capacity may shrink and grow while it runs. Placement compares with the current total already, so an over-full worker gets nothing new. But a start order without a response was repeated for up to the lease of 6 s without another look at the capacity, so it could bring the worker above a capacity that had shrunk more than 4.5 s before.

When a registration shows less than what the worker holds, its unconfirmed starts are stopped: the stop also rejects a start that arrives late, and the task is placed anew once a report lacks the run. A gang is withdrawn as a whole. Confirmed runs go on. A changed total wakes a decision, so that growth is used at once, and is logged.

--- a/packages/policy/src/scheduling/resources.ts
+++ b/packages/policy/src/scheduling/resources.ts
@@ -31,6 +31,11 @@
   };
 }
 
+export function isEqual(a: Resources, b: Resources): boolean {
+  return a.cpuMillicores === b.cpuMillicores && a.memoryMb === b.memoryMb &&
+    a.gpuCount === b.gpuCount;
+}
+
 /** Whether every resource of `need` fits into `free`. */
 export function fits(need: Resources, free: Resources): boolean {
   return need.cpuMillicores <= free.cpuMillicores && need.memoryMb <= free.memoryMb &&
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -182,6 +182,7 @@
     if (present !== undefined && present.info.startedUnixMs === info.startedUnixMs) {
       present.info = info;
       present.isListed = true;
+      this.#withdrawExcessStarts(present);
       return present;
     }
     if (present !== undefined) {
@@ -192,6 +193,32 @@
     return worker;
   }
 
+  /** Withdraws all unconfirmed starts on a worker whose capacity has shrunk below what it holds. */
+  #withdrawExcessStarts(worker: WorkerRecord): void {
+    if (resources.fits(worker.used, worker.info.total)) {
+      return;
+    }
+    for (const run of [...worker.runs.values()]) {
+      if (run.state === "starting") {
+        this.withdrawStart(run, "the worker's capacity has shrunk");
+      }
+    }
+  }
+
+  /**
+   * Withdraws a start order that must not be repeated. The run may exist, so it takes up resources
+   * until the worker has accepted a stop, which also rejects a late start. A gang cannot work
+   * without one of its tasks, so all of its runs are withdrawn.
+   */
+  withdrawStart(run: Run, reason: string): void {
+    const runs = run.step.spec.isGang ? run.step.tasks.flatMap((task) => task.run ?? []) : [run];
+    for (const each of runs) {
+      if (each.state !== "stopping") {
+        this.#stop(each, reason);
+      }
+    }
+  }
+
   /** Records that a worker's registration has been removed. It is kept while runs depend on it. */
   recordWorkerUnlisted(workerId: string): void {
     this.#endedIncarnations.recordUnlisted(workerId);
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -585,3 +585,92 @@
   const [run] = [...worker.runs.values()];
   expect(run!.mayBeStoppingUntilMs).toBeGreaterThan(10_001 + 900);
 });
+
+const CAPACITY_CHANGES = [
+  {
+    name: "shrinks below what it runs",
+    totalMillicores: 1_000,
+    isConfirmed: true,
+    stopped: [],
+    started: [],
+  },
+  {
+    name: "shrinks below unconfirmed starts",
+    totalMillicores: 1_000,
+    isConfirmed: false,
+    stopped: ["j.0.0.0", "j.0.0.1"],
+    started: [],
+  },
+  {
+    name: "shrinks to nothing",
+    totalMillicores: 0,
+    isConfirmed: true,
+    stopped: [],
+    started: [],
+  },
+  {
+    name: "shrinks to what it runs",
+    totalMillicores: 2_000,
+    isConfirmed: false,
+    stopped: [],
+    started: [],
+  },
+  {
+    name: "grows",
+    totalMillicores: 3_000,
+    isConfirmed: true,
+    stopped: [],
+    started: ["j.0.0.2#1 w1"],
+  },
+];
+
+test.each(CAPACITY_CHANGES)(
+  "starts nothing beyond the capacity of a worker that $name, and stops no confirmed run",
+  ({ totalMillicores, isConfirmed, stopped, started }) => {
+    const scheduler = fixtures.scheduler(["w1"]);
+    const resize = (cpuMillicores: number) =>
+      scheduler.putWorker(
+        fixtures.workerInfo("w1", { total: { ...fixtures.TOTAL, cpuMillicores } }),
+        10_000,
+      );
+    resize(2_000);
+    put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 4 })]));
+    for (const order of scheduler.decide(NOW)) {
+      if (order.kind === "start" && isConfirmed) {
+        const outcome = { kind: "done", workerClockMs: 1_000 } as const;
+        scheduler.recordStartOutcome(order.run, outcome, { nowMs: 10_000, isRepeated: false });
+      }
+    }
+    resize(totalMillicores);
+    const orders = scheduler.decide(NOW);
+    expect([starts(orders), stops(orders)]).toEqual([started, stopped]);
+  },
+);
+
+test("withdraws all runs of a gang if a worker's capacity shrinks before one of them is confirmed", () => {
+  const scheduler = fixtures.scheduler(["w1", "w2"]);
+  const resize = (workerId: string, cpuMillicores: number) =>
+    scheduler.putWorker(
+      fixtures.workerInfo(workerId, { total: { ...fixtures.TOTAL, cpuMillicores } }),
+      10_000,
+    );
+  resize("w1", 1_000);
+  resize("w2", 1_000);
+  const step = testing.schedulingFixtures.step({ taskCount: 2, isGang: true });
+  put(scheduler, fixtures.job("j", [step]));
+  expect(starts(scheduler.decide(NOW))).toHaveLength(2);
+  resize("w2", 500);
+  expect(stops(scheduler.decide(NOW))).toEqual(["j.0.0.0", "j.0.0.1"]);
+});
+
+test("uses a worker of normal capacity beside one that has shrunk below what it runs", () => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step({ taskCount: 4 })]));
+  scheduler.decide(NOW);
+  const total = { cpuMillicores: 0, memoryMb: 0, gpuCount: 0 };
+  scheduler.putWorker(fixtures.workerInfo("w1", { total }), 10_000);
+  const w2 = scheduler.putWorker(fixtures.workerInfo("w2"), 10_000)!;
+  scheduler.applyReport(w2, fixtures.emptyReport(), { sentAtMs: 9_000, receivedAtMs: 10_000 });
+  put(scheduler, fixtures.job("k", [testing.schedulingFixtures.step()]));
+  expect(starts(scheduler.decide(NOW))).toEqual(["k.0.0.0#1 w2"]);
+});
--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as policy from "@jackdawlink/policy";
+import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import type { WorkerSession } from "./worker_session.ts";
 
@@ -136,6 +136,7 @@
     const previous = scheduler.workers.get(workerId);
     const wasDraining = previous?.info.isDraining ?? false;
     const wasListed = previous?.isListed ?? false;
+    const totalBefore = previous?.info.total;
     const worker = scheduler.putWorker(info.value, clock.steadyMs());
     if (worker === undefined) {
       return;
@@ -151,9 +152,28 @@
     if (info.value.isDraining && !wasDraining) {
       log.info("Worker is draining", { worker: workerId, runs: worker.runs.size });
     }
+    const { total } = info.value;
+    const hasNewTotal = worker === previous && totalBefore !== undefined &&
+      !policy.scheduling.resources.isEqual(totalBefore, total);
+    if (hasNewTotal) {
+      log.info("Worker capacity changed", {
+        worker: workerId,
+        beforeMillicores: totalBefore.cpuMillicores,
+        beforeMb: totalBefore.memoryMb,
+        beforeGpus: totalBefore.gpuCount,
+        afterMillicores: total.cpuMillicores,
+        afterMb: total.memoryMb,
+        afterGpus: total.gpuCount,
+        usedMillicores: worker.used.cpuMillicores,
+        usedMb: worker.used.memoryMb,
+        usedGpus: worker.used.gpuCount,
+      });
+    }
     this.#open(worker);
     // A heartbeat alone changes nothing that decisions depend on.
-    if (worker !== previous || !wasListed || info.value.isDraining !== wasDraining) {
+    if (
+      worker !== previous || !wasListed || info.value.isDraining !== wasDraining || hasNewTotal
+    ) {
       onChange();
     }
   }
