Load a job of many steps in linear time

What callers saw: nothing yet; found while odd documents were fed to each decoder. Cause: a job's critical paths searched all steps for the dependents of each one. A submission of 256 KiB may have 87,000 steps, `{}` each, which is within the limit of 100,000 tasks. The owner that loads such a job stands still, so its lease expires; the job is stored, so the next owner stands still as well. Change: each step passes its path on to the steps before it, in one pass over the dependencies.

--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -153,7 +153,7 @@
     this.acceptedRevision = acceptedRevision;
     this.seenAtMs = seenAtMs;
     this.#criticalPathsMs = computeCriticalPathsMs(job.spec.steps);
-    this.#criticalPathMs = Math.max(...this.#criticalPathsMs);
+    this.#criticalPathMs = this.#criticalPathsMs.reduce((a, b) => Math.max(a, b), 0);
     const count = job.spec.timetable?.occurrenceCount ?? 1;
     for (let occurrence = 0; occurrence < count; occurrence++) {
       this.#occurrences.push(
@@ -263,13 +263,16 @@
 
 /** For each step, the longest path of estimated durations from its start to the end of the job. */
 function computeCriticalPathsMs(steps: readonly schema.scheduling.Step[]): number[] {
-  const pathsMs = steps.map(({ estimateMs }) => estimateMs);
+  const pathsMs = steps.map(() => 0);
   // A step depends only on steps with lower numbers, so this order visits its dependents first.
   for (let step = steps.length - 1; step >= 0; step--) {
-    const dependents = steps.flatMap(({ afterSteps }, other) =>
-      afterSteps.includes(step) ? [pathsMs[other]!] : []
-    );
-    pathsMs[step]! += Math.max(0, ...dependents);
+    const { estimateMs, afterSteps } = steps[step]!;
+    // Until here, the entry is the longest path from any dependent.
+    const pathMs = pathsMs[step]! + estimateMs;
+    pathsMs[step] = pathMs;
+    for (const before of afterSteps) {
+      pathsMs[before] = Math.max(pathsMs[before]!, pathMs);
+    }
   }
   return pathsMs;
 }
