Refuse a job that the owner could not read back

What callers saw: nothing yet; found while odd numbers were fed to each decoder. Such a job would have been answered with 200 and would have stayed queued for good. Cause: the form in which a job is stored allows whole numbers alone, and JSON has no infinite ones. A submission was checked by another schema: fractions of a core, negative estimates and 1e400 were accepted, stored, and refused by each owner (`Could not decode a stored job`). Both took amounts up to 1e308, whose sums are infinite. Amounts and durations are at most 2^53 - 1.

--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -7,14 +7,17 @@
 import * as v from "valibot";
 import { countSchema, positiveIntegerSchema } from "./names.ts";
 
+/** Sums of larger amounts may be infinite, and their differences no numbers. */
+const amountSchema = v.pipe(countSchema, v.safeInteger());
+
 /**
  * Amounts of resources: the demand of a task, the limit of a workspace, or the capacity of a
  * worker.
  */
 export const resourcesSchema = v.object({
-  cpuMillicores: countSchema,
-  memoryMb: countSchema,
-  gpuCount: countSchema,
+  cpuMillicores: amountSchema,
+  memoryMb: amountSchema,
+  gpuCount: amountSchema,
 });
 
 /** A step of a job: tasks with the same requirements that may run in parallel. */
@@ -22,7 +25,7 @@
   taskCount: positiveIntegerSchema,
   resources: resourcesSchema,
   /** The submitter's rough estimate of a task's duration; zero if unknown. */
-  estimateMs: countSchema,
+  estimateMs: amountSchema,
   /** Indexes of earlier steps that must complete first. */
   afterSteps: v.array(countSchema),
   isCheckpointing: v.boolean(),
@@ -55,8 +58,8 @@
 /** The schedule of a recurring job. */
 export const timetableSchema = v.object({
   occurrenceCount: positiveIntegerSchema,
-  startUnixMs: v.number(),
-  intervalMs: countSchema,
+  startUnixMs: v.pipe(v.number(), v.finite()),
+  intervalMs: amountSchema,
 });
 
 /**
