Refuse stored and notified jobs whose steps come after missing ones

What callers saw: nothing yet; found while odd records were fed to each decoder. Cause: only a submission was checked for the order of its steps. A record in the store, or a peer's notice of an accepted job, with a step after one that does not exist passed, and a decision reads the missing step. An exception there ends the process, and the next owner reads the same record. Evidence: the stored form accepted such a job before. That the decision fails follows from `JobRecord.readySteps` as read; it was not run. Change: the order of the steps is part of the stored form.

--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -76,6 +76,10 @@
     steps: v.pipe(v.array(stepSchema), v.minLength(1)),
     timetable: v.optional(timetableSchema),
   }),
+  v.check(
+    ({ steps }) => steps.every(({ afterSteps }, step) => afterSteps.every((after) => after < step)),
+    "A step must come after the steps it names",
+  ),
   v.check((spec) => countTasks(spec) <= MAX_TASKS_PER_JOB, "The job has too many tasks"),
 );
 
