Keep following the store when the handling of one item throws

What callers saw: nothing yet; found while a report of processes that ended beside an odd worker entry was followed up. Cause: the loops that follow workers' entries and jobs hand each item on to the decoders, the sessions and the scheduler, and nothing awaits the loops. An exception anywhere on that way ended the process as an unhandled rejection, and the item stays in the store for the next owner. Evidence: with a handler that throws for one of three items the follower's promise was rejected and no further item arrived; with a decoder that throws the list ended at that entry. Change: the handling of each item, and of each list, logs an exception with the item's key and goes on. No input is known that makes a decoder throw.

--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -10,6 +10,7 @@
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import * as schema from "@jackdawlink/schema";
+import { guard } from "./guard.ts";
 import { Journal } from "./journal.ts";
 import type { NodeMetrics } from "./metrics.ts";
 import type { TermStart } from "./ownership.ts";
@@ -244,7 +245,10 @@
     items: readonly ports.scheduling.StoreItem[],
     progress: ReadonlyMap<string, string>,
   ): void {
-    items.forEach((item) => this.#applyIntakeItem(item, progress));
+    const { log } = this.#options;
+    items.forEach((item) =>
+      guard(() => this.#applyIntakeItem(item, progress), { log, key: item.key })
+    );
   }
 
   #applyIntakeItem(
--- a/packages/scheduler/src/prefix_follower.ts
+++ b/packages/scheduler/src/prefix_follower.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type * as ports from "@jackdawlink/ports";
+import { guard } from "./guard.ts";
 import { pause } from "./pause.ts";
 
 /** A watch can silently stop delivering changes and only its return shows that it still works. */
@@ -68,7 +69,9 @@
       return after;
     }
     if (watched.isOk() && watched.value.kind === "changes") {
-      watched.value.changes.forEach((change) => handlers.onChange(change));
+      watched.value.changes.forEach((change) =>
+        guard(() => handlers.onChange(change), { log, key: change.key })
+      );
       await pause(BATCH_WINDOW_MS);
       return watched.value.asOfRevision;
     }
@@ -88,14 +91,14 @@
 
   /** Lists all items; returns the revision to continue from. */
   async #list(after: number): Promise<number> {
-    const { store, clock, prefix, handlers } = this.#options;
+    const { store, clock, log, prefix, handlers } = this.#options;
     const items = await store.list(prefix);
     if (items.isErr() || this.#isStopped) {
       await pause(RETRY_INTERVAL_MS);
       return after;
     }
     this.#listedAtMs = clock.nowMs();
-    handlers.onList(items.value.items);
+    guard(() => handlers.onList(items.value.items), { log, key: prefix });
     return items.value.asOfRevision;
   }
 }
--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -6,6 +6,7 @@
 import * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
 import type * as schema from "@jackdawlink/schema";
+import { guard } from "./guard.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
 type WorkerRecord = policy.scheduling.workerRecord.WorkerRecord;
@@ -69,26 +70,9 @@
     entries.forEach((entry) => this.applyEntry(entry));
   }
 
-  applyEntry({ key, value, revision }: WorkerEntry): void {
-    const workerId = this.#workerIdOf(key);
-    if (value === undefined) {
-      this.#refusedEntries.delete(workerId);
-      this.#applyRemoval(workerId);
-      return;
-    }
-    const isKnown = this.#isApplied(workerId, revision) ||
-      this.#refusedEntries.get(workerId)?.revision === revision;
-    if (isKnown) {
-      return;
-    }
-    const info = this.#options.documents.decodeWorker(key, value);
-    if (info.isErr()) {
-      this.#recordRefusal(workerId, { revision, reason: info.error.message });
-      return;
-    }
-    this.#refusedEntries.delete(workerId);
-    this.#applyRegistration(info.value);
-    this.#appliedRevisions.set(workerId, revision);
+  /** Applies one entry; one that cannot be handled is logged, and the others hold. */
+  applyEntry(entry: WorkerEntry): void {
+    guard(() => this.#applyEntry(entry), { log: this.#options.log, key: entry.key });
   }
 
   /**
@@ -124,6 +108,28 @@
     return key.slice(this.#options.documents.workerPrefix.length);
   }
 
+  #applyEntry({ key, value, revision }: WorkerEntry): void {
+    const workerId = this.#workerIdOf(key);
+    if (value === undefined) {
+      this.#refusedEntries.delete(workerId);
+      this.#applyRemoval(workerId);
+      return;
+    }
+    const isKnown = this.#isApplied(workerId, revision) ||
+      this.#refusedEntries.get(workerId)?.revision === revision;
+    if (isKnown) {
+      return;
+    }
+    const info = this.#options.documents.decodeWorker(key, value);
+    if (info.isErr()) {
+      this.#recordRefusal(workerId, { revision, reason: info.error.message });
+      return;
+    }
+    this.#refusedEntries.delete(workerId);
+    this.#applyRegistration(info.value);
+    this.#appliedRevisions.set(workerId, revision);
+  }
+
   /** Whether this revision of an entry has been applied to the worker's current record. */
   #isApplied(workerId: string, revision: number): boolean {
     const worker = this.#options.scheduler.workers.get(workerId);
--- a/packages/scheduler/src/worker_sessions_test.ts
+++ b/packages/scheduler/src/worker_sessions_test.ts
@@ -30,6 +30,9 @@
       decodeWorker: (key, text) => {
         decodeCount++;
         const workerId = key.slice("workers/".length);
+        if (text === "throws") {
+          throw new RangeError("Maximum call stack size exceeded");
+        }
         return text.startsWith("sound")
           ? ok({
             workerId,
@@ -117,3 +120,9 @@
   sessions.applyEntry(entry("a", "sound", 2));
   expect(opened).toEqual(["a"]);
 });
+
+test("opens the sessions of the sound workers when an entry makes the decoder throw", () => {
+  const { sessions, opened } = sessionsFixture();
+  sessions.applyList([entry("a", "sound", 1), entry("odd", "throws", 2), entry("z", "sound", 3)]);
+  expect(opened).toEqual(["a", "z"]);
+});
