Count the wait for a fence by the monotonic clock

What callers saw: entries could together run more requests than a limit allows: permits of a fenced entry were granted again while that entry could still start requests, or its requests still ran. Cause: the acceptance of a fence, the quarantine of its permits and the time until the fence is dropped are waits for what the fenced incarnation may still do. They were on the clock's upper reading, which a wall clock that is set forward moves ahead. Change: these times are on the steady reading throughout; freshness, which is this process's own right, stays on the upper one. The timer of the permits runs on the steady reading, as timers do.

--- a/packages/bench/src/capacity/member_slopes.ts
+++ b/packages/bench/src/capacity/member_slopes.ts
@@ -51,7 +51,10 @@
       incarnation: self.incarnation,
       rules: policy.memberState.rulesOf(TIMING),
     });
-    this.state.adoptHead({ ...schema.head.EMPTY_HEAD, revision: 1, members }, 0);
+    this.state.adoptHead({ ...schema.head.EMPTY_HEAD, revision: 1, members }, {
+      nowMs: 0,
+      steadyMs: 0,
+    });
   }
 
   /**
@@ -67,7 +70,13 @@
   }
 
   decide(): void {
-    this.state.decide({ nowMs: this.nowMs, draining: false, canLeave: false, fenceWaitMs: 13_000 });
+    this.state.decide({
+      nowMs: this.nowMs,
+      steadyMs: this.nowMs,
+      draining: false,
+      canLeave: false,
+      fenceWaitMs: 13_000,
+    });
   }
 
   #exchange({ memberId, incarnation }: schema.head.Member): number {
@@ -82,7 +91,7 @@
       echoIncarnation: state.incarnation(),
     });
     const decoded = adapters.peerCodec.decode(incoming)._unsafeUnwrap();
-    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, nowMs });
+    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, steadyMs: nowMs });
     return outgoing.byteLength + incoming.byteLength;
   }
 }
--- a/packages/entry/src/membership/membership_manager.ts
+++ b/packages/entry/src/membership/membership_manager.ts
@@ -179,7 +179,7 @@
       return;
     }
     const { state, snapshots, drainingVms, clock } = this.#options;
-    const from = { memberId: sender.memberId, nowMs: clock.nowMs() };
+    const from = { memberId: sender.memberId, steadyMs: clock.steadyMs() };
     const { hasHigherRevision, hasMajorityAdvanced } = state.receiveHeartbeat(heartbeat, from);
     if (hasHigherRevision) {
       snapshots.catchUpFrom(sender.memberId);
@@ -192,7 +192,10 @@
 
   #adoptHead(head: schema.head.Head): void {
     const { state, clock, leaseKeeper, log } = this.#options;
-    const { wasRemoved } = state.adoptHead(head, clock.nowMs());
+    const { wasRemoved } = state.adoptHead(head, {
+      nowMs: clock.nowMs(),
+      steadyMs: clock.steadyMs(),
+    });
     if (wasRemoved && !this.#canLeave) {
       const fencedIncarnation = state.incarnation();
       state.restartAs(randomUUID());
@@ -226,6 +229,7 @@
     const { state, clock, snapshots, leaseKeeper, timing } = this.#options;
     const decision = state.decide({
       nowMs: clock.nowMs(),
+      steadyMs: clock.steadyMs(),
       draining: this.#draining,
       canLeave: this.#canLeave,
       fenceWaitMs: policy.memberState.fenceWaitMs(timing, snapshots.current().config),
--- a/packages/entry/src/permit_manager.ts
+++ b/packages/entry/src/permit_manager.ts
@@ -156,7 +156,7 @@
     const member = this.#member;
     if (member === null) return;
     const { links, membership, clock, freshForMs } = this.#options;
-    const turn = member.advance(clock.nowMs(), {
+    const turn = member.advance(clock.steadyMs(), {
       loads: this.#demandSource(),
       timing: {
         freshForMs,
@@ -168,7 +168,7 @@
       links.send(memberId, message as peer.Message);
     }
     if (turn.wakeAtMs !== null) {
-      this.#timer.runAt(Math.max(turn.wakeAtMs, clock.nowMs() + MESSAGE_INTERVAL_MS));
+      this.#timer.runAt(Math.max(turn.wakeAtMs, clock.steadyMs() + MESSAGE_INTERVAL_MS));
     }
     this.#logEvents(turn.events);
     this.#notifyGranted();
--- a/packages/entry/src/permit_manager_test.ts
+++ b/packages/entry/src/permit_manager_test.ts
@@ -16,10 +16,11 @@
 /** A clock that advances only when a test calls `advance`. */
 class ManualClock implements ports.clock.Clock {
   #nowMs = 0;
+  #aheadMs = 0;
   #timers: { atMs: number; callback: () => void }[] = [];
 
   nowMs() {
-    return this.#nowMs;
+    return this.#nowMs + this.#aheadMs;
   }
 
   steadyMs() {
@@ -27,7 +28,12 @@
   }
 
   wallMs() {
-    return this.#nowMs;
+    return this.#nowMs + this.#aheadMs;
+  }
+
+  /** Sets the wall clock forward. */
+  setForward(jumpMs: number) {
+    this.#aheadMs += jumpMs;
   }
 
   after(delayMs: number, callback: () => void) {
@@ -203,7 +209,7 @@
     if (fenced !== undefined) {
       const { memberId, incarnation } = fenced;
       fences.push({ memberId, incarnation, revision, clean: false, withoutMajority: false });
-      this.acceptedAtMs.set(incarnation, this.clock.nowMs());
+      this.acceptedAtMs.set(incarnation, this.clock.steadyMs());
     }
     const membersRevision = fenced === undefined ? head.membersRevision : revision;
     this.#snapshot = {
@@ -270,22 +276,29 @@
     expect(entry.start()).toBe(1);
   });
 
-  it("reuses the permits of a fenced entry only after the quarantine", () => {
-    const fleet = new Fleet({ entries: 9, limit: 4 });
-    fleet.clock.advance(100);
-    const [dead, ...others] = fleet.entries as [Entry, ...Entry[]];
-    dead.enqueue(4);
-    fleet.clock.advance(100);
-    expect(dead.running).toHaveLength(4);
-    dead.isDead = true;
-    fleet.publish({ fenced: dead });
-    for (const entry of others) entry.enqueue(4);
-    const waitMs = FRESH_FOR_MS + policy.memberState.FENCE_MARGIN_MS + MAX_RUN_MS;
-    fleet.clock.advance(waitMs - 10);
-    const early = runningOf(others);
-    fleet.clock.advance(1_000);
-    expect({ early, late: runningOf(others) }).toEqual({ early: 0, late: 4 });
-  });
+  it.each([
+    { clocks: "clocks that run evenly", jumpMs: 0 },
+    { clocks: "wall clocks that are set forward", jumpMs: 6_000 },
+  ])(
+    "reuses the permits of a fenced entry only after the quarantine, with $clocks",
+    ({ jumpMs }) => {
+      const fleet = new Fleet({ entries: 9, limit: 4 });
+      fleet.clock.advance(100);
+      const [dead, ...others] = fleet.entries as [Entry, ...Entry[]];
+      dead.enqueue(4);
+      fleet.clock.advance(100);
+      expect(dead.running).toHaveLength(4);
+      dead.isDead = true;
+      fleet.publish({ fenced: dead });
+      for (const entry of others) entry.enqueue(4);
+      fleet.clock.setForward(jumpMs);
+      const waitMs = FRESH_FOR_MS + policy.memberState.FENCE_MARGIN_MS + MAX_RUN_MS;
+      fleet.clock.advance(waitMs - 10);
+      const early = runningOf(others);
+      fleet.clock.advance(1_000);
+      expect({ early, late: runningOf(others) }).toEqual({ early: 0, late: 4 });
+    },
+  );
 
   it("lets every entry start in time when the limit is below the number of entries", () => {
     const fleet = new Fleet({ entries: 9, limit: 2 });
--- a/packages/entry/src/throttled_timer.ts
+++ b/packages/entry/src/throttled_timer.ts
@@ -21,15 +21,15 @@
 
   /** Requests a run as soon as `minIntervalMs` has passed since the last run. */
   runSoon(minIntervalMs: number): void {
-    this.runAt(Math.max(this.#clock.nowMs(), this.#lastRunAtMs + minIntervalMs));
+    this.runAt(Math.max(this.#clock.steadyMs(), this.#lastRunAtMs + minIntervalMs));
   }
 
-  /** Requests a run at a clock time; ignored if one is scheduled for that time or earlier. */
+  /** Requests a run at a time on the clock's steady reading; ignored if one is scheduled for that time or earlier. */
   runAt(dueAtMs: number): void {
     if (dueAtMs >= this.#dueAtMs) return;
     this.#cancel?.();
     this.#dueAtMs = dueAtMs;
-    const delayMs = Math.max(0, Math.ceil(dueAtMs - this.#clock.nowMs()));
+    const delayMs = Math.max(0, Math.ceil(dueAtMs - this.#clock.steadyMs()));
     this.#cancel = this.#clock.after(delayMs, () => this.#run());
   }
 
@@ -43,7 +43,7 @@
   #run(): void {
     this.#cancel = null;
     this.#dueAtMs = Infinity;
-    this.#lastRunAtMs = this.#clock.nowMs();
+    this.#lastRunAtMs = this.#clock.steadyMs();
     this.#callback();
   }
 }
--- a/packages/policy/src/membership/acceptance.ts
+++ b/packages/policy/src/membership/acceptance.ts
@@ -17,6 +17,7 @@
 export interface AcceptanceInput {
   readonly head: head.Head;
   readonly incarnation: string;
+  /** On the clock's steady reading. */
   readonly nowMs: number;
 }
 
--- a/packages/policy/src/membership/member_model_test.ts
+++ b/packages/policy/src/membership/member_model_test.ts
@@ -283,6 +283,11 @@
     return this.#nowMs - process.bootedAtMs;
   }
 
+  #readings(process: Process): memberState.ClockReadings {
+    const nowMs = this.#ownTime(process);
+    return { nowMs, steadyMs: nowMs };
+  }
+
   #turn(process: Process, index: number): void {
     if (this.#nowMs >= process.nextPollAtMs) {
       process.nextPollAtMs = this.#nowMs + POLL_MS + this.#random.below(200);
@@ -312,7 +317,7 @@
 
   #decide(process: Process): void {
     const decision = process.state.decide({
-      nowMs: this.#ownTime(process),
+      ...this.#readings(process),
       draining: false,
       canLeave: false,
       fenceWaitMs: 10_000,
@@ -334,7 +339,7 @@
   }
 
   #hold(process: Process, head: headRecord.Head): void {
-    const { wasRemoved } = process.state.adoptHead(head, this.#ownTime(process));
+    const { wasRemoved } = process.state.adoptHead(head, this.#readings(process));
     if (wasRemoved) {
       process.state.restartAs(this.#newIncarnation());
     }
@@ -385,7 +390,7 @@
     }
     const { hasHigherRevision } = target.state.receiveHeartbeat(message, {
       memberId: `entry-${from}`,
-      nowMs: this.#ownTime(target),
+      ...this.#readings(target),
     });
     if (hasHigherRevision) {
       this.#send(from, to, this.#process(from).state.head());
--- a/packages/policy/src/membership/member_state.ts
+++ b/packages/policy/src/membership/member_state.ts
@@ -1,7 +1,8 @@
 /**
  * The membership state of one process, as a state machine that is driven by events and performs no
  * I/O. The entry and the model tests run the same code. Times are in milliseconds of the process's
- * own clock.
+ * own clock: what this process may do ends by the upper reading, what fenced incarnations may still do
+ * by the steady one.
  *
  * @module
  */
@@ -34,9 +35,14 @@
   readonly aliveIncarnations: ReadonlySet<string> | null;
 }
 
-/** The inputs of a decision that come from other parts of the process. */
-export interface DecisionInput {
+/** Both readings of the process's clock. */
+export interface ClockReadings {
   readonly nowMs: number;
+  readonly steadyMs: number;
+}
+
+/** The inputs of a decision that come from other parts of the process. */
+export interface DecisionInput extends ClockReadings {
   readonly draining: boolean;
   readonly canLeave: boolean;
   /** How long permits of a fenced incarnation count as in use after its fence was accepted. */
@@ -119,7 +125,10 @@
   }
 
   /** Adopts a head with a higher revision; returns whether this incarnation was removed by it. */
-  adoptHead(head: head.Head, nowMs: number): { readonly wasRemoved: boolean } {
+  adoptHead(
+    head: head.Head,
+    { nowMs, steadyMs }: ClockReadings,
+  ): { readonly wasRemoved: boolean } {
     if (head.revision <= this.#head.revision) {
       return { wasRemoved: false };
     }
@@ -131,7 +140,7 @@
     this.#wasListed = isListed;
     this.#isFirstJoin &&= !isListed;
     this.#peers.setExpected(head.members, nowMs);
-    this.#updateAcceptance(nowMs);
+    this.#updateAcceptance(steadyMs);
     return { wasRemoved };
   }
 
@@ -152,14 +161,14 @@
    */
   receiveHeartbeat(
     heartbeat: peer.Heartbeat,
-    from: { readonly memberId: string; readonly nowMs: number },
+    from: { readonly memberId: string; readonly steadyMs: number },
   ): { readonly hasHigherRevision: boolean; readonly hasMajorityAdvanced: boolean } {
     const isOwnEcho = heartbeat.echoIncarnation === this.#incarnation;
     const echoedAtMs = isOwnEcho ? heartbeat.echoSentAtMs : null;
     this.#peers.record(from.memberId, heartbeat, echoedAtMs);
     this.#freshness.recordHeartbeat({ ...heartbeat, memberId: from.memberId, echoedAtMs });
     this.#acceptance.recordHeldRevision(heartbeat.incarnation, heartbeat.revision);
-    const hasMajorityAdvanced = this.#updateAcceptance(from.nowMs);
+    const hasMajorityAdvanced = this.#updateAcceptance(from.steadyMs);
     return { hasHigherRevision: heartbeat.revision > this.#head.revision, hasMajorityAdvanced };
   }
 
@@ -207,6 +216,7 @@
     return this.#acceptance.acceptedRevision();
   }
 
+  /** When this process learned that a fence was accepted, on the steady reading; null if it was not. */
   fenceAcceptedAtMs(incarnation: string): number | null {
     return this.#acceptance.fenceAcceptedAtMs(incarnation);
   }
@@ -225,7 +235,7 @@
 
   /** The change of the member list that this process should publish next; null for none. */
   decide(input: DecisionInput): MembershipDecision | null {
-    this.#updateAcceptance(input.nowMs);
+    this.#updateAcceptance(input.steadyMs);
     return this.#policy.decide(this.#membershipView(input));
   }
 
@@ -268,20 +278,20 @@
       read.revision <= this.#head.revision;
   }
 
-  #expiredFences({ nowMs, fenceWaitMs }: DecisionInput): ReadonlySet<string> {
+  #expiredFences({ steadyMs, fenceWaitMs }: DecisionInput): ReadonlySet<string> {
     const expired = this.#head.fences.filter((fence) => {
       const acceptedAtMs = this.#acceptance.fenceAcceptedAtMs(fence.incarnation);
       const waitMs = fence.clean ? 0 : fenceWaitMs;
-      return acceptedAtMs !== null && nowMs - acceptedAtMs > waitMs;
+      return acceptedAtMs !== null && steadyMs - acceptedAtMs > waitMs;
     });
     return new Set(expired.map((fence) => fence.incarnation));
   }
 
-  #updateAcceptance(nowMs: number): boolean {
+  #updateAcceptance(steadyMs: number): boolean {
     return this.#acceptance.update({
       head: this.#head,
       incarnation: this.#incarnation,
-      nowMs,
+      nowMs: steadyMs,
     });
   }
 }
--- a/packages/policy/src/permits/coordinator_set.ts
+++ b/packages/policy/src/permits/coordinator_set.ts
@@ -24,7 +24,7 @@
   /** How long a fenced incarnation may still start requests after its fence was accepted. */
   readonly freshForMs: number;
   readonly marginMs: number;
-  /** When this process learned that a fence was accepted, by its own clock; null if it was not. */
+  /** When this process learned that a fence was accepted, on the steady reading; null if it was not. */
   readonly acceptedAtMs: (incarnation: string) => number | null;
 }
 
--- a/packages/ports/src/members.ts
+++ b/packages/ports/src/members.ts
@@ -35,8 +35,8 @@
    */
   onIncarnationChange(callback: (incarnation: string | null) => void): void;
   /**
-   * When this process accepted the fence of an incarnation, on its own clock; null if it accepted
-   * none. The permits of a fenced incarnation count as in use for a while from then on.
+   * When this process accepted the fence of an incarnation, on the steady reading of its clock; null if
+   * it accepted none. The permits of a fenced incarnation count as in use for a while from then on.
    */
   acceptedFenceAtMs(incarnation: string): number | null;
 }
