Count a member as unreachable by the monotonic clock

What callers saw: sound entries were fenced and had to join again, which voids their permits. Cause: how long a member has been out of contact, and suspected, was on the clock's upper reading. When the wall clocks of several entries are set forward at once, all others seem silent to each of them for up to a heartbeat interval, and a majority confirms it. Change: a peer table keeps each contact on both readings. A member is unreachable by the steady one, and reachable, which a majority needs before it acts, by the upper one as before.

--- a/packages/bench/src/capacity/member_slopes.ts
+++ b/packages/bench/src/capacity/member_slopes.ts
@@ -51,10 +51,7 @@
       incarnation: self.incarnation,
       rules: policy.memberState.rulesOf(TIMING),
     });
-    this.state.adoptHead({ ...schema.head.EMPTY_HEAD, revision: 1, members }, {
-      nowMs: 0,
-      steadyMs: 0,
-    });
+    this.state.adoptHead({ ...schema.head.EMPTY_HEAD, revision: 1, members }, 0);
   }
 
   /**
@@ -81,7 +78,7 @@
 
   #exchange({ memberId, incarnation }: schema.head.Member): number {
     const { nowMs, state } = this;
-    const sent = state.heartbeatFor(memberId, { nowMs, draining: false });
+    const sent = state.heartbeatFor(memberId, { nowMs, steadyMs: nowMs, draining: false });
     const outgoing = adapters.peerCodec.encode(sent);
     const incoming = adapters.peerCodec.encode({
       ...sent,
@@ -91,7 +88,7 @@
       echoIncarnation: state.incarnation(),
     });
     const decoded = adapters.peerCodec.decode(incoming)._unsafeUnwrap();
-    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, steadyMs: nowMs });
+    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, nowMs, steadyMs: nowMs });
     return outgoing.byteLength + incoming.byteLength;
   }
 }
--- a/packages/entry/src/membership/membership_manager.ts
+++ b/packages/entry/src/membership/membership_manager.ts
@@ -101,7 +101,7 @@
   /** Whether polls must read the lease keys: to join, or to fence unreachable members. */
   needsAliveKeys(): boolean {
     const { state, clock } = this.#options;
-    return !state.isListed() || state.unreachableMemberIds(clock.nowMs()).length > 0;
+    return !state.isListed() || state.unreachableMemberIds(clock.steadyMs()).length > 0;
   }
 
   /** Announces to the peers that this process is draining; it stays in the member list. */
@@ -167,7 +167,7 @@
   #sendHeartbeats(): void {
     const { links, state, clock, drainingVms } = this.#options;
     const drainingVmsRevision = drainingVms.current().modRevision;
-    const now = { nowMs: clock.nowMs(), draining: this.#draining };
+    const now = { ...readingsOf(clock), draining: this.#draining };
     for (const memberId of links.linkedMemberIds()) {
       const heartbeat = state.heartbeatFor(memberId, now);
       links.send(memberId, { ...heartbeat, drainingVmsRevision });
@@ -179,7 +179,7 @@
       return;
     }
     const { state, snapshots, drainingVms, clock } = this.#options;
-    const from = { memberId: sender.memberId, steadyMs: clock.steadyMs() };
+    const from = { memberId: sender.memberId, ...readingsOf(clock) };
     const { hasHigherRevision, hasMajorityAdvanced } = state.receiveHeartbeat(heartbeat, from);
     if (hasHigherRevision) {
       snapshots.catchUpFrom(sender.memberId);
@@ -192,10 +192,7 @@
 
   #adoptHead(head: schema.head.Head): void {
     const { state, clock, leaseKeeper, log } = this.#options;
-    const { wasRemoved } = state.adoptHead(head, {
-      nowMs: clock.nowMs(),
-      steadyMs: clock.steadyMs(),
-    });
+    const { wasRemoved } = state.adoptHead(head, clock.steadyMs());
     if (wasRemoved && !this.#canLeave) {
       const fencedIncarnation = state.incarnation();
       state.restartAs(randomUUID());
@@ -228,8 +225,7 @@
     }
     const { state, clock, snapshots, leaseKeeper, timing } = this.#options;
     const decision = state.decide({
-      nowMs: clock.nowMs(),
-      steadyMs: clock.steadyMs(),
+      ...readingsOf(clock),
       draining: this.#draining,
       canLeave: this.#canLeave,
       fenceWaitMs: policy.memberState.fenceWaitMs(timing, snapshots.current().config),
@@ -268,6 +264,10 @@
   }
 }
 
+function readingsOf(clock: ports.clock.Clock): policy.memberState.ClockReadings {
+  return { nowMs: clock.nowMs(), steadyMs: clock.steadyMs() };
+}
+
 type Summaries = Record<
   policy.membership.MembershipDecision["kind"],
   (memberId: string) => string
--- a/packages/policy/src/membership/member_model_test.ts
+++ b/packages/policy/src/membership/member_model_test.ts
@@ -89,6 +89,8 @@
   state: memberState.MemberState;
   /** The start of this process's clock; the clocks of processes differ. */
   bootedAtMs: number;
+  /** How far its wall clock has been set forward. */
+  aheadMs: number;
   frozenUntilMs: number;
   nextPollAtMs: number;
   nextHeartbeatAtMs: number;
@@ -207,6 +209,10 @@
     this.#process(index).frozenUntilMs = this.#nowMs + durationMs;
   }
 
+  setWallClocksForward(jumpMs: number): void {
+    this.#processes.forEach((process) => process.aheadMs += jumpMs);
+  }
+
   restart(index: number, downMs: number): void {
     this.#processes[index] = { ...this.#boot(index), deadUntilMs: this.#nowMs + downMs };
   }
@@ -256,6 +262,7 @@
     return {
       state,
       bootedAtMs: this.#nowMs - this.#random.below(1_000_000),
+      aheadMs: 0,
       frozenUntilMs: 0,
       nextPollAtMs: 0,
       nextHeartbeatAtMs: 0,
@@ -280,12 +287,12 @@
   }
 
   #ownTime(process: Process): number {
-    return this.#nowMs - process.bootedAtMs;
+    return this.#nowMs - process.bootedAtMs + process.aheadMs;
   }
 
   #readings(process: Process): memberState.ClockReadings {
     const nowMs = this.#ownTime(process);
-    return { nowMs, steadyMs: nowMs };
+    return { nowMs, steadyMs: nowMs - process.aheadMs };
   }
 
   #turn(process: Process, index: number): void {
@@ -339,7 +346,7 @@
   }
 
   #hold(process: Process, head: headRecord.Head): void {
-    const { wasRemoved } = process.state.adoptHead(head, this.#readings(process));
+    const { wasRemoved } = process.state.adoptHead(head, this.#readings(process).steadyMs);
     if (wasRemoved) {
       process.state.restartAs(this.#newIncarnation());
     }
@@ -348,7 +355,7 @@
   #sendHeartbeats(process: Process, index: number): void {
     for (const to of ALL.filter((other) => other !== index)) {
       const message = process.state.heartbeatFor(`entry-${to}`, {
-        nowMs: this.#ownTime(process),
+        ...this.#readings(process),
         draining: false,
       });
       this.#send(index, to, message);
@@ -539,6 +546,22 @@
     },
   );
 
+  it.each(SEEDS.slice(0, 5))(
+    "fences no process when all wall clocks are set forward, seed %i",
+    (seed) => {
+      const model = new Model(seed, FRESHNESS_VARIANTS.production);
+      model.settle();
+      model.run(5_000, () => undefined);
+      const { fences } = model.outcome;
+      for (let jump = 0; jump < 10; jump++) {
+        model.setWallClocksForward(6_000);
+        model.run(3_000, () => undefined);
+      }
+      expect(model.outcome.fences).toBe(fences);
+      expect(model.listedIndexes()).toHaveLength(MEMBER_COUNT);
+    },
+  );
+
   it.each(SEEDS.slice(0, 5))(
     "lists all processes again after all restart at once, seed %i",
     (seed) => {
--- a/packages/policy/src/membership/member_state.ts
+++ b/packages/policy/src/membership/member_state.ts
@@ -127,7 +127,7 @@
   /** Adopts a head with a higher revision; returns whether this incarnation was removed by it. */
   adoptHead(
     head: head.Head,
-    { nowMs, steadyMs }: ClockReadings,
+    steadyMs: number,
   ): { readonly wasRemoved: boolean } {
     if (head.revision <= this.#head.revision) {
       return { wasRemoved: false };
@@ -139,7 +139,7 @@
     const wasRemoved = isFenced || (this.#wasListed && !isListed);
     this.#wasListed = isListed;
     this.#isFirstJoin &&= !isListed;
-    this.#peers.setExpected(head.members, nowMs);
+    this.#peers.setExpected(head.members, steadyMs);
     this.#updateAcceptance(steadyMs);
     return { wasRemoved };
   }
@@ -161,11 +161,11 @@
    */
   receiveHeartbeat(
     heartbeat: peer.Heartbeat,
-    from: { readonly memberId: string; readonly steadyMs: number },
+    from: ClockReadings & { readonly memberId: string },
   ): { readonly hasHigherRevision: boolean; readonly hasMajorityAdvanced: boolean } {
     const isOwnEcho = heartbeat.echoIncarnation === this.#incarnation;
     const echoedAtMs = isOwnEcho ? heartbeat.echoSentAtMs : null;
-    this.#peers.record(from.memberId, heartbeat, echoedAtMs);
+    this.#peers.record(from.memberId, heartbeat, { ...from, echoedAtMs });
     this.#freshness.recordHeartbeat({ ...heartbeat, memberId: from.memberId, echoedAtMs });
     this.#acceptance.recordHeldRevision(heartbeat.incarnation, heartbeat.revision);
     const hasMajorityAdvanced = this.#updateAcceptance(from.steadyMs);
@@ -175,7 +175,7 @@
   /** Builds the heartbeat for one peer. */
   heartbeatFor(
     memberId: string,
-    now: { readonly nowMs: number; readonly draining: boolean },
+    now: ClockReadings & { readonly draining: boolean },
   ): peer.Heartbeat {
     const lastReadAtMs = this.#freshness.lastOwnReadAtMs();
     return {
@@ -185,15 +185,15 @@
       sentAtMs: now.nowMs,
       ...this.#peers.echoFor(memberId),
       storeReadAgeMs: lastReadAtMs === null ? null : now.nowMs - lastReadAtMs,
-      unheardMemberIds: this.unreachableMemberIds(now.nowMs),
+      unheardMemberIds: this.unreachableMemberIds(now.steadyMs),
       draining: now.draining,
     };
   }
 
   /** Members, listed for at least the suspicion time, without any contact during it. */
-  unreachableMemberIds(nowMs: number): string[] {
+  unreachableMemberIds(steadyMs: number): string[] {
     return this.#others()
-      .filter((member) => this.#peers.isUnreachable(member, nowMs))
+      .filter((member) => this.#peers.isUnreachable(member, steadyMs))
       .map((member) => member.memberId);
   }
 
@@ -240,9 +240,9 @@
   }
 
   #membershipView(input: DecisionInput): MembershipView {
-    const { nowMs } = input;
+    const { nowMs, steadyMs } = input;
     return {
-      nowMs,
+      steadyMs,
       head: this.#head,
       self: this.selfMember(),
       isFirstJoin: this.#isFirstJoin,
@@ -252,7 +252,7 @@
       aliveIncarnations: this.#lastRead?.aliveIncarnations ?? null,
       majorityRevision: this.#acceptance.majorityRevision(),
       reachableMemberIds: this.#reachableMemberIds(nowMs),
-      unreachableMemberIds: new Set(this.unreachableMemberIds(nowMs)),
+      unreachableMemberIds: new Set(this.unreachableMemberIds(steadyMs)),
       unreachableReports: this.#peers.unreachableReports(this.#head.members, nowMs),
       expiredFences: this.#expiredFences(input),
     };
--- a/packages/policy/src/membership/member_state_test.ts
+++ b/packages/policy/src/membership/member_state_test.ts
@@ -30,7 +30,7 @@
     members: [{ ...IDENTITY, incarnation: "a-1", leaving: false }],
     fences: [{ memberId: "b", incarnation: "b-1", revision: 5, clean: false, withoutMajority }],
   };
-  state.adoptHead(head, { nowMs: 0, steadyMs: 0 });
+  state.adoptHead(head, 0);
   return state;
 }
 
--- a/packages/policy/src/membership/membership.ts
+++ b/packages/policy/src/membership/membership.ts
@@ -20,9 +20,10 @@
   readonly rankStepMs: number;
 }
 
-/** The input of a decision. Times are in milliseconds of the process's own clock. */
+/** The input of a decision. */
 export interface MembershipView {
-  readonly nowMs: number;
+  /** The steady reading of the process's own clock. */
+  readonly steadyMs: number;
   readonly head: head.Head;
   readonly self: head.Member;
   /** True until the process was listed for the first time. */
@@ -107,7 +108,7 @@
     suspects: readonly head.Member[],
   ): MembershipDecision | null {
     const delayMs = rankOf(view, suspects) * this.#rules.rankStepMs;
-    const due = suspects.filter((member) => this.#suspectedForMs(member, view.nowMs) >= delayMs);
+    const due = suspects.filter((member) => this.#suspectedForMs(member, view.steadyMs) >= delayMs);
     const first = due[0];
     if (first === undefined) {
       return null;
@@ -123,7 +124,7 @@
   #takeover(view: MembershipView, delayMs: number): MembershipDecision | null {
     const dead = view.head.members.filter((member) =>
       isPresumedDead(member, view) &&
-      this.#suspectedForMs(member, view.nowMs) >= this.#rules.takeoverAfterMs + delayMs
+      this.#suspectedForMs(member, view.steadyMs) >= this.#rules.takeoverAfterMs + delayMs
     );
     const remainingCount = view.head.members.length - dead.length;
     if (dead.length === 0 || remainingCount >= majorityOf(view.head.members.length)) {
@@ -168,15 +169,15 @@
     }
     for (const incarnation of incarnations) {
       if (!this.#suspectedSinceMs.has(incarnation)) {
-        this.#suspectedSinceMs.set(incarnation, view.nowMs);
+        this.#suspectedSinceMs.set(incarnation, view.steadyMs);
       }
     }
     return suspects;
   }
 
-  #suspectedForMs(member: head.Member, nowMs: number): number {
+  #suspectedForMs(member: head.Member, steadyMs: number): number {
     const sinceMs = this.#suspectedSinceMs.get(member.incarnation);
-    return sinceMs === undefined ? -Infinity : nowMs - sinceMs;
+    return sinceMs === undefined ? -Infinity : steadyMs - sinceMs;
   }
 }
 
--- a/packages/policy/src/membership/membership_test.ts
+++ b/packages/policy/src/membership/membership_test.ts
@@ -26,7 +26,7 @@
 
 function viewOf(changes: Partial<MembershipView>): MembershipView {
   return {
-    nowMs: 100_000,
+    steadyMs: 100_000,
     head: headOf(["a", "b", "c"]),
     self: member("a"),
     isFirstJoin: false,
@@ -137,8 +137,8 @@
   ])("lets $name fence after $afterMs ms", ({ view, afterMs }) => {
     const policy = new MembershipPolicy(RULES);
     policy.decide(viewOf(view));
-    expect(policy.decide(viewOf({ ...view, nowMs: 100_000 + afterMs - 1 }))).toBeNull();
-    expect(policy.decide(viewOf({ ...view, nowMs: 100_000 + afterMs }))?.kind).toBe("fence");
+    expect(policy.decide(viewOf({ ...view, steadyMs: 100_000 + afterMs - 1 }))).toBeNull();
+    expect(policy.decide(viewOf({ ...view, steadyMs: 100_000 + afterMs }))?.kind).toBe("fence");
   });
 });
 
--- a/packages/policy/src/membership/peer_table.ts
+++ b/packages/policy/src/membership/peer_table.ts
@@ -1,5 +1,6 @@
 /**
- * Stores the latest heartbeat of each peer, by member id.
+ * Stores the latest heartbeat of each peer, by member id. A peer is reachable by the upper reading of the
+ * clock and unreachable by the steady one; after a jump of the wall clock it may be neither.
  *
  * @module
  */
@@ -12,6 +13,8 @@
   readonly sentAtMs: number;
   /** The latest timestamp of this process that the peer echoed; null before the first echo. */
   readonly lastContactAtMs: number | null;
+  /** The same on the steady reading. */
+  readonly lastContactSteadyMs: number | null;
   readonly unreachableMemberIds: readonly string[];
 }
 
@@ -26,14 +29,24 @@
     this.#suspectAfterMs = options.suspectAfterMs;
   }
 
-  record(memberId: string, heartbeat: peer.Heartbeat, echoedAtMs: number | null): void {
+  record(
+    memberId: string,
+    heartbeat: peer.Heartbeat,
+    { echoedAtMs, nowMs, steadyMs }: {
+      readonly echoedAtMs: number | null;
+      readonly nowMs: number;
+      readonly steadyMs: number;
+    },
+  ): void {
     const known = this.#entries.get(memberId);
-    const earlierAtMs = known?.incarnation === heartbeat.incarnation ? known.lastContactAtMs : null;
+    const earlier = known?.incarnation === heartbeat.incarnation ? known : null;
+    const echoedSteadyMs = echoedAtMs === null ? null : steadyMs - (nowMs - echoedAtMs);
     this.#entries.set(memberId, {
       incarnation: heartbeat.incarnation,
       revision: heartbeat.revision,
       sentAtMs: heartbeat.sentAtMs,
-      lastContactAtMs: laterOf(earlierAtMs, echoedAtMs),
+      lastContactAtMs: laterOf(earlier?.lastContactAtMs ?? null, echoedAtMs),
+      lastContactSteadyMs: laterOf(earlier?.lastContactSteadyMs ?? null, echoedSteadyMs),
       unreachableMemberIds: heartbeat.unheardMemberIds,
     });
   }
@@ -57,11 +70,11 @@
   }
 
   /** Sets the members whose heartbeats are expected from now on. */
-  setExpected(members: readonly head.Member[], nowMs: number): void {
+  setExpected(members: readonly head.Member[], steadyMs: number): void {
     const sinceMs = new Map(this.#expectedSinceMs);
     this.#expectedSinceMs.clear();
     for (const { incarnation } of members) {
-      this.#expectedSinceMs.set(incarnation, sinceMs.get(incarnation) ?? nowMs);
+      this.#expectedSinceMs.set(incarnation, sinceMs.get(incarnation) ?? steadyMs);
     }
   }
 
@@ -72,9 +85,10 @@
   }
 
   /** Whether a member has been expected for the suspicion time without any contact during it. */
-  isUnreachable(member: head.Member, nowMs: number): boolean {
-    const sinceMs = this.#expectedSinceMs.get(member.incarnation) ?? nowMs;
-    return !this.isReachable(member, nowMs) && nowMs - sinceMs >= this.#suspectAfterMs;
+  isUnreachable(member: head.Member, steadyMs: number): boolean {
+    const expectedSinceMs = this.#expectedSinceMs.get(member.incarnation) ?? steadyMs;
+    const contactAtMs = this.#entryOf(member)?.lastContactSteadyMs ?? -Infinity;
+    return steadyMs - Math.max(expectedSinceMs, contactAtMs) >= this.#suspectAfterMs;
   }
 
   /** The members that each reachable member reported as unreachable in its last heartbeat. */
