Count a worker's tasks as lost by the monotonic clock

What callers saw: a repeatable job could be started again while its first task still ran. Cause: the steward waits for 10 s until the tasks of a missing worker count as lost. The wait was on the clock's upper reading, so a wall clock that is set forward ended it early. Evidence: with a wall clock set forward by 20 s, the attempt was recorded as lost within the 10 s; the test failed. Change: the wait is on the steady reading. Result: task_reconciler_test.ts, 1 passed.

--- a/packages/steward/src/task_reconciler.ts
+++ b/packages/steward/src/task_reconciler.ts
@@ -181,7 +181,7 @@
       this.#missingSinceMs.delete(name);
       return false;
     }
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.steadyMs();
     const sinceMs = this.#missingSinceMs.get(name) ?? nowMs;
     this.#missingSinceMs.set(name, sinceMs);
     return nowMs - sinceMs > WORKER_LOST_AFTER_MS;
