Wait for draining marks by the monotonic clock

What callers saw: requests could be sent to a VM that was being drained, and be cut by its reboot. Cause: a steward drains a marked VM once all entries must have applied the mark. How long it has observed the mark was on the clock's upper reading, so a wall clock that is set forward ended the wait early. Evidence: with a wall clock set forward, the drain was ordered after 2 rounds instead of 10; the test failed. Change: the wait is on the steady reading. The models of store and platform in the steward's simulation use it too, as their time doesn't jump with one VM's clock.

--- a/packages/steward/src/steward_test.ts
+++ b/packages/steward/src/steward_test.ts
@@ -74,6 +74,32 @@
   });
 });
 
+describe("a steward whose wall clock is set forward", () => {
+  const SETTLE_ROUNDS = 10;
+  const JUMP_MS = 3_600_000;
+
+  it("drains a marked VM only once the settle time has passed", async () => {
+    const simulation = new StewardSimulation(NO_FAULTS);
+    const steward = simulation.steward(0, { ...OPTIONS, markSettleMs: SETTLE_ROUNDS * ROUND_MS });
+    const isMarked = () => Object.keys(steward.state.draining.operations).length > 0;
+    for (let round = 0; round < MAX_ROUNDS && !isMarked(); round += 1) {
+      simulation.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    simulation.clock.advance(ROUND_MS);
+    await steward.runRound();
+    simulation.clock.setForward(JUMP_MS);
+    let rounds = 0;
+    while (rounds < MAX_ROUNDS && simulation.model.vmsUnderOperation().length === 0) {
+      rounds += 1;
+      simulation.clock.advance(ROUND_MS);
+      await steward.runRound();
+    }
+    expect(rounds).toBeGreaterThanOrEqual(SETTLE_ROUNDS - 1);
+    expect(rounds).toBeLessThan(MAX_ROUNDS);
+  });
+});
+
 describe("a stored record", () => {
   it.each([
     { vm: "gone", rounds: 1_300, isKept: false },
--- a/packages/steward/src/vm_manager.ts
+++ b/packages/steward/src/vm_manager.ts
@@ -237,7 +237,7 @@
   /** How long this steward has observed the operation in its current phase. */
   #observedPhaseMs({ operationId, phase }: schema.fleet.Operation): number {
     const key = `${operationId}/${phase}`;
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.steadyMs();
     const firstSeenAtMs = this.#phaseFirstSeenAtMs.get(key) ?? nowMs;
     this.#phaseFirstSeenAtMs.set(key, firstSeenAtMs);
     return nowMs - firstSeenAtMs;
--- a/packages/steward/test/steward_simulation.ts
+++ b/packages/steward/test/steward_simulation.ts
@@ -33,7 +33,7 @@
 export class StewardSimulation {
   readonly clock = new testing.virtualTime.VirtualClock();
   readonly store = new testing.memoryStore.MemoryStore({
-    nowMs: () => this.clock.nowMs(),
+    nowMs: () => this.clock.steadyMs(),
     outcomeOf: (call) => this.#callOutcome(call),
   });
   readonly calls = { read: 0, write: 0 };
--- a/packages/testing/src/model_platform.ts
+++ b/packages/testing/src/model_platform.ts
@@ -81,7 +81,7 @@
   }
 
   #nowMs(): number {
-    return this.#options.clock.nowMs();
+    return this.#options.clock.steadyMs();
   }
 }
 
