Retire a missing VM by the monotonic clock

What callers saw: nothing yet; a VM that was missing from a few lists could lose its record. Cause: a record is removed once its VM has been missing for 600 s, measured by the clock's upper reading, which a wall clock that is set forward by minutes moves ahead at once. Evidence: with jumps of an hour between four lists, the record was gone; the test failed. Change: the wait is on the steady reading.

--- a/packages/steward/src/steward_test.ts
+++ b/packages/steward/src/steward_test.ts
@@ -98,6 +98,21 @@
     expect(rounds).toBeGreaterThanOrEqual(SETTLE_ROUNDS - 1);
     expect(rounds).toBeLessThan(MAX_ROUNDS);
   });
+
+  it("keeps the record of a VM that is missing from a few lists", async () => {
+    const simulation = new StewardSimulation(NO_FAULTS);
+    const place = { vm: "gone", pool: "boards", availabilityZone: "zone-0", rack: "rack-0" };
+    const value = JSON.stringify({ ...place, operationCount: 0, history: [] });
+    const key = schema.storeKeys.vmKey(place.vm);
+    await simulation.store.transact([], [{ kind: "put", key, value }]);
+    const steward = simulation.steward(0, OPTIONS);
+    for (let round = 0; round < 4; round += 1) {
+      simulation.clock.advance(ROUND_MS);
+      await steward.runRound();
+      simulation.clock.setForward(JUMP_MS);
+    }
+    expect(steward.state.vms.has(place.vm)).toBe(true);
+  });
 });
 
 describe("a stored record", () => {
--- a/packages/steward/src/vm_registry.ts
+++ b/packages/steward/src/vm_registry.ts
@@ -66,7 +66,7 @@
       const context = { record, pool: state.pool(record.pool), draining: state.draining };
       const written = await state.commit(policy.fleet.vmTransitions.retire(context));
       if (written.isOk() && written.value) {
-        const missingMs = clock.nowMs() - (this.#missingSinceMs.get(record.vm) ?? 0);
+        const missingMs = clock.steadyMs() - (this.#missingSinceMs.get(record.vm) ?? 0);
         decisions.add("VM retired", [record.vm, record.pool], { missingMs });
         this.#missingSinceMs.delete(record.vm);
       }
@@ -78,9 +78,10 @@
       this.#missingSinceMs.delete(vm);
       return false;
     }
-    const sinceMs = this.#missingSinceMs.get(vm) ?? round.listedAtMs;
+    const nowMs = this.#options.clock.steadyMs();
+    const sinceMs = this.#missingSinceMs.get(vm) ?? nowMs;
     this.#missingSinceMs.set(vm, sinceMs);
-    return round.listedAtMs - sinceMs > RETIRE_AFTER_MS;
+    return nowMs - sinceMs > RETIRE_AFTER_MS;
   }
 }
 
