--- a/packages/bench/src/capacity/member_slopes.ts
+++ b/packages/bench/src/capacity/member_slopes.ts
@@ -67,12 +67,18 @@
   }
 
   decide(): void {
-    this.state.decide({ nowMs: this.nowMs, draining: false, canLeave: false, fenceWaitMs: 13_000 });
+    this.state.decide({
+      nowMs: this.nowMs,
+      steadyMs: this.nowMs,
+      draining: false,
+      canLeave: false,
+      fenceWaitMs: 13_000,
+    });
   }
 
   #exchange({ memberId, incarnation }: schema.head.Member): number {
     const { nowMs, state } = this;
-    const sent = state.heartbeatFor(memberId, { nowMs, draining: false });
+    const sent = state.heartbeatFor(memberId, { nowMs, steadyMs: nowMs, draining: false });
     const outgoing = adapters.peerCodec.encode(sent);
     const incoming = adapters.peerCodec.encode({
       ...sent,
@@ -82,7 +88,7 @@
       echoIncarnation: state.incarnation(),
     });
     const decoded = adapters.peerCodec.decode(incoming)._unsafeUnwrap();
-    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, nowMs });
+    state.receiveHeartbeat(decoded as schema.peer.Heartbeat, { memberId, nowMs, steadyMs: nowMs });
     return outgoing.byteLength + incoming.byteLength;
   }
 }
--- a/packages/policy/src/membership/member_state.ts
+++ b/packages/policy/src/membership/member_state.ts
@@ -1,7 +1,8 @@
 /**
  * The membership state of one process, as a state machine that is driven by events and performs no
  * I/O. The entry and the model tests run the same code. Times are in milliseconds of the process's
- * own clock.
+ * own clock: what this process may do ends by the upper reading, what fenced incarnations may still do
+ * by the steady one.
  *
  * @module
  */
@@ -34,9 +35,14 @@
   readonly aliveIncarnations: ReadonlySet<string> | null;
 }
 
-/** The inputs of a decision that come from other parts of the process. */
-export interface DecisionInput {
+/** Both readings of the process's clock. */
+export interface ClockReadings {
   readonly nowMs: number;
+  readonly steadyMs: number;
+}
+
+/** The inputs of a decision that come from other parts of the process. */
+export interface DecisionInput extends ClockReadings {
   readonly draining: boolean;
   readonly canLeave: boolean;
   /** How long permits of a fenced incarnation count as in use after its fence was accepted. */
@@ -119,7 +125,10 @@
   }
 
   /** Adopts a head with a higher revision; returns whether this incarnation was removed by it. */
-  adoptHead(head: head.Head, nowMs: number): { readonly wasRemoved: boolean } {
+  adoptHead(
+    head: head.Head,
+    steadyMs: number,
+  ): { readonly wasRemoved: boolean } {
     if (head.revision <= this.#head.revision) {
       return { wasRemoved: false };
     }
@@ -130,8 +139,8 @@
     const wasRemoved = isFenced || (this.#wasListed && !isListed);
     this.#wasListed = isListed;
     this.#isFirstJoin &&= !isListed;
-    this.#peers.setExpected(head.members, nowMs);
-    this.#updateAcceptance(nowMs);
+    this.#peers.setExpected(head.members, steadyMs);
+    this.#updateAcceptance(steadyMs);
     return { wasRemoved };
   }
 
@@ -152,21 +161,21 @@
    */
   receiveHeartbeat(
     heartbeat: peer.Heartbeat,
-    from: { readonly memberId: string; readonly nowMs: number },
+    from: ClockReadings & { readonly memberId: string },
   ): { readonly hasHigherRevision: boolean; readonly hasMajorityAdvanced: boolean } {
     const isOwnEcho = heartbeat.echoIncarnation === this.#incarnation;
     const echoedAtMs = isOwnEcho ? heartbeat.echoSentAtMs : null;
-    this.#peers.record(from.memberId, heartbeat, echoedAtMs);
+    this.#peers.record(from.memberId, heartbeat, { ...from, echoedAtMs });
     this.#freshness.recordHeartbeat({ ...heartbeat, memberId: from.memberId, echoedAtMs });
     this.#acceptance.recordHeldRevision(heartbeat.incarnation, heartbeat.revision);
-    const hasMajorityAdvanced = this.#updateAcceptance(from.nowMs);
+    const hasMajorityAdvanced = this.#updateAcceptance(from.steadyMs);
     return { hasHigherRevision: heartbeat.revision > this.#head.revision, hasMajorityAdvanced };
   }
 
   /** Builds the heartbeat for one peer. */
   heartbeatFor(
     memberId: string,
-    now: { readonly nowMs: number; readonly draining: boolean },
+    now: ClockReadings & { readonly draining: boolean },
   ): peer.Heartbeat {
     const lastReadAtMs = this.#freshness.lastOwnReadAtMs();
     return {
@@ -176,15 +185,15 @@
       sentAtMs: now.nowMs,
       ...this.#peers.echoFor(memberId),
       storeReadAgeMs: lastReadAtMs === null ? null : now.nowMs - lastReadAtMs,
-      unheardMemberIds: this.unreachableMemberIds(now.nowMs),
+      unheardMemberIds: this.unreachableMemberIds(now.steadyMs),
       draining: now.draining,
     };
   }
 
   /** Members, listed for at least the suspicion time, without any contact during it. */
-  unreachableMemberIds(nowMs: number): string[] {
+  unreachableMemberIds(steadyMs: number): string[] {
     return this.#others()
-      .filter((member) => this.#peers.isUnreachable(member, nowMs))
+      .filter((member) => this.#peers.isUnreachable(member, steadyMs))
       .map((member) => member.memberId);
   }
 
@@ -207,6 +216,7 @@
     return this.#acceptance.acceptedRevision();
   }
 
+  /** When this process learned that a fence was accepted, on the steady reading; null if it was not. */
   fenceAcceptedAtMs(incarnation: string): number | null {
     return this.#acceptance.fenceAcceptedAtMs(incarnation);
   }
@@ -225,14 +235,14 @@
 
   /** The change of the member list that this process should publish next; null for none. */
   decide(input: DecisionInput): MembershipDecision | null {
-    this.#updateAcceptance(input.nowMs);
+    this.#updateAcceptance(input.steadyMs);
     return this.#policy.decide(this.#membershipView(input));
   }
 
   #membershipView(input: DecisionInput): MembershipView {
-    const { nowMs } = input;
+    const { nowMs, steadyMs } = input;
     return {
-      nowMs,
+      steadyMs,
       head: this.#head,
       self: this.selfMember(),
       isFirstJoin: this.#isFirstJoin,
@@ -242,7 +252,7 @@
       aliveIncarnations: this.#lastRead?.aliveIncarnations ?? null,
       majorityRevision: this.#acceptance.majorityRevision(),
       reachableMemberIds: this.#reachableMemberIds(nowMs),
-      unreachableMemberIds: new Set(this.unreachableMemberIds(nowMs)),
+      unreachableMemberIds: new Set(this.unreachableMemberIds(steadyMs)),
       unreachableReports: this.#peers.unreachableReports(this.#head.members, nowMs),
       expiredFences: this.#expiredFences(input),
     };
@@ -268,20 +278,20 @@
       read.revision <= this.#head.revision;
   }
 
-  #expiredFences({ nowMs, fenceWaitMs }: DecisionInput): ReadonlySet<string> {
+  #expiredFences({ steadyMs, fenceWaitMs }: DecisionInput): ReadonlySet<string> {
     const expired = this.#head.fences.filter((fence) => {
       const acceptedAtMs = this.#acceptance.fenceAcceptedAtMs(fence.incarnation);
       const waitMs = fence.clean ? 0 : fenceWaitMs;
-      return acceptedAtMs !== null && nowMs - acceptedAtMs > waitMs;
+      return acceptedAtMs !== null && steadyMs - acceptedAtMs > waitMs;
     });
     return new Set(expired.map((fence) => fence.incarnation));
   }
 
-  #updateAcceptance(nowMs: number): boolean {
+  #updateAcceptance(steadyMs: number): boolean {
     return this.#acceptance.update({
       head: this.#head,
       incarnation: this.#incarnation,
-      nowMs,
+      nowMs: steadyMs,
     });
   }
 }
