Start nothing by a registration that is too old

The owner placed tasks by the last registration that it had, however old. While the store is out, or a worker is cut off from it, or the watch is behind, a capacity that has shrunk for more than 4.5 s stayed unknown, and starts went above it.

A registration is now a basis for starts for 4 s after the worker wrote it, on the clock's upper reading, as this is the owner's right. It counts as written at the request of the watch that delivered it, or a heartbeat before the request of a list. A pending start is withdrawn rather than repeated.

Ruled out: a margin, which no size of shrink respects, and starts by the last known capacity.

--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -18,11 +18,25 @@
 const MAX_CLOCK_DRIFT = 0.02;
 /** Allowance for response and timer delays, in addition to clock drift. */
 const LEASE_MARGIN_MS = 150;
+/** How often a worker renews its registration. */
+export const HEARTBEAT_MS = 1_500;
+/**
+ * How long after a worker wrote its registration tasks may be started by it. A worker's capacity may
+ * shrink right after a heartbeat, and binds 3 s and one heartbeat later; a start order may take half a
+ * second to arrive.
+ */
+const CAPACITY_VALIDITY_MS = 4_000;
+
 /** Consecutive failures, of at least two jobs, after which a worker is quarantined. */
 const QUARANTINE_FAILURES = 3;
 /** How long a quarantined worker gets no tasks. */
 const QUARANTINE_MS = 4_000;
 
+/** Whether the capacity in a registration that was written at `writtenAtMs` can be relied on. */
+export function isCapacityValid(writtenAtMs: number, nowMs: number): boolean {
+  return nowMs - writtenAtMs <= CAPACITY_VALIDITY_MS;
+}
+
 /** Tracks one worker process. */
 export class WorkerRecord {
   info: schema.scheduling.WorkerInfo;
@@ -40,6 +54,8 @@
   cordon: string | undefined;
   /** Whether the worker is registered in the platform's list. */
   isListed = true;
+  /** Whether the registration is recent enough for the worker's capacity to be relied on. */
+  isCapacityConfirmed = true;
   /** The number of consecutive VM lists without its VM. */
   missedListCount = 0;
   /** The latest lease end that was sent, on the worker's clock. */
@@ -148,7 +164,7 @@
 
   /** Whether the worker can be given tasks now. */
   isSchedulable(nowMs: number): boolean {
-    return this.isListed && this.hasReported && !this.info.isDraining &&
+    return this.isListed && this.isCapacityConfirmed && this.hasReported && !this.info.isDraining &&
       this.cordon === undefined &&
       this.unknownTasks.size === 0 && !this.isQuarantined(nowMs);
   }
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -34,6 +34,12 @@
 const PREVIOUS_LEASES_END_MS = policy.scheduling.ownershipProof.PROOF_VALIDITY_MS +
   policy.scheduling.workerRecord.WORKER_LEASE_MS * 1.02 + 700;
 
+/**
+ * Workers renew their registrations within two heartbeats of an outage of the store. A takeover that is
+ * sooner waits for each worker's next heartbeat before it relies on the worker's capacity.
+ */
+const MIN_SERVED_BEFORE_LIST_MS = 2 * policy.scheduling.workerRecord.HEARTBEAT_MS;
+
 export interface OwnerTermOptions {
   readonly start: TermStart;
   readonly node: string;
@@ -185,6 +191,7 @@
   /** Loads jobs, their progress and workers from the store; false if it could not be read. */
   async #load(): Promise<boolean> {
     const { store, documents, start, log, config, clock } = this.#options;
+    const askedAtMs = clock.nowMs();
     const [intake, progress, workers] = await Promise.all([
       store.list(storeKeys.INTAKE_PREFIX),
       store.list(storeKeys.PROGRESS_PREFIX),
@@ -200,7 +207,10 @@
     }
     const progressItems = new Map(progress.value.items.map((item) => [item.key, item.value]));
     this.#applyIntake(intake.value.items, progressItems);
-    workers.value.items.forEach((item) => this.#sessions.applyEntry(item));
+    this.#sessions.applyListed(
+      workers.value.items,
+      start.storeServedForMs >= MIN_SERVED_BEFORE_LIST_MS ? askedAtMs : Number.NEGATIVE_INFINITY,
+    );
     this.#isLoaded = true;
     if (!start.hadPreviousOwner) {
       this.scheduler.settle(clock.steadyMs(), "there was no previous owner");
@@ -213,8 +223,8 @@
       mayBeIncomplete: () => false,
     });
     this.#follow(documents.workerPrefix, workers.value.asOfRevision, {
-      onList: (items) => this.#sessions.applyList(items),
-      onChange: (change) => this.#sessions.applyEntry(change),
+      onList: (items, askedAtMs) => this.#sessions.applyList(items, askedAtMs),
+      onChange: (change, askedAtMs) => this.#sessions.applyEntry(change, askedAtMs),
       mayBeIncomplete: () => this.scheduler.hasUnknownWorkers,
     });
     void this.#vmManager.run(config);
@@ -321,6 +331,7 @@
       statistics: this.#statistics,
       fencingToken: start.fencingToken,
       canIssueOrders: () => this.#canIssueOrders(),
+      isCapacityConfirmed: () => this.#sessions.isCapacityConfirmed(worker.info.workerId),
       needsWorkerProof: () =>
         !this.ownershipProof.isStoreProofValid(clock.nowMs() + RETRY_INTERVAL_MS),
       onWorkerProof: (id, askedAtMs) => this.ownershipProof.recordWorkerProof(id, askedAtMs),
@@ -365,6 +376,7 @@
     this.#settleAfterLeases(nowMs);
     this.scheduler.expireLeases(nowMs);
     this.#sessions.closeRemoved(nowMs);
+    this.#sessions.updateConfirmations();
     if (this.#canIssueOrders()) {
       const orders = this.scheduler.decide({ nowMs, wallMs: clock.wallMs() });
       orders.forEach((order) => this.#executeOrder(order));
--- a/packages/scheduler/src/ownership.ts
+++ b/packages/scheduler/src/ownership.ts
@@ -32,6 +32,8 @@
   readonly term: number;
   /** True if a previous owner may have left tasks running. */
   readonly hadPreviousOwner: boolean;
+  /** For how long the store has served this node without a failure. */
+  readonly storeServedForMs: number;
   /** True if neither the previous owner nor one before it can give orders any more. */
   readonly hasPreviousOwnerStopped: boolean;
 }
@@ -82,6 +84,8 @@
   #lease: HeldLease | undefined;
   /** The fencing token of the last owner that is known to have ended its term. */
   #releasedToken: number | undefined;
+  /** Since when the watch of the owner record has not failed, on the clock's steady reading. */
+  #storeServedSinceMs = Number.POSITIVE_INFINITY;
   /** The last term whose owner this node has seen, and since when. */
   #seenTerm = { term: 0, sinceMs: 0 };
   #term = 0;
@@ -155,6 +159,7 @@
         continue;
       }
       this.#applyOwnerRecord(item.value?.value, item.value?.revision ?? 0);
+      this.#storeServedSinceMs = this.#options.clock.steadyMs();
       let after = item.value?.revision ?? 0;
       for (let isWatching = true; isWatching && !this.#isStopped;) {
         const watched = await store.watch(OWNER_KEY, after, WATCH_WAIT_MS);
@@ -163,6 +168,7 @@
             reason: watched.isErr() ? watched.error.message : "history dropped",
           });
           isWatching = false;
+          this.#storeServedSinceMs = Number.POSITIVE_INFINITY;
           await pause(RETRY_INTERVAL_MS);
           continue;
         }
@@ -320,6 +326,7 @@
       fencingToken,
       term,
       hadPreviousOwner: term > 1,
+      storeServedForMs: clock.steadyMs() - this.#storeServedSinceMs,
       hasPreviousOwnerStopped,
     });
   }
--- a/packages/scheduler/src/prefix_follower.ts
+++ b/packages/scheduler/src/prefix_follower.ts
@@ -19,10 +19,13 @@
 
 /** Callbacks for the items of a prefix. */
 export interface FollowerHandlers {
-  /** Called with a complete list; items that it lacks have been deleted. */
-  readonly onList: (items: readonly ports.scheduling.StoreItem[]) => void;
-  /** Called with each change that the watch delivers. */
-  readonly onChange: (change: ports.scheduling.StoreChange) => void;
+  /**
+   * Called with a complete list, which was requested at `askedAtMs` on the clock's upper reading; items that
+   * it lacks have been deleted.
+   */
+  readonly onList: (items: readonly ports.scheduling.StoreItem[], askedAtMs: number) => void;
+  /** Called with each change that the watch delivers, which was requested at `askedAtMs`. */
+  readonly onChange: (change: ports.scheduling.StoreChange, askedAtMs: number) => void;
   /** Whether items are known to exist that the watch has not delivered. */
   readonly mayBeIncomplete: () => boolean;
 }
@@ -61,14 +64,15 @@
 
   /** Waits for changes once; returns the revision to continue from. */
   async #watch(after: number): Promise<number> {
-    const { store, log, prefix, handlers } = this.#options;
+    const { store, clock, log, prefix, handlers } = this.#options;
+    const askedAtMs = clock.nowMs();
     const waitMs = handlers.mayBeIncomplete() ? INCOMPLETE_LIST_INTERVAL_MS : WATCH_WAIT_MS;
     const watched = await store.watch(prefix, after, waitMs);
     if (this.#isStopped) {
       return after;
     }
     if (watched.isOk() && watched.value.kind === "changes") {
-      watched.value.changes.forEach((change) => handlers.onChange(change));
+      watched.value.changes.forEach((change) => handlers.onChange(change, askedAtMs));
       await pause(BATCH_WINDOW_MS);
       return watched.value.asOfRevision;
     }
@@ -89,13 +93,14 @@
   /** Lists all items; returns the revision to continue from. */
   async #list(after: number): Promise<number> {
     const { store, clock, prefix, handlers } = this.#options;
+    const askedAtMs = clock.nowMs();
     const items = await store.list(prefix);
     if (items.isErr() || this.#isStopped) {
       await pause(RETRY_INTERVAL_MS);
       return after;
     }
     this.#listedAtMs = clock.nowMs();
-    handlers.onList(items.value.items);
+    handlers.onList(items.value.items, askedAtMs);
     return items.value.asOfRevision;
   }
 }
--- a/packages/scheduler/src/worker_capacity_model_test.ts
+++ b/packages/scheduler/src/worker_capacity_model_test.ts
@@ -82,6 +82,16 @@
       }
     },
   },
+  {
+    name: "the store is unavailable for 10 s",
+    injectFaults: (world, atMs) => {
+      if (isAt(5_000, atMs)) {
+        world.store.faults.rejectedNodes.add("all");
+      } else if (isAt(15_000, atMs)) {
+        world.store.faults.rejectedNodes.clear();
+      }
+    },
+  },
   {
     name: "half of the workers are cut off from the store for 10 s, but not from the owner",
     injectFaults: (world, atMs) => {
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -43,6 +43,8 @@
   readonly statistics: TermStatistics;
   readonly fencingToken: number;
   readonly canIssueOrders: () => boolean;
+  /** Whether the worker's capacity is known recently enough for tasks to be started. */
+  readonly isCapacityConfirmed: () => boolean;
   /** True while the store cannot prove the ownership, so that proof from workers is needed. */
   readonly needsWorkerProof: () => boolean;
   /**
@@ -154,6 +156,11 @@
         await pause(RETRY_INTERVAL_MS);
         continue;
       }
+      if (!this.#options.isCapacityConfirmed()) {
+        scheduler.withdrawStart(run, "the worker's capacity is unconfirmed");
+        this.#options.onChange();
+        return;
+      }
       let askedAtMs = clock.nowMs();
       const outcome = await this.#startLimiter.run(() => {
         askedAtMs = clock.nowMs();
@@ -189,7 +196,8 @@
 
   /** Whether a start order that waited for a slot should still be sent. */
   #canStillStart(run: Run): boolean {
-    return this.#options.canIssueOrders() && this.#isTracked(run) && run.state === "starting";
+    return this.#options.canIssueOrders() && this.#options.isCapacityConfirmed() &&
+      this.#isTracked(run) && run.state === "starting";
   }
 
   /** Sends a stop order, and repeats it until the worker has answered or the run is over. */
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -31,6 +31,7 @@
     > as ports.scheduling.WorkerClient,
     fencingToken: 1,
     canIssueOrders: () => true,
+    isCapacityConfirmed: () => true,
     needsWorkerProof: () => false,
     onWorkerProof: () => {},
     onChange: () => {},
--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -30,12 +30,16 @@
   readonly revision: number;
 }
 
+const { HEARTBEAT_MS, isCapacityValid } = policy.scheduling.workerRecord;
+
 /** Opens, finds and closes sessions as workers register, leave and end. */
 export class WorkerSessions {
   readonly #options: WorkerSessionsOptions;
   readonly #sessions = new Map<string, WorkerSession>();
   /** The revision of each worker's entry that was applied last. */
   readonly #appliedRevisions = new Map<string, number>();
+  /** When each worker wrote its entry at the earliest, on the clock's upper reading. */
+  readonly #writtenAtMs = new Map<string, number>();
   /** When each worker's entry was removed from the store. */
   readonly #unlistedSinceMs = new Map<string, number>();
 
@@ -47,27 +51,64 @@
     return this.#sessions.get(workerId);
   }
 
-  /** Applies a complete list of entries; workers that it lacks are no longer registered. */
-  applyList(entries: readonly WorkerEntry[]): void {
+  /**
+   * Applies a complete list of entries, which was requested at `askedAtMs` on the clock's upper reading;
+   * workers that it lacks are no longer registered.
+   */
+  applyList(entries: readonly WorkerEntry[], askedAtMs: number): void {
     const listed = new Set(entries.map(({ key }) => this.#workerIdOf(key)));
     for (const workerId of this.#options.scheduler.workers.keys()) {
       if (!listed.has(workerId)) {
         this.#applyRemoval(workerId);
       }
     }
-    entries.forEach((entry) => this.applyEntry(entry));
+    this.applyListed(entries, askedAtMs);
+  }
+
+  /** Applies listed entries. A worker that reaches the store has written its entry within a heartbeat. */
+  applyListed(entries: readonly WorkerEntry[], askedAtMs: number): void {
+    entries.forEach((entry) => this.applyEntry(entry, askedAtMs - HEARTBEAT_MS));
   }
 
-  applyEntry({ key, value, revision }: WorkerEntry): void {
+  /** Applies an entry that was written at `writtenAtMs` or later, on the clock's upper reading. */
+  applyEntry({ key, value, revision }: WorkerEntry, writtenAtMs: number): void {
     const workerId = this.#workerIdOf(key);
     if (value === undefined) {
       this.#applyRemoval(workerId);
     } else if (!this.#isApplied(workerId, revision)) {
-      this.#applyRegistration({ key, value, workerId });
+      const isNew = this.#appliedRevisions.get(workerId) !== revision;
+      if (this.#applyRegistration({ key, value, workerId }) && isNew) {
+        this.#writtenAtMs.set(workerId, writtenAtMs);
+      }
       this.#appliedRevisions.set(workerId, revision);
     }
   }
 
+  /** Whether a worker's entry is recent enough for its capacity to be relied on. */
+  isCapacityConfirmed(workerId: string): boolean {
+    const writtenAtMs = this.#writtenAtMs.get(workerId) ?? Number.NEGATIVE_INFINITY;
+    return isCapacityValid(writtenAtMs, this.#options.clock.nowMs());
+  }
+
+  /** Updates which workers' capacities are confirmed, before a decision. */
+  updateConfirmations(): void {
+    const { scheduler, log } = this.#options;
+    let unconfirmedCount = 0;
+    let hasChanged = false;
+    for (const [workerId, worker] of scheduler.workers) {
+      const isConfirmed = this.isCapacityConfirmed(workerId);
+      hasChanged ||= isConfirmed !== worker.isCapacityConfirmed;
+      worker.isCapacityConfirmed = isConfirmed;
+      unconfirmedCount += isConfirmed ? 0 : 1;
+    }
+    if (hasChanged) {
+      log.info("Unconfirmed worker capacities changed", {
+        unconfirmed: unconfirmedCount,
+        workers: scheduler.workers.size,
+      });
+    }
+  }
+
   /**
    * Closes the sessions of workers that have ended, and of those that the scheduler has removed and that are
    * no longer listed.
@@ -80,6 +121,7 @@
         session.stop();
         this.#sessions.delete(workerId);
         this.#appliedRevisions.delete(workerId);
+        this.#writtenAtMs.delete(workerId);
         this.#unlistedSinceMs.delete(workerId);
       }
     }
@@ -121,16 +163,17 @@
     }
   }
 
+  /** Applies a registration; false if it is not that of a worker in use. */
   #applyRegistration({ key, value, workerId }: {
     readonly key: string;
     readonly value: string;
     readonly workerId: string;
-  }): void {
+  }): boolean {
     const { scheduler, documents, clock, log, onChange } = this.#options;
     const info = documents.decodeWorker(key, value);
     if (info.isErr()) {
       log.info("Could not decode a worker entry", { worker: workerId, reason: info.error.message });
-      return;
+      return false;
     }
     this.#unlistedSinceMs.delete(workerId);
     const previous = scheduler.workers.get(workerId);
@@ -139,7 +182,7 @@
     const totalBefore = previous?.info.total;
     const worker = scheduler.putWorker(info.value, clock.steadyMs());
     if (worker === undefined) {
-      return;
+      return false;
     }
     if (worker !== previous) {
       log.info("Worker added", {
@@ -176,6 +219,7 @@
     ) {
       onChange();
     }
+    return true;
   }
 
   #open(worker: WorkerRecord): void {
