Size pools by the workers' current capacities

A pool's capacity was the sum of what the list of VMs says, so a pool whose workers had shrunk got no other VMs while its tasks waited. It is now the total of each known worker, or what the worker holds where that is more: those runs count as demand, and need no other VM. A worker that holds more than its total no longer lowers the free capacity of its pool in the plan of waves and the log.

Before, two of the three new cases of the pool plan failed. The 114 tests of the scheduling policy pass, and of the scheduler package 45 tests, among them the models of maintenance, worker calls and handover, and "without other faults" of the capacity model; the rest of the package was not run on this commit.

--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -158,6 +158,55 @@
     expect(moves.map(({ vm, toPool }) => `${vm}>${toPool}`)).toEqual(expected);
   });
 
+  test.each([
+    {
+      name: "and is idle: it needs two more",
+      totalCores: 2,
+      usedCores: 0,
+      demandCores: 25,
+      count: 2,
+    },
+    {
+      name: "below its runs: they need no other",
+      totalCores: 2,
+      usedCores: 14,
+      demandCores: 14,
+      count: 0,
+    },
+    {
+      name: "to nothing: it needs two more",
+      totalCores: 0,
+      usedCores: 0,
+      demandCores: 25,
+      count: 2,
+    },
+  ])(
+    "sizes a pool with a worker that has shrunk $name",
+    ({ totalCores, usedCores, demandCores, count }) => {
+      const total = { ...fixtures.TOTAL, cpuMillicores: totalCores * 1_000 };
+      const worker = fixtures.openWorker("w", { total });
+      if (usedCores > 0) {
+        const needed = { cpuMillicores: usedCores * 1_000, memoryMb: 100, gpuCount: 0 };
+        runOn(worker, { resources: needed });
+      }
+      const vms = [
+        fixtures.vmView("shrunk", { pool: "a", worker }),
+        fixtures.vmView("small", {
+          pool: "a",
+          worker: fixtures.openWorker("s", { total: { ...fixtures.TOTAL, cpuMillicores: 3_000 } }),
+        }),
+        standby("off-1"),
+        standby("off-2"),
+        standby("off-3"),
+      ];
+      const moves = planMoves([demand("a", demandCores), demand("spare", 0, true)], {
+        vms,
+        ...none,
+      });
+      expect(moves.filter(({ toPool }) => toPool === "a")).toHaveLength(count);
+    },
+  );
+
   test("moves enough VMs for a demand peak in a large fleet within four rounds", () => {
     const demands = [demand("a", 1_590), demand("spare", 0, true)];
     const vms = Array.from({ length: 240 }, (_, index) => standby(`off-${index}`));
--- a/packages/policy/src/scheduling/pool_plan.ts
+++ b/packages/policy/src/scheduling/pool_plan.ts
@@ -137,10 +137,20 @@
   return view.pool === pool && view.state !== "down" && view.state !== "upkeep" && !isLeaving;
 }
 
+/**
+ * What a VM contributes to its pool: the total of its worker, or what the worker holds where it has shrunk
+ * below that, since those runs count as demand and need no other VM.
+ */
+function capacityOf({ total, worker, state }: VmView): schema.scheduling.Resources {
+  return worker === undefined || state !== "up"
+    ? total
+    : resources.max(worker.info.total, worker.used);
+}
+
 /** How short of capacity a pool is, as demand over capacity; zero if it has enough. */
 function shortfallOf({ demand, minVms }: PoolDemand, held: readonly VmView[]): number {
   const capacity = held.reduce(
-    (sum, { total }) => resources.add(sum, total),
+    (sum, view) => resources.add(sum, capacityOf(view)),
     resources.NO_RESOURCES,
   );
   const isShort = (wanted: number, has: number) => wanted * HEADROOM > has;
--- a/packages/policy/src/scheduling/wave_plan.ts
+++ b/packages/policy/src/scheduling/wave_plan.ts
@@ -114,7 +114,7 @@
   for (const { pool, worker } of vms) {
     if (pool === view.pool && worker !== undefined && worker.cordon === undefined) {
       total += worker.info.total.cpuMillicores;
-      free += worker.free.cpuMillicores;
+      free += Math.max(0, worker.free.cpuMillicores);
     }
   }
   return view.worker?.cordon !== undefined || free >= SPARE_CAPACITY_RATIO * total;
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -333,7 +333,10 @@
         up: vms.filter(({ state }) => state === "up").length,
         demandMillicores: demand.cpuMillicores,
         demandMb: demand.memoryMb,
-        freeMillicores: vms.reduce((sum, { worker }) => sum + (worker?.free.cpuMillicores ?? 0), 0),
+        freeMillicores: vms.reduce(
+          (sum, { worker }) => sum + Math.max(0, worker?.free.cpuMillicores ?? 0),
+          0,
+        ),
       });
     }
   }
