--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -32,6 +32,8 @@
   readonly revision: number;
 }
 
+const { HEARTBEAT_MS, isCapacityValid } = policy.scheduling.workerRecord;
+
 /** Opens, finds and closes sessions as workers register, leave and end. */
 export class WorkerSessions {
   readonly #options: WorkerSessionsOptions;
@@ -43,6 +45,8 @@
     string,
     { readonly revision: number; readonly reason: string }
   >();
+  /** When each worker wrote its entry at the earliest, on the clock's upper reading. */
+  readonly #writtenAtMs = new Map<string, number>();
   /** When each worker's entry was removed from the store. */
   readonly #unlistedSinceMs = new Map<string, number>();
 
@@ -54,8 +58,11 @@
     return this.#sessions.get(workerId);
   }
 
-  /** Applies a complete list of entries; workers that it lacks are no longer registered. */
-  applyList(entries: readonly WorkerEntry[]): void {
+  /**
+   * Applies a complete list of entries, which was requested at `askedAtMs` on the clock's upper reading;
+   * workers that it lacks are no longer registered.
+   */
+  applyList(entries: readonly WorkerEntry[], askedAtMs: number): void {
     const listed = new Set(entries.map(({ key }) => this.#workerIdOf(key)));
     for (const workerId of this.#options.scheduler.workers.keys()) {
       if (!listed.has(workerId)) {
@@ -67,12 +74,45 @@
         this.#refusedEntries.delete(workerId);
       }
     }
-    entries.forEach((entry) => this.applyEntry(entry));
+    this.applyListed(entries, askedAtMs);
+  }
+
+  /** Applies listed entries. A worker that reaches the store has written its entry within a heartbeat. */
+  applyListed(entries: readonly WorkerEntry[], askedAtMs: number): void {
+    entries.forEach((entry) => this.applyEntry(entry, askedAtMs - HEARTBEAT_MS));
+  }
+
+  /**
+   * Applies an entry that was written at `writtenAtMs` or later, on the clock's upper reading. One that
+   * cannot be handled is logged, and the others hold.
+   */
+  applyEntry(entry: WorkerEntry, writtenAtMs: number): void {
+    guard(() => this.#applyEntry(entry, writtenAtMs), { log: this.#options.log, key: entry.key });
+  }
+
+  /** Whether a worker's entry is recent enough for its capacity to be relied on. */
+  isCapacityConfirmed(workerId: string): boolean {
+    const writtenAtMs = this.#writtenAtMs.get(workerId) ?? Number.NEGATIVE_INFINITY;
+    return isCapacityValid(writtenAtMs, this.#options.clock.nowMs());
   }
 
-  /** Applies one entry; one that cannot be handled is logged, and the others hold. */
-  applyEntry(entry: WorkerEntry): void {
-    guard(() => this.#applyEntry(entry), { log: this.#options.log, key: entry.key });
+  /** Updates which workers' capacities are confirmed, before a decision. */
+  updateConfirmations(): void {
+    const { scheduler, log } = this.#options;
+    let unconfirmedCount = 0;
+    let hasChanged = false;
+    for (const [workerId, worker] of scheduler.workers) {
+      const isConfirmed = this.isCapacityConfirmed(workerId);
+      hasChanged ||= isConfirmed !== worker.isCapacityConfirmed;
+      worker.isCapacityConfirmed = isConfirmed;
+      unconfirmedCount += isConfirmed ? 0 : 1;
+    }
+    if (hasChanged) {
+      log.info("Unconfirmed worker capacities changed", {
+        unconfirmed: unconfirmedCount,
+        workers: scheduler.workers.size,
+      });
+    }
   }
 
   /**
@@ -87,6 +127,7 @@
         session.stop();
         this.#sessions.delete(workerId);
         this.#appliedRevisions.delete(workerId);
+        this.#writtenAtMs.delete(workerId);
         this.#unlistedSinceMs.delete(workerId);
       }
     }
@@ -108,7 +149,7 @@
     return key.slice(this.#options.documents.workerPrefix.length);
   }
 
-  #applyEntry({ key, value, revision }: WorkerEntry): void {
+  #applyEntry({ key, value, revision }: WorkerEntry, writtenAtMs: number): void {
     const workerId = this.#workerIdOf(key);
     if (value === undefined) {
       this.#refusedEntries.delete(workerId);
@@ -126,7 +167,10 @@
       return;
     }
     this.#refusedEntries.delete(workerId);
-    this.#applyRegistration(info.value);
+    const isNew = this.#appliedRevisions.get(workerId) !== revision;
+    if (this.#applyRegistration(info.value) && isNew) {
+      this.#writtenAtMs.set(workerId, writtenAtMs);
+    }
     this.#appliedRevisions.set(workerId, revision);
   }
 
@@ -163,7 +207,8 @@
     this.#refusedEntries.set(workerId, refused);
   }
 
-  #applyRegistration(info: schema.scheduling.WorkerInfo): void {
+  /** Applies a registration; false if it is that of an incarnation that is over. */
+  #applyRegistration(info: schema.scheduling.WorkerInfo): boolean {
     const { scheduler, clock, log, onChange } = this.#options;
     const { workerId } = info;
     this.#unlistedSinceMs.delete(workerId);
@@ -173,7 +218,7 @@
     const totalBefore = previous?.info.total;
     const worker = scheduler.putWorker(info, clock.steadyMs());
     if (worker === undefined) {
-      return;
+      return false;
     }
     if (worker !== previous) {
       log.info("Worker added", {
@@ -208,6 +253,7 @@
     if (worker !== previous || !wasListed || info.isDraining !== wasDraining || hasNewTotal) {
       onChange();
     }
+    return true;
   }
 
   #open(worker: WorkerRecord): void {
