Give the capacity model's backlog the time that its limit needs

A trace of the state at the end shows every worker at work, 58.3 of the workspace's 60 cores in use and nothing stuck. The submitted work alone takes 36 s of the limit, in a test of 50 s, part of it with capacities near zero. Change: 60 s after the traffic instead of 30. The checks are the same, and all jobs still have to finish.

--- a/packages/scheduler/src/worker_capacity_model_test.ts
+++ b/packages/scheduler/src/worker_capacity_model_test.ts
@@ -8,7 +8,8 @@
 import { crossWithSeeds, type FaultInjector, useSimulatedTime, World } from "./test/model_world.ts";
 
 const TRAFFIC_MS = 20_000;
-const SETTLE_MS = 30_000;
+/** The backlog takes 36 s or more of the workspace's limit of 60 cores, most of it after the traffic. */
+const SETTLE_MS = 60_000;
 const SEEDS = [1, 2, 3, 4];
 const STEP_MS = 250;
 const FULL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
