Model wall clocks that jump forward and back on all nodes

What callers saw: nothing new; the scenarios so far set one owner's wall clock forward, once or twice. Change: wall clocks jump by up to 8 s either way, again and again and on any node, with late and lost orders, owners that are killed or refused by the store, a worker that is cut off, moves of VMs and a maintenance wave; and an owner keeps the ownership when its wall clock jumps.

--- a/packages/scheduler/src/handover_model_test.ts
+++ b/packages/scheduler/src/handover_model_test.ts
@@ -52,6 +52,13 @@
       setTimeout(() => store.faults.rejectedNodes.clear(), 1_500);
     },
   },
+  {
+    name: "its wall clock is set forward and back",
+    disturb: ({ owner }) => {
+      owner!.setWallClock(6_000);
+      setTimeout(() => owner!.setWallClock(-12_000), 2_000);
+    },
+  },
   {
     name: "the store is slow",
     disturb: ({ store }) => {
--- a/packages/scheduler/src/maintenance_model_test.ts
+++ b/packages/scheduler/src/maintenance_model_test.ts
@@ -45,6 +45,18 @@
       }
     },
   },
+  {
+    name: "all wall clocks jump again and again while VM orders get no response",
+    injectFaults: (world, atMs) => {
+      world.fleet.faults.answerLossProbability = atMs > 1_000 && atMs < 8_000 ? 0.2 : 0;
+      if (atMs % 750 === 0) {
+        world.jumpWallClocks();
+      }
+      if (atMs === 4_000) {
+        world.restartOwner();
+      }
+    },
+  },
   {
     name: "all nodes are killed at once",
     injectFaults: (world, atMs) => {
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -133,6 +133,48 @@
       }
     },
   },
+  {
+    name: "the owner's wall clock is set back by 6 s, and forward again after it was killed",
+    injectFaults: (world, atMs) => {
+      if (isAt(3_000, atMs) || isAt(7_000, atMs)) {
+        world.owner?.setWallClock(-6_000);
+      } else if (isAt(5_000, atMs)) {
+        world.restartOwner();
+      } else if (isAt(6_000, atMs) || isAt(10_000, atMs)) {
+        world.nodes.forEach((node) => node.setWallClock(6_000));
+      }
+    },
+  },
+  {
+    name:
+      "all wall clocks jump again and again while orders are lost or late and owners are killed",
+    injectFaults: (world, atMs) => {
+      world.fleet.faults.answerLossProbability = atMs < TRAFFIC_MS ? 0.05 : 0;
+      world.fleet.faults.lateOrderProbability = atMs < TRAFFIC_MS ? 0.05 : 0;
+      if (atMs % 750 === 0 && atMs < TRAFFIC_MS + 8_000) {
+        world.jumpWallClocks();
+      }
+      if (isAt(4_000, atMs) || isAt(8_000, atMs)) {
+        world.restartOwner();
+      }
+    },
+  },
+  {
+    name:
+      "all wall clocks jump again and again while the store refuses owners and a worker is cut off",
+    injectFaults: (world, atMs) => {
+      if (atMs % 750 === 0 && atMs < TRAFFIC_MS + 8_000) {
+        world.jumpWallClocks();
+      }
+      if (isAt(3_000, atMs)) {
+        const worker = world.fleet.workerOf("vm-0") ?? world.fleet.workerOf("vm-3");
+        world.fleet.faults.blockedLinks.add(`*>${worker}`);
+        setTimeout(() => world.fleet.faults.blockedLinks.clear(), 9_000);
+      } else if (isAt(4_000, atMs) || isAt(9_000, atMs)) {
+        world.cutOwnerFromStore(4_000);
+      }
+    },
+  },
   {
     name: "the store drops its history while the owner releases the ownership",
     injectFaults: (world, atMs) => {
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -294,6 +294,13 @@
     });
   }
 
+  /** Sets the wall clock of some nodes forward, and of others back, by seconds. */
+  jumpWallClocks(): void {
+    for (const node of this.nodes.filter(() => this.random.chance(0.7))) {
+      node.setWallClock(this.random.between(-8_000, 8_000));
+    }
+  }
+
   /** Makes the store refuse the owner's requests for a time. */
   cutOwnerFromStore(durationMs: number): void {
     const cut = this.owner?.name ?? "n1";
