Wait for the usage of a task to show by the monotonic clock

What callers saw: a repeatable task that had just been throttled could be checkpointed and stopped. Cause: after each action the steward waits for 15 s, until the platform's list must show its effect. The wait was on the clock's upper reading, so a wall clock that is set forward ended it early. Evidence: with a wall clock set forward by 30 s, the task was checkpointed before the 15 s; the test failed. Change: the wait is on the steady reading. Result: task_reconciler_test.ts, 2 passed.

--- a/packages/steward/src/task_reconciler.ts
+++ b/packages/steward/src/task_reconciler.ts
@@ -91,7 +91,7 @@
     if (used.cores > 0 && used.memoryMb > 0) {
       sizes.observe(job, used);
     }
-    const nowMs = clock.nowMs();
+    const nowMs = clock.steadyMs();
     const { taskId, checkpointed } = task;
     const before = this.#overuseActions.get(taskId) ?? { last: "none" as const, atMs: nowMs };
     const action = policy.fleet.sizeEstimates.overuseAction(
