Grant a worker on a slow clock no longer lease than a new owner allows for

What callers saw: nothing yet; found by the review of the tasks that ran twice. Cause: the end of a lease is computed from the last reading of the worker's clock and the time since then, at full rate. On a worker that has been idle for 100 s on a clock that is 2% slow, the lease ends 2 s later than a new owner assumes, which counts 6 s from the report that it gets. If that worker is cut off after a takeover, its tasks are started elsewhere while they run. Change: the time since the reading counts at the slowest rate of a worker's clock. On a clock that is right the lease is shorter by that, until the next report a moment after the start.

--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -430,6 +430,17 @@
   expect(starts(scheduler.decide(NOW))).toHaveLength(1);
 });
 
+test.each([
+  { idleMs: 0, worker: "that has just reported" },
+  { idleMs: 100_000, worker: "that has been idle for 100 s" },
+])("grants a worker $worker no longer lease than a new owner allows for", ({ idleMs }) => {
+  const worker = fixtures.scheduler(["w1"]).workers.get("w1")!;
+  worker.setClock(1_000, 10_000);
+  const slowestClockMs = 1_000 + idleMs * 0.98;
+  const leaseUntilMs = worker.extendLease(10_000 + idleMs, WORKER_LEASE_MS);
+  expect(leaseUntilMs).toBeLessThanOrEqual(slowestClockMs + WORKER_LEASE_MS);
+});
+
 const REFUSED_STARTS = [
   { name: "the first attempt was refused", isRepeated: false, startsAgain: true },
   { name: "an earlier attempt got no answer", isRepeated: true, startsAgain: false },
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -112,13 +112,12 @@
   }
 
   /**
-   * Extends the lease by `leaseMs` from now; returns its end on the worker's clock, to be sent to
-   * the worker.
+   * Extends the lease by `leaseMs` from now, or less if the worker's clock is not slow; returns its end on
+   * the worker's clock, to be sent to the worker. A new owner allows for no more than `leaseMs`.
    */
   extendLease(nowMs: number, leaseMs: number): number {
-    const leaseUntilWorkerMs = Math.round(
-      this.#workerClockMs + nowMs - this.#clockReadAtMs + leaseMs,
-    );
+    const passedWorkerMs = (nowMs - this.#clockReadAtMs) * (1 - MAX_CLOCK_DRIFT);
+    const leaseUntilWorkerMs = Math.floor(this.#workerClockMs + passedWorkerMs + leaseMs);
     this.leaseUntilWorkerMs = Math.max(this.leaseUntilWorkerMs, leaseUntilWorkerMs);
     return leaseUntilWorkerMs;
   }
