Reproduce tasks that crash each worker that starts them

Change: model workers crash while such a task is at work, after a chosen time; VMs have racks, drain and leave; gangs end together. The witness counts crashes by task, and reports a task that is started three times more after three crashes, a job that is shown as failed without such a task, and one that is never given up.

--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -227,7 +227,7 @@
 });
 
 test("the strongest node becomes the owner", async () => {
-  const world = new World(6, [0.3, 0.9, 0.4, 0.7]);
+  const world = new World(6, { strengths: [0.3, 0.9, 0.4, 0.7] });
   await vi.advanceTimersByTimeAsync(3_000);
   expect(world.owner?.name).toBe("n2");
   world.owner?.kill();
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -165,6 +165,27 @@
   }
 }
 
+export interface WorldOptions {
+  /** One node is started for each. */
+  readonly strengths?: readonly number[];
+  /** The pool of each VM. */
+  readonly pools?: readonly string[];
+  readonly rackCount?: number;
+  /** The probability that a run fails. */
+  readonly failureProbability?: number;
+}
+
+const DEFAULT_POOLS = [
+  "pool-a",
+  "pool-a",
+  "pool-a",
+  "pool-b",
+  "pool-b",
+  "pool-b",
+  "spare",
+  "spare",
+];
+
 /** A simulated site: nodes, a store, and a small fleet. */
 export class World {
   readonly random: testing.seededRandom.SeededRandom;
@@ -178,11 +199,20 @@
   readonly jobIds: string[] = [];
   readonly #specs = new Map<string, schema.scheduling.JobSpec>();
   readonly #submitted = new Map<string, schema.scheduling.Job>();
+  /** By task, how long after its start it crashes its worker. */
+  readonly #crashAfterMs = new Map<string, number>();
   readonly #jobs: JobStore;
   #submittedCount = 0;
 
-  /** Starts one node for each of the `strengths`. */
-  constructor(seed: number, strengths: readonly number[] = [1, 1, 1]) {
+  constructor(
+    seed: number,
+    {
+      strengths = [1, 1, 1],
+      pools = DEFAULT_POOLS,
+      rackCount = 0,
+      failureProbability = 0.04,
+    }: WorldOptions = {},
+  ) {
     this.random = new testing.seededRandom.SeededRandom(seed);
     this.store = new testing.modelStore.ModelStore(this.random);
     this.fleet = new testing.modelFleet.ModelFleet({
@@ -193,16 +223,18 @@
       total: TOTAL,
       resourcesOf: (task) => this.#stepOf(task).resources,
       behaviour: (task) => ({
-        durationMs: Math.round(
-          this.#stepOf(task).estimateMs * (0.5 + this.random.between(0, 100) / 100),
-        ),
-        fails: this.random.chance(0.04),
+        durationMs: this.#durationMs(task),
+        fails: this.random.chance(failureProbability),
+        crashAfterMs: this.#crashAfterMs.get(task),
       }),
+      isGang: (task) => this.#stepOf(task).isGang,
       standbyPool: "spare",
       encodeWorker: (info) => JSON.stringify(info),
     });
-    ["pool-a", "pool-a", "pool-a", "pool-b", "pool-b", "pool-b", "spare", "spare"].forEach(
-      (pool, index) => this.fleet.addVm(`vm-${index}`, pool),
+    pools.forEach((pool, index) =>
+      this.fleet.addVm(`vm-${index}`, pool, {
+        labels: rackCount === 0 ? [] : [`rack-${index % rackCount}`],
+      })
     );
     this.nodes = strengths.map((strength, index) =>
       new ModelNode(`n${index + 1}`, { world: this, strength })
@@ -226,7 +258,6 @@
 
   async submit(): Promise<void> {
     const { random } = this;
-    const jobId = (++this.#submittedCount).toString(16).padStart(16, "0");
     const stepCount = random.between(1, 3);
     const steps = Array.from({ length: stepCount }, (_, step) =>
       testing.schedulingFixtures.step({
@@ -235,18 +266,37 @@
         estimateMs: random.between(200, 1_500),
         afterSteps: step === 0 ? [] : [step - 1],
       }));
-    const spec = { payload: "p", steps };
+    await this.submitSteps(steps, random.chance(0.5) ? "quick" : "batch");
+  }
+
+  /**
+   * Submits a job; `crash` names a task of its last step that crashes its workers `afterMs` after each
+   * start. Returns the job's id.
+   */
+  async submitSteps(
+    steps: readonly schema.scheduling.Step[],
+    queue: string,
+    crash?: { readonly index: number; readonly afterMs: number },
+  ): Promise<string> {
+    const jobId = (++this.#submittedCount).toString(16).padStart(16, "0");
+    const spec = { payload: "p", steps: [...steps] };
     this.#specs.set(jobId, spec);
     this.witness.recordSubmission(jobId, steps);
+    if (crash !== undefined) {
+      const task = `${jobId}.0.${steps.length - 1}.${crash.index}`;
+      this.#crashAfterMs.set(task, crash.afterMs);
+      this.witness.recordDeadlyTask(task);
+    }
     const job: schema.scheduling.Job = {
       jobId,
-      queue: random.chance(0.5) ? "quick" : "batch",
+      queue,
       workspace: "acme",
       acceptedUnixMs: Date.now(),
       spec,
     };
     this.#submitted.set(jobId, job);
     await this.#send(job);
+    return jobId;
   }
 
   /** Submits a job again, as a caller does that has got no response. */
@@ -320,6 +370,19 @@
       : (JSON.parse(text) as schema.scheduling.JobProgress).state;
   }
 
+  /** The steps of a submitted job. */
+  stepsOf(jobId: string): readonly schema.scheduling.Step[] {
+    return this.#specs.get(jobId)!.steps;
+  }
+
+  #durationMs(task: string): number {
+    const { estimateMs, isLasting, isGang } = this.#stepOf(task);
+    if (isLasting || isGang || this.#crashAfterMs.has(task)) {
+      return isLasting ? Number.POSITIVE_INFINITY : estimateMs;
+    }
+    return Math.round(estimateMs * (0.5 + this.random.between(0, 100) / 100));
+  }
+
   #stepOf(task: string): schema.scheduling.Step {
     const place = policy.scheduling.taskNames.parseTaskName(task)!;
     return this.#specs.get(place.jobId)!.steps[place.step]!;
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -27,7 +27,13 @@
 /** Speed of the workers' clocks relative to real time. */
 const WORKER_CLOCK_RATE = 0.98;
 const LEASE_CHECK_INTERVAL_MS = 20;
-const CONNECTION_REFUSED = { kind: "unknown", reason: "connection refused" } as const;
+/** How long a VM is down whose worker a task has crashed. */
+const CRASH_DOWN_MS = 3_200;
+const GANG_END_DELAY_MS = 50;
+const CONNECTION_REFUSED = {
+  kind: "unknown",
+  reason: "connection refused",
+} as const;
 
 /** Faults between nodes and workers. */
 export interface FleetFaults {
@@ -39,8 +45,14 @@
   readonly blockedLinks: Set<string>;
 }
 
-/** How long a task runs and whether it fails. */
-export type TaskBehaviour = (task: string, runId: number) => { durationMs: number; fails: boolean };
+/** How long a task runs, whether it fails, and whether it crashes its worker. */
+export type TaskBehaviour = (task: string, runId: number) => {
+  /** Infinite for a long-running task. */
+  readonly durationMs: number;
+  readonly fails: boolean;
+  /** How long after its start the task crashes its worker; undefined if it does not. */
+  readonly crashAfterMs?: number | undefined;
+};
 
 interface ModelRun {
   readonly task: string;
@@ -87,6 +99,8 @@
   pool: string;
   state: schema.scheduling.VmState;
   worker: ModelWorker | undefined;
+  readonly labels: readonly string[];
+  isDraining: boolean;
 }
 
 /** Dependencies and parameters of a {@link ModelFleet}. */
@@ -98,6 +112,8 @@
   readonly total: schema.scheduling.Resources;
   readonly resourcesOf: (task: string) => schema.scheduling.Resources;
   readonly behaviour: TaskBehaviour;
+  /** Whether the tasks of the same step and run id end together. */
+  readonly isGang?: (task: string) => boolean;
   readonly standbyPool: string;
   readonly encodeWorker: (info: schema.scheduling.WorkerInfo) => string;
 }
@@ -122,8 +138,16 @@
     setInterval(() => this.#checkLeases(), LEASE_CHECK_INTERVAL_MS);
   }
 
-  addVm(vm: string, pool: string): void {
-    const record: ModelVm = { vm, fencingToken: 0, pool, state: "up", worker: undefined };
+  addVm(vm: string, pool: string, { labels = [] }: { labels?: readonly string[] } = {}): void {
+    const record: ModelVm = {
+      vm,
+      fencingToken: 0,
+      pool,
+      state: "up",
+      worker: undefined,
+      labels,
+      isDraining: false,
+    };
     this.#vms.set(vm, record);
     this.#startWorker(record);
   }
@@ -143,6 +167,34 @@
     return this.#vms.get(vm)?.worker?.workerId;
   }
 
+  /** The names of the VMs with a label. */
+  vmsWithLabel(label: string): string[] {
+    return [...this.#vms.values()].filter(({ labels }) => labels.includes(label))
+      .map(({ vm }) => vm);
+  }
+
+  /** Whether a run of the task is at work on any worker. */
+  isRunning(task: string): boolean {
+    return [...this.#vms.values()].some(({ worker }) => worker?.runs.has(task) ?? false);
+  }
+
+  /** Drains the worker of a VM, which leaves after `leaveAfterMs` and is back after a while. */
+  drain(vm: string, leaveAfterMs: number): void {
+    const record = this.#vms.get(vm)!;
+    const { worker } = record;
+    if (record.state === "up" && worker !== undefined) {
+      record.isDraining = true;
+      this.#registerWorker(record, worker);
+      setTimeout(() => {
+        record.isDraining = false;
+        if (record.worker === worker) {
+          this.#endWorker(record, "down", ENTRY_EXPIRY_MS);
+          setTimeout(() => this.#bringUp(record), CRASH_DOWN_MS);
+        }
+      }, leaveAfterMs);
+    }
+  }
+
   /** By worker process that is over, how many calls came after its end. */
   callsAfterEnd(): number[] {
     return this.#workers.filter(({ isAlive }) => !isAlive).map((worker) => worker.callsAfterEnd);
@@ -197,12 +249,12 @@
   }
 
   #list(): schema.scheduling.ListedVm[] {
-    return [...this.#vms.values()].map(({ vm, pool, state, worker }) => ({
+    return [...this.#vms.values()].map(({ vm, pool, state, worker, labels }) => ({
       vm,
       pool,
       state,
       total: this.#options.total,
-      labels: [],
+      labels,
       workerId: state === "up" ? worker?.workerId : undefined,
     }));
   }
@@ -284,10 +336,14 @@
 
   /** Writes the worker's entry now and with each heartbeat. */
   #writeEntry(record: ModelVm, worker: ModelWorker): void {
-    const { store, documents, encodeWorker, total } = this.#options;
-    if (!worker.isAlive) {
-      return;
+    if (worker.isAlive) {
+      this.#registerWorker(record, worker);
+      setTimeout(() => this.#writeEntry(record, worker), HEARTBEAT_INTERVAL_MS);
     }
+  }
+
+  #registerWorker(record: ModelVm, worker: ModelWorker): void {
+    const { store, documents, encodeWorker, total } = this.#options;
     store.write(
       documents.workerPrefix + worker.workerId,
       encodeWorker({
@@ -295,13 +351,12 @@
         vm: record.vm,
         pool: record.pool,
         address: worker.workerId,
-        isDraining: false,
+        isDraining: record.isDraining,
         total,
-        labels: [],
+        labels: record.labels,
         startedUnixMs: worker.startedAtMs,
       }),
     );
-    setTimeout(() => this.#writeEntry(record, worker), HEARTBEAT_INTERVAL_MS);
   }
 
   #endWorker(record: ModelVm, state: schema.scheduling.VmState, expiryMs: number): void {
@@ -316,6 +371,10 @@
           { workerId: worker.workerId, runId: run.runId },
           "gone",
         );
+        if (state === "down" && !record.isDraining) {
+          this.#options.witness.recordCrash(run.task);
+        }
+        this.#endGang(run);
       }
       const key = this.#options.documents.workerPrefix + worker.workerId;
       setTimeout(() => {
@@ -429,7 +488,7 @@
       return { kind: "refused", reason: "late" };
     }
     this.#renewLease(worker, order.leaseUntilWorkerMs);
-    const { durationMs, fails } = behaviour(order.task, order.runId);
+    const { durationMs, fails, crashAfterMs } = behaviour(order.task, order.runId);
     const run: ModelRun = {
       task: order.task,
       runId: order.runId,
@@ -445,10 +504,39 @@
     if (usedMillicores > total.cpuMillicores) {
       witness.recordOverload(worker.workerId);
     }
-    setTimeout(() => this.#endRun(worker, run, fails ? "failed" : "done"), durationMs);
+    if (Number.isFinite(durationMs)) {
+      setTimeout(() => this.#endRun(worker, run, fails ? "failed" : "done"), durationMs);
+    }
+    if (crashAfterMs !== undefined) {
+      setTimeout(() => this.#crashFrom(worker, run), crashAfterMs);
+    }
     return done(worker);
   }
 
+  /** Crashes a worker if the run is still at work there. */
+  #crashFrom(worker: ModelWorker, run: ModelRun): void {
+    if (worker.isAlive && worker.runs.get(run.task) === run) {
+      this.crash(worker.vm, CRASH_DOWN_MS);
+    }
+  }
+
+  /** Ends the other tasks of a gang of which one is gone. */
+  #endGang(gone: ModelRun): void {
+    if (!(this.#options.isGang?.(gone.task) ?? false)) {
+      return;
+    }
+    const step = stepOf(gone.task);
+    setTimeout(() => {
+      for (const { worker } of this.#vms.values()) {
+        for (const run of worker === undefined ? [] : [...worker.runs.values()]) {
+          if (stepOf(run.task) === step && run.runId === gone.runId) {
+            this.#endRun(worker!, run, "broken");
+          }
+        }
+      }
+    }, GANG_END_DELAY_MS);
+  }
+
   #stop(
     worker: ModelWorker,
     order: { task: string; runId: number; fencingToken: number },
@@ -520,6 +608,10 @@
   }
 }
 
+function stepOf(task: string): string {
+  return task.slice(0, task.lastIndexOf("."));
+}
+
 function done(worker: ModelWorker): OrderOutcome {
   return { kind: "done", workerClockMs: worker.clockMs() };
 }
--- a/packages/testing/src/scheduling_model/run_witness.ts
+++ b/packages/testing/src/scheduling_model/run_witness.ts
@@ -10,6 +10,10 @@
   readonly afterSteps: readonly number[];
 }
 
+/** After so many crashes of workers under a task, the number of its further starts is limited. */
+const MIN_CRASHES_BEFORE_LIMIT = 3;
+const MAX_LATE_STARTS = 2;
+
 interface LiveRun {
   readonly workerId: string;
   readonly runId: number;
@@ -24,8 +28,12 @@
   readonly #acknowledgedDone = new Set<string>();
   readonly #acknowledgedFailures = new Map<string, number>();
   readonly #cancelledAtMs = new Map<string, number>();
+  /** By task that crashes its workers, how many have crashed and how often it started after the third. */
+  readonly #deadly = new Map<string, { crashCount: number; lateStarts: number }>();
   readonly #maxAttempts: number;
   startCount = 0;
+  /** How often each task was at work on a worker that crashed. */
+  readonly crashCounts = new Map<string, number>();
 
   constructor(maxAttempts: number) {
     this.#maxAttempts = maxAttempts;
@@ -44,8 +52,39 @@
     this.#cancelledAtMs.set(jobId, Date.now());
   }
 
+  /** The task crashes each worker that starts it. */
+  recordDeadlyTask(task: string): void {
+    this.#deadly.set(task, { crashCount: 0, lateStarts: 0 });
+  }
+
+  /** A worker crashed on which the task was at work. */
+  recordCrash(task: string): void {
+    this.crashCounts.set(task, (this.crashCounts.get(task) ?? 0) + 1);
+    const deadly = this.#deadly.get(task);
+    if (deadly !== undefined) {
+      deadly.crashCount++;
+    }
+  }
+
+  /** The final states of all jobs: only those with a task that crashes its workers may have failed. */
+  recordFinalState(jobId: string, state: string): void {
+    const isDeadly = [...this.#deadly.keys()].some((task) => task.startsWith(`${jobId}.`));
+    if (state === "failed" && !isDeadly) {
+      this.violations.push(`${jobId} is shown as failed, and none of its tasks crashes workers`);
+    } else if (state !== "failed" && isDeadly) {
+      this.violations.push(`${jobId} crashes workers and is ${state} in the end`);
+    }
+  }
+
   recordStart(task: string, run: LiveRun): void {
     this.startCount++;
+    const deadly = this.#deadly.get(task);
+    if (deadly !== undefined && deadly.crashCount >= MIN_CRASHES_BEFORE_LIMIT) {
+      deadly.lateStarts++;
+      if (deadly.lateStarts === MAX_LATE_STARTS + 1) {
+        this.#addViolation(task, run, "started three times more after three crashes");
+      }
+    }
     const [jobId, , step] = task.split(".");
     const steps = this.#steps.get(jobId!);
     const others = this.#live.get(task) ?? [];
