Isolate tasks that crash their workers, and give them up

Cause: a run that was lost with its worker was started again without a limit and without a trace, on the fullest worker that had room. Change: the crashes under each task are counted and stored with the job's progress. After a crash the tasks that had started last start again apart from other jobs. A task is given up after three crashes, of which two (three while VMs crash by themselves) were on different VMs where its job was alone. A rack that fails as a whole, an ordered or announced end, a lapsed lease and a silent worker count for nothing.

--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as schema from "@jackdawlink/schema";
+import { CrashHistory } from "./crash_history.ts";
 import { formatTaskName } from "./task_names.ts";
 
 type Job = schema.scheduling.Job;
@@ -26,6 +27,12 @@
   /** The resources that the run takes on its worker. */
   readonly allocation: schema.scheduling.Resources;
   state: RunState;
+  /** `refused`: the worker's address refused the connection, so that the run never began. */
+  delivery: "pending" | "sent" | "refused";
+  /** Until when the task may still crash its worker; zero if it is not suspected of it. */
+  readonly suspectUntilMs: number;
+  /** Until when tasks of other jobs must not start on the worker. */
+  readonly isolatedUntilMs: number;
   /** When the worker confirmed the start; undefined before. */
   confirmedAtMs: number | undefined;
   /** A report that was requested after this time shows reliably whether the run exists. */
@@ -56,6 +63,8 @@
   lastRunId = 0;
   /** The ids of workers on which the task failed; other workers are preferred. */
   readonly failedOn = new Set<string>();
+  /** The crashes of workers on which the task was at work; undefined if there were none. */
+  crashes: CrashHistory | undefined;
 
   constructor(name: string, index: number) {
     this.name = name;
@@ -96,6 +105,9 @@
     return `${this.job.job.jobId}.${this.occurrence}.${this.number}`;
   }
 
+  /** Whether a task of the step has been at work on a worker that crashed. */
+  hasCrashes = false;
+
   get isDone(): boolean {
     return this.doneCount === this.spec.taskCount;
   }
@@ -232,11 +244,24 @@
         failedRuns: step.tasks
           .filter(({ failedRuns }) => failedRuns.size > 0)
           .map(({ index, failedRuns }): [number, number[]] => [index, [...failedRuns]]),
+        ...crashesOf(step),
       }))
-      .filter(({ doneTasks, failedRuns }) => doneTasks.length + failedRuns.length > 0);
+      .filter(({ doneTasks, failedRuns, crashes = [] }) =>
+        doneTasks.length + failedRuns.length + crashes.length > 0
+      );
     return { state: this.state, steps };
   }
 
+  /** Captures the crashes counted so far; the returned function marks them as stored. */
+  snapshotCrashes(): () => void {
+    const counts = this.#occurrences.flat().flatMap(({ tasks }) =>
+      tasks.flatMap(({ crashes }) =>
+        crashes?.hasUnstored ? [{ crashes, count: crashes.count }] : []
+      )
+    );
+    return () => counts.forEach(({ crashes, count }) => crashes.storedCount = count);
+  }
+
   /** The progress to store for a finished job, which never resumes. */
   finalProgress(): schema.scheduling.JobProgress {
     return { state: this.state, steps: [] };
@@ -246,7 +271,7 @@
   restore(progress: schema.scheduling.JobProgress): void {
     this.state = progress.state;
     this.storedState = progress.state;
-    for (const { occurrence, step, doneTasks, failedRuns } of progress.steps) {
+    for (const { occurrence, step, doneTasks, failedRuns, crashes = [] } of progress.steps) {
       const record = this.step(occurrence, step);
       doneTasks.forEach((index) => {
         const task = record?.tasks[index];
@@ -257,10 +282,27 @@
       failedRuns.forEach(([index, runIds]) => {
         runIds.forEach((runId) => record?.tasks[index]?.failedRuns.add(runId));
       });
+      crashes.forEach(({ task: index, count, aloneOn }) => {
+        const task = record?.tasks[index];
+        if (task !== undefined) {
+          record!.hasCrashes = true;
+          task.crashes = CrashHistory.restore(count, aloneOn);
+        }
+      });
     }
   }
 }
 
+/** The crashes to store of a step's unfinished tasks. */
+function crashesOf(step: StepRecord): Pick<schema.scheduling.StepProgress, "crashes"> {
+  const crashes = step.tasks.flatMap((task) =>
+    task.crashes === undefined || task.isDone
+      ? []
+      : [{ task: task.index, count: task.crashes.count, aloneOn: [...task.crashes.aloneOn] }]
+  );
+  return crashes.length === 0 ? {} : { crashes };
+}
+
 /** For each step, the longest path of estimated durations from its start to the end of the job. */
 function computeCriticalPathsMs(steps: readonly schema.scheduling.Step[]): number[] {
   const pathsMs = steps.map(({ estimateMs }) => estimateMs);
--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * as crashSuspicion from "./crash_suspicion.ts";
 export * as decisionPacing from "./decision_pacing.ts";
 export * as demandTrend from "./demand_trend.ts";
 export * as endProgress from "./end_progress.ts";
--- a/packages/policy/src/scheduling/placement.ts
+++ b/packages/policy/src/scheduling/placement.ts
@@ -21,6 +21,12 @@
 const MAINTENANCE_PENALTY = 50;
 /** Per long-running task of the same step on the worker, as they would fail together. */
 const SAME_STEP_PENALTY = 2;
+/** Two suspects of a crash on one worker could not be told apart. */
+const SUSPECT_PENALTY = 500;
+/** A second crash of the same VM tells nothing of the task. */
+const CRASHED_VM_PENALTY = 200;
+/** Keeps a suspect away from workers with much other work, which it might take down. */
+const SHARED_WITH_SUSPECT_PENALTY = 5;
 /** Per consecutive failure on the worker. */
 const FAILURE_STREAK_PENALTY = 10;
 
@@ -39,7 +45,9 @@
 export interface PlacementRequest extends EligibilityRequest {
   readonly task: TaskRecord;
   /** The rack of the step's other tasks, if they should share one. */
-  readonly preferredRack?: string;
+  readonly preferredRack?: string | undefined;
+  /** Whether no other job may have a run on the worker. */
+  readonly isApart?: boolean;
 }
 
 /**
@@ -89,7 +97,7 @@
 
 function canPlace(request: PlacementRequest, worker: WorkerRecord): boolean {
   return resources.fits(resources.allocationOf(request.step.spec), worker.free) &&
-    isEligible(request, worker);
+    isEligible(request, worker) && (!request.isApart || worker.isFreeFor(request.step.job));
 }
 
 /** Whether the worker may run the step's tasks, regardless of its free capacity. */
@@ -99,7 +107,8 @@
   return worker.isSchedulable(nowMs) && !reserved.has(worker.info.workerId) &&
     (requiredLabel === undefined || worker.info.labels.includes(requiredLabel)) &&
     (allowed === undefined || allowed.has(worker.info.workerId)) &&
-    isWithinSpreadLimit(step, worker);
+    isWithinSpreadLimit(step, worker) &&
+    (!worker.isIsolated(nowMs) || worker.isFreeFor(step.job));
 }
 
 /** Whether one more task keeps the worker within the step's `maxTasksPerWorker`. */
@@ -116,14 +125,25 @@
   return count;
 }
 
-function scoreOf({ step, task, preferredRack }: PlacementRequest, worker: WorkerRecord): number {
+function scoreOf(request: PlacementRequest, worker: WorkerRecord): number {
+  const { step, task, preferredRack } = request;
   const { total, labels, workerId } = worker.info;
   const rack = step.spec.dataRack ?? preferredRack;
   const freeShare = worker.free.cpuMillicores / Math.max(1, total.cpuMillicores);
   return freeShare +
     (rack !== undefined && !labels.includes(rack) ? OTHER_RACK_PENALTY : 0) +
     (task.failedOn.has(workerId) ? FAILED_ON_WORKER_PENALTY : 0) +
+    suspicionPenalty(request, worker) +
     worker.failureStreak * FAILURE_STREAK_PENALTY +
     (worker.isLeavingSoon ? MAINTENANCE_PENALTY : 0) +
     (step.spec.isLasting ? countRunsOfStep(step, worker) * SAME_STEP_PENALTY : 0);
 }
+
+function suspicionPenalty({ step, task, nowMs }: PlacementRequest, worker: WorkerRecord): number {
+  const suspectCount = worker.suspectCount(step.job, nowMs);
+  if (task.crashes === undefined) {
+    return suspectCount * SHARED_WITH_SUSPECT_PENALTY;
+  }
+  return suspectCount * SUSPECT_PENALTY + worker.runs.size * SHARED_WITH_SUSPECT_PENALTY +
+    (task.crashes.vms.has(worker.info.vm) ? CRASHED_VM_PENALTY : 0);
+}
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -8,6 +8,7 @@
 import type * as schema from "@jackdawlink/schema";
 import { JobRecord, type Run, runKey, type StepRecord, type TaskRecord } from "./job_record.ts";
 import * as stepOrder from "./step_order.ts";
+import * as crashSuspicion from "./crash_suspicion.ts";
 import { AdviceCache, type Tickets } from "./advice_cache.ts";
 import { EndedIncarnations } from "./ended_incarnations.ts";
 import { decidePaceChanges } from "./pacing.ts";
@@ -31,6 +32,12 @@
  */
 const PREVIOUS_OWNER_STOP_MS = 2_000;
 
+/** A move or the maintenance of a VM takes longer, so that it shows in lists this close together. */
+const MAX_UNSEEN_VM_STATE_MS = 1_000;
+/** The share of a pool's workers that suspects may have to themselves if they could start elsewhere. */
+const MAX_ISOLATED_SHARE = 0.25;
+const MAX_LOGGED_SUSPECTS = 8;
+
 /** A command that the caller carries out against a worker or the advice service. */
 export type Order =
   | { readonly kind: "start"; readonly run: Run; readonly ticket: string | undefined }
@@ -95,7 +102,14 @@
   readonly #advice = new AdviceCache();
   readonly #endedIncarnations = new EndedIncarnations();
   readonly #census: TakeoverCensus;
+  readonly #crashSuspicion = new crashSuspicion.CrashSuspicion();
+  /** By task that waits for a VM of its own, the id of the worker that is kept free for it. */
+  readonly #isolationWorkers = new WeakMap<TaskRecord, string>();
   readonly #queues = new Map<string, schema.scheduling.Queue>();
+  /** When the last list of VMs was requested. */
+  #vmListAskedAtMs = Number.NEGATIVE_INFINITY;
+  /** Crashes of workers, and jobs given up because a task caused them. */
+  readonly crashCounts = { crashes: 0, givenUp: 0 };
   /**
    * True once every worker that may run tasks of a previous owner has reported, or its lease has
    * expired. Until then, tasks that may be running already are not placed.
@@ -185,6 +199,9 @@
       return present;
     }
     if (present !== undefined) {
+      if (present.info.pool === info.pool) {
+        this.recordCrash(present, nowMs, "its process has restarted");
+      }
       this.dropWorker(present, nowMs, "the worker restarted");
     }
     const worker = new WorkerRecord(info, nowMs);
@@ -201,6 +218,26 @@
     }
   }
 
+  /**
+   * Records that a worker's process has ended, before the worker is dropped. It counts as a crash
+   * unless somebody has ordered or announced the end.
+   */
+  recordCrash(worker: WorkerRecord, nowMs: number, seenAs: string): void {
+    if (worker.hasEnded || !crashSuspicion.canHaveCrashed(worker)) {
+      return;
+    }
+    const suspects = this.#crashSuspicion.recordCrash(worker, nowMs);
+    this.crashCounts.crashes++;
+    suspects.forEach(({ step }) => this.#dirty.add(step.job));
+    this.#options.log.info("Worker crashed", {
+      worker: worker.info.workerId,
+      vm: worker.info.vm,
+      seenAs,
+      runs: worker.runs.size,
+      suspects: describeSuspects(suspects),
+    });
+  }
+
   /** Removes a worker whose process is gone, and all its runs. */
   dropWorker(worker: WorkerRecord, nowMs: number, reason: string): void {
     worker.hasEnded = true;
@@ -224,15 +261,22 @@
     { askedAtMs, nowMs }: { readonly askedAtMs: number; readonly nowMs: number },
   ): void {
     const alive = aliveWorkerIds(listed);
+    const vms = new Map(listed.map((vm) => [vm.vm, vm]));
     const listedVms = new Set(listed.map(({ vm }) => vm));
     for (const worker of [...this.workers.values()]) {
       worker.missedListCount = listedVms.has(worker.info.vm) ? 0 : worker.missedListCount + 1;
       const isGone = worker.missedListCount === 0 ||
         worker.missedListCount > MAX_MISSED_LISTS;
       if (isGone && worker.knownSinceMs < askedAtMs && !alive.has(worker.info.workerId)) {
+        const seenAs = this.#crashSeenInList(worker, vms.get(worker.info.vm), askedAtMs);
+        if (seenAs !== undefined) {
+          this.recordCrash(worker, nowMs, seenAs);
+        }
         this.dropWorker(worker, nowMs, "its VM is down");
       }
     }
+    this.#vmListAskedAtMs = askedAtMs;
+    this.#crashSuspicion.recordVmList(askedAtMs);
     alive.forEach((id) => this.#endedIncarnations.recordAlive(id, askedAtMs));
     this.hasUnknownWorkers = [...alive].some((id) => !this.workers.has(id));
     if (this.isSettled) {
@@ -247,6 +291,27 @@
     this.#settleAfterCensus(nowMs);
   }
 
+  /**
+   * How a list shows that a worker has crashed; undefined if it does not. A VM that is up with another
+   * worker may have been moved or maintained, unless that would have shown in an earlier list.
+   */
+  #crashSeenInList(
+    worker: WorkerRecord,
+    vm: schema.scheduling.ListedVm | undefined,
+    askedAtMs: number,
+  ): string | undefined {
+    if (vm === undefined || vm.pool !== worker.info.pool) {
+      return undefined;
+    }
+    if (vm.state === "down") {
+      return "its VM is down";
+    }
+    const isRecentList = askedAtMs - this.#vmListAskedAtMs < MAX_UNSEEN_VM_STATE_MS;
+    return vm.state === "up" && vm.workerId !== undefined && isRecentList
+      ? "its VM runs another worker"
+      : undefined;
+  }
+
   #settleAfterCensus(nowMs: number): void {
     if (!this.isSettled && this.#census.isComplete && this.#haveUnlistedReported()) {
       this.settle(nowMs, "all workers of the previous owner's time have reported");
@@ -358,6 +423,10 @@
     if (worker?.runs.get(runKey(run.task.name, run.runId)) !== run) {
       return;
     }
+    run.delivery = outcome.kind === "unknown" && outcome.isSent === false &&
+        (!isRepeated || run.delivery === "refused")
+      ? "refused"
+      : "sent";
     if (outcome.kind === "done") {
       run.confirmedAtMs ??= nowMs;
       run.state = run.state === "starting" ? "running" : run.state;
@@ -408,6 +477,7 @@
 
   /** Places ready tasks and adjusts paces; returns the orders given since the last call. */
   decide(now: DecisionTime): Order[] {
+    this.#giveUpConvicted(now.nowMs);
     this.#placeReadySteps(now);
     for (const { run, percent } of decidePaceChanges(this.workers.values(), now.nowMs)) {
       this.#orders.push({ kind: "pace", run, percent });
@@ -544,7 +614,15 @@
     const pools = groupByPool(this.workers.values(), now.nowMs);
     const reserved = new Set<string>();
     const jobIdsOfUnknownTasks = this.#jobIdsOfUnknownTasks();
-    for (const { step } of ready) {
+    // Tasks that need a worker of their own come first, as they would find none after the others.
+    const needsWorker = ready.filter(({ step }) =>
+      step.hasCrashes && step.tasks.some((task) => this.#needsOwnWorker(task, now.nowMs))
+    );
+    const ordered = needsWorker.length === 0 ? ready : [
+      ...needsWorker,
+      ...ready.filter((one) => !needsWorker.includes(one)),
+    ];
+    for (const { step } of ordered) {
       const queue = this.queueOf(step.job);
       const pool = queue && pools.get(queue.pool);
       const mayHaveUnreportedRuns = this.#mayHaveUnreportedRuns(step.job) ||
@@ -555,6 +633,38 @@
     }
   }
 
+  #needsOwnWorker(task: TaskRecord, nowMs: number): boolean {
+    return task.isWaiting && !crashSuspicion.isHeld(task) &&
+      crashSuspicion.isolationOf(task, nowMs) === "required";
+  }
+
+  /** Gives up the jobs of tasks that have been found to crash their workers. */
+  #giveUpConvicted(nowMs: number): void {
+    for (
+      const { job, task, crashes, isConvicted } of this.#crashSuspicion.judge(
+        this.workers.values(),
+        nowMs,
+      )
+    ) {
+      if (job.isOver) {
+        continue;
+      }
+      this.#dirty.add(job);
+      if (!isConvicted) {
+        continue;
+      }
+      this.crashCounts.givenUp++;
+      this.#options.log.info("Task given up, as it crashes its workers", {
+        job: job.job.jobId,
+        task: task.name,
+        crashes: crashes.count,
+        vms: [...crashes.vms].join(" "),
+        aloneOn: crashes.aloneOn.join(" "),
+      });
+      this.#endJob(job, "failed");
+    }
+  }
+
   #placeStep(step: StepRecord, context: {
     readonly pool: PoolWorkers;
     readonly reserved: Set<string>;
@@ -568,7 +678,9 @@
       this.#requestAdvice(step, workers, nowMs);
       return;
     }
-    const waiting = step.waitingTasks();
+    const waiting = step.hasCrashes
+      ? step.waitingTasks().filter((task) => !crashSuspicion.isHeld(task))
+      : step.waitingTasks();
     if (step.spec.isGang && waiting.length < step.spec.taskCount) {
       return;
     }
@@ -580,7 +692,13 @@
       if (!this.#workspaces.hasCapacity(step.job.job.workspace, step.spec.resources)) {
         break;
       }
-      const worker = this.#chooseWorker(task, { step, pool, reserved, nowMs, allowed: tickets });
+      const choice = { step, pool, reserved, nowMs, allowed: tickets };
+      const worker = task.crashes === undefined
+        ? this.#chooseWorker(task, choice)
+        : this.#chooseWorkerForSuspect(task, choice);
+      if (worker === undefined && !step.spec.isGang && this.#needsOwnWorker(task, nowMs)) {
+        continue;
+      }
       if (worker === undefined) {
         this.#reserveWorker({ step, workers, reserved, nowMs, allowed: tickets }, reserved);
         break;
@@ -619,6 +737,47 @@
     return worker;
   }
 
+  /** Chooses a worker without other jobs for a suspect, or the next best one if it need not wait. */
+  #chooseWorkerForSuspect(task: TaskRecord, context: {
+    readonly step: StepRecord;
+    readonly pool: PoolWorkers;
+    readonly reserved: Set<string>;
+    readonly nowMs: number;
+    readonly allowed: Tickets | undefined;
+  }): WorkerRecord | undefined {
+    const { step, pool, reserved, nowMs, allowed } = context;
+    const isolation = crashSuspicion.isolationOf(task, nowMs);
+    if (isolation === "none") {
+      return this.#chooseWorker(task, context);
+    }
+    const { workers } = pool;
+    const preferredRack = step.spec.isSameRack ? rackOf(step, this.workers) : undefined;
+    const request = { step, task, workers, nowMs, allowed, preferredRack };
+    const ownId = this.#isolationWorkers.get(task);
+    const othersReserved = new Set([...reserved].filter((id) => id !== ownId));
+    const isolatedCount = workers.filter((worker) => worker.isIsolated(nowMs)).length;
+    const apart = isolation === "required" ||
+        isolatedCount < Math.max(1, workers.length * MAX_ISOLATED_SHARE)
+      ? chooseWorker({ ...request, reserved: othersReserved, isApart: true })
+      : undefined;
+    if (apart !== undefined) {
+      this.#isolationWorkers.delete(task);
+      return apart;
+    }
+    if (isolation === "preferred") {
+      return chooseWorker({ ...request, reserved });
+    }
+    const kept = chooseReservation(
+      { step, workers, nowMs, allowed, reserved: othersReserved },
+      ownId,
+    );
+    if (kept !== undefined) {
+      reserved.add(kept.info.workerId);
+      this.#isolationWorkers.set(task, kept.info.workerId);
+    }
+    return undefined;
+  }
+
   /** Reserves a worker for a long-running task that fits nowhere, as it must not wait for long. */
   #reserveWorker(request: EligibilityRequest, reserved: Set<string>): void {
     const { step } = request;
@@ -658,6 +817,7 @@
     readonly runId: number;
     readonly nowMs: number;
   }): Run {
+    const suspectUntilMs = crashSuspicion.suspectUntilMs(step, task, nowMs);
     const run: Run = {
       step,
       task,
@@ -666,6 +826,9 @@
       orderedAtMs: nowMs,
       allocation: resources.allocationOf(step.spec),
       state: "starting",
+      delivery: "pending",
+      suspectUntilMs,
+      isolatedUntilMs: worker.isFreeFor(step.job) ? suspectUntilMs : 0,
       confirmedAtMs: undefined,
       verifyAfterMs: undefined,
       percent: 0,
@@ -678,6 +841,15 @@
     task.lastRunId = Math.max(task.lastRunId, runId);
     step.assign(task, run);
     this.#charge(run, 1);
+    if (run.isolatedUntilMs > 0) {
+      this.#options.log.info("Suspect starts apart from other jobs", {
+        job: step.job.job.jobId,
+        task: task.name,
+        run: runId,
+        worker: run.workerId,
+        crashes: task.crashes?.count,
+      });
+    }
     return run;
   }
 
@@ -851,6 +1023,7 @@
 
 function updateRun(run: Run, reported: schema.scheduling.ReportedRun, nowMs: number): void {
   run.confirmedAtMs ??= nowMs;
+  run.delivery = "sent";
   run.state = run.state === "starting" ? "running" : run.state;
   run.percent = reported.percent;
   run.load = reported.load;
@@ -859,6 +1032,14 @@
   }
 }
 
+/** The tasks that may have crashed a worker with their crashes so far, those that started last first. */
+function describeSuspects(suspects: readonly Run[]): string {
+  return [...suspects].sort((a, b) => b.orderedAtMs - a.orderedAtMs)
+    .slice(0, MAX_LOGGED_SUSPECTS)
+    .map(({ task }) => `${task.name} (${task.crashes?.count ?? 0})`)
+    .join(", ");
+}
+
 /** The rack of the step's first run, if any; a worker's last label names its rack. */
 function rackOf(
   step: StepRecord,
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { EndProgress } from "./end_progress.ts";
-import { type Run, runKey } from "./job_record.ts";
+import { type JobRecord, type Run, runKey } from "./job_record.ts";
 import type * as schema from "@jackdawlink/schema";
 import * as resources from "./resources.ts";
 
@@ -28,6 +28,8 @@
   info: schema.scheduling.WorkerInfo;
   readonly runs = new Map<string, Run>();
   used: schema.scheduling.Resources = resources.NO_RESOURCES;
+  /** The runs whose tasks were at work on another worker that crashed. */
+  readonly #suspectRuns = new Set<Run>();
   /** True once this incarnation is known to be over. */
   hasEnded = false;
   /** True once the worker has reported under the current fencing token. */
@@ -68,15 +70,48 @@
   addRun(run: Run): void {
     this.runs.set(runKey(run.task.name, run.runId), run);
     this.used = resources.add(this.used, run.allocation);
+    if (run.suspectUntilMs > 0) {
+      this.#suspectRuns.add(run);
+    }
   }
 
   removeRun(run: Run, nowMs: number): void {
     if (this.runs.delete(runKey(run.task.name, run.runId))) {
       this.used = resources.subtract(this.used, run.allocation);
+      this.#suspectRuns.delete(run);
       this.idleSinceMs = nowMs;
     }
   }
 
+  /** The number of runs of other jobs that may still crash the worker. */
+  suspectCount(job: JobRecord, nowMs: number): number {
+    let count = 0;
+    for (const run of this.#suspectRuns) {
+      count += run.step.job !== job && nowMs < run.suspectUntilMs ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Whether the worker is kept free of tasks of any job but those at work there. */
+  isIsolated(nowMs: number): boolean {
+    for (const run of this.#suspectRuns) {
+      if (nowMs < run.isolatedUntilMs) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether no other job has a run on the worker. */
+  isFreeFor(job: JobRecord): boolean {
+    for (const run of this.runs.values()) {
+      if (run.step.job !== job) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Records a reading of the worker's clock; `readAtMs` is when the response arrived. */
   setClock(workerClockMs: number, readAtMs: number): void {
     this.#workerClockMs = workerClockMs;
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -119,7 +119,12 @@
   async #write(jobs: readonly JobRecord[]): Promise<boolean> {
     const { scheduler, store, clock, log, statistics, fencingToken } = this.#options;
     const startedAtMs = clock.nowMs();
-    const written = jobs.map((job) => ({ job, state: job.state, isFinal: job.isRetirable() }));
+    const written = jobs.map((job) => ({
+      job,
+      state: job.state,
+      isFinal: job.isRetirable(),
+      markCrashesStored: job.snapshotCrashes(),
+    }));
     const answer = await store.transact({
       conditions: [
         { key: storeKeys.OWNER_KEY, revision: fencingToken },
@@ -145,8 +150,9 @@
       return false;
     }
     this.#lastRevision = answer.value.revision;
-    for (const { job, state, isFinal } of written) {
+    for (const { job, state, isFinal, markCrashesStored } of written) {
       job.storedState = state;
+      markCrashesStored();
       if (isFinal) {
         scheduler.retireJob(job.job.jobId, state);
       }
--- a/packages/scheduler/src/metrics.ts
+++ b/packages/scheduler/src/metrics.ts
@@ -41,6 +41,16 @@
     labelNames: ["direction"],
     registers: [this.#registry],
   });
+  readonly workerCrashes = new prom.Gauge({
+    name: "jackdawlink_worker_crashes",
+    help: "Crashes of workers that this node has seen in its last term as owner",
+    registers: [this.#registry],
+  });
+  readonly tasksGivenUp = new prom.Gauge({
+    name: "jackdawlink_tasks_given_up",
+    help: "Tasks given up in this node's last term as owner, as they crashed their workers",
+    registers: [this.#registry],
+  });
   readonly ends = new prom.Gauge({
     name: "jackdawlink_task_ends",
     help: "Ends of tasks that workers list, by the stage that they have not come to",
--- a/packages/scheduler/src/term_statistics.ts
+++ b/packages/scheduler/src/term_statistics.ts
@@ -90,6 +90,8 @@
     metrics.ends.set({ stage: "unacknowledged" }, backlog.unacknowledged);
     metrics.oldestEndSeconds.set(backlog.oldestWaitMs / 1_000);
     metrics.jobsToStore.set(scheduler.dirtyJobCount);
+    metrics.workerCrashes.set(scheduler.crashCounts.crashes);
+    metrics.tasksGivenUp.set(scheduler.crashCounts.givenUp);
     log.info("Backlog", {
       endsUnprocessed: backlog.unprocessed,
       endsUnstored: backlog.unstored,
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -304,6 +304,7 @@
   #dropWorker(): void {
     const { scheduler, clock, worker, onChange } = this.#options;
     this.stop();
+    scheduler.recordCrash(worker, clock.steadyMs(), "another incarnation answers at its address");
     scheduler.dropWorker(worker, clock.steadyMs(), "another incarnation answers at its address");
     onChange();
   }
--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -94,6 +94,14 @@
 
 export const storedJobSchema = v.union([retiredJobSchema, jobSchema]);
 
+/** How often workers crashed on which a task was at work. */
+export const taskCrashesSchema = v.object({
+  task: countSchema,
+  count: positiveIntegerSchema,
+  /** The VMs, one for each crash, on which no other job was at work. */
+  aloneOn: v.array(v.string()),
+});
+
 /** The durable progress of one step in one occurrence of the job. */
 export const stepProgressSchema = v.object({
   occurrence: countSchema,
@@ -101,6 +109,8 @@
   doneTasks: v.array(countSchema),
   /** The ids of failed runs, by task. */
   failedRuns: v.array(v.tuple([countSchema, v.array(positiveIntegerSchema)])),
+  /** The tasks that were at work on workers that crashed; earlier versions do not store it. */
+  crashes: v.optional(v.array(taskCrashesSchema)),
 });
 
 /** The progress of a job as stored. */
@@ -240,7 +250,12 @@
   | { readonly kind: "fenced" }
   | { readonly kind: "refused"; readonly reason: string }
   | { readonly kind: "other-life" }
-  | { readonly kind: "unknown"; readonly reason: string };
+  | {
+    readonly kind: "unknown";
+    readonly reason: string;
+    /** False if the worker cannot have received any byte of the order. */
+    readonly isSent?: boolean;
+  };
 
 export type VmState = "up" | "moving" | "upkeep" | "down";
 
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -33,6 +33,7 @@
 const CONNECTION_REFUSED = {
   kind: "unknown",
   reason: "connection refused",
+  isSent: false,
 } as const;
 
 /** Faults between nodes and workers. */
