Bound the starts of a task that crashes its workers when owners change or many VMs crash

Causes: a lone crash counted for nothing if any other VM of its rack crashed near it; a suspect was sent back to the VM that had crashed under it; after a takeover, which may lose a crash, it started beside others. Change: a crash is the rack's only if no VM of the rack is left and the others crashed after the start; a suspect goes to other VMs, and a VM that also crashes without it convicts nobody; after a takeover a task with two crashes starts only on a VM of its own, and four crashes are enough. A fifth crash settles the doubt.

--- a/packages/policy/src/scheduling/crash_suspicion.ts
+++ b/packages/policy/src/scheduling/crash_suspicion.ts
@@ -20,7 +20,7 @@
 /** How long a task waits for a VM of its own after its second crash, which may have had other causes. */
 const MAX_ISOLATION_WAIT_MS = 2_000;
 /** Crashes that are noticed within this time of each other may have one cause. */
-const SAME_CAUSE_MS = 600;
+const SAME_CAUSE_MS = 400;
 /** A list of VMs that is this much younger than a crash shows the other VMs that crashed with it. */
 const VERDICT_LIST_DELAY_MS = 100;
 const MAX_VERDICT_DELAY_MS = 1_500;
@@ -54,6 +54,8 @@
   readonly rack: string | undefined;
   readonly atMs: number;
   readonly suspects: readonly Run[];
+  /** Whether all suspects belong to one job, which has been at work in an earlier crash. */
+  readonly isExpected: boolean;
 }
 
 /** What became of a suspect after a crash on a VM without other jobs. */
@@ -75,7 +77,9 @@
     return crashes.isLikely ? "preferred" : "none";
   }
   const hasWaitedLong = nowMs - crashes.lastCrashAtMs > MAX_ISOLATION_WAIT_MS;
-  return crashes.count < STRICT_CRASHES && hasWaitedLong ? "preferred" : "required";
+  return crashes.count < STRICT_CRASHES && !crashes.isRestored && hasWaitedLong
+    ? "preferred"
+    : "required";
 }
 
 /** Whether a task must not start yet: its last crash is not explained or not stored. */
@@ -122,7 +126,13 @@
     const suspects = [...worker.runs.values()].filter(({ delivery }) => delivery !== "refused");
     const jobs = new Set(suspects.map(({ step }) => step.job));
     const isAlone = jobs.size === 1;
-    const crash: WorkerCrash = { vm, rack: labels.at(-1), atMs: nowMs, suspects };
+    const crash: WorkerCrash = {
+      vm,
+      rack: labels.at(-1),
+      atMs: nowMs,
+      suspects,
+      isExpected: isAlone && suspects.some(({ task }) => (task.crashes?.count ?? 0) > 0),
+    };
     // Runs of a previous owner may be unknown until the worker has reported.
     if (worker.hasReported) {
       this.#crashes.push(crash);
@@ -154,33 +164,45 @@
     }
     this.#openVerdicts = this.#openVerdicts.filter((verdict) => !due.includes(verdict));
     const present = [...workers];
-    return due.map(({ crash, run: { task, step: { job } } }) => {
+    return due.map((verdict) => {
+      const { crash, run: { task, step: { job } } } = verdict;
       const crashes = task.crashes!;
       crashes.isAwaitingVerdict = false;
-      if (!this.#hasRackFailed(crash, present)) {
+      crashes.loneVms.add(crash.vm);
+      if (!this.#hasRackFailed(verdict, present)) {
         crashes.aloneOn.push(crash.vm);
       }
-      const isConvicted = !job.isOver && !task.isDone && this.#isConvicted(crashes);
+      const isConvicted = !job.isOver && !task.isDone && this.#isConvicted(task, crashes);
       return { job, task, crashes, isConvicted };
     });
   }
 
-  #isConvicted({ count, aloneOn }: CrashHistory): boolean {
+  #isConvicted(task: TaskRecord, crashes: CrashHistory): boolean {
+    const { count, aloneOn, loneVms, isRestored } = crashes;
+    const maxCrashes = isRestored ? MAX_CRASHES - 1 : MAX_CRASHES;
     const vmCount = new Set(aloneOn).size;
     const minVmCount = this.#crashes.some(isSpontaneous)
       ? MIN_LONE_CRASHES_WHEN_VMS_FAIL
       : MIN_LONE_CRASHES;
     return (count >= MIN_CRASHES && vmCount >= minVmCount) ||
-      (count >= MAX_CRASHES && vmCount >= MIN_LONE_CRASHES) ||
-      aloneOn.length >= MAX_LONE_CRASHES;
+      (count >= maxCrashes &&
+        (vmCount >= MIN_LONE_CRASHES || loneVms.size >= MIN_LONE_CRASHES_WHEN_VMS_FAIL)) ||
+      (aloneOn.length >= MAX_LONE_CRASHES && !this.#hasCrashedWithout(task, aloneOn));
+  }
+
+  /** Whether one of the VMs has also crashed while the task was not at work there. */
+  #hasCrashedWithout(task: TaskRecord, vms: readonly string[]): boolean {
+    return this.#crashes.some(({ vm, suspects }) =>
+      vms.includes(vm) && !suspects.some((run) => run.task === task)
+    );
   }
 
   /** Whether the whole rack of the VM has crashed with it, so that no task was the cause. */
-  #hasRackFailed(crash: WorkerCrash, workers: readonly WorkerRecord[]): boolean {
+  #hasRackFailed({ crash, run }: OpenVerdict, workers: readonly WorkerRecord[]): boolean {
     const isOfRack = (rack: string | undefined) => rack !== undefined && rack === crash.rack;
     const hasCrashedNeighbour = this.#crashes.some((other) =>
-      other.vm !== crash.vm && isOfRack(other.rack) &&
-      Math.abs(other.atMs - crash.atMs) <= SAME_CAUSE_MS
+      other.vm !== crash.vm && !other.isExpected && isOfRack(other.rack) &&
+      other.atMs >= run.orderedAtMs && Math.abs(other.atMs - crash.atMs) <= SAME_CAUSE_MS
     );
     return hasCrashedNeighbour &&
       !workers.some(({ info, knownSinceMs }) =>
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -750,7 +750,11 @@
     if (isolation === "none") {
       return this.#chooseWorker(task, context);
     }
-    const { workers } = pool;
+    // A second crash of the same VM would tell less, as the VM may crash by itself.
+    const others = pool.workers.filter((worker) =>
+      worker.isSchedulable(nowMs) && !task.crashes!.vms.has(worker.info.vm)
+    );
+    const workers = others.length > 0 ? others : pool.workers;
     const preferredRack = step.spec.isSameRack ? rackOf(step, this.workers) : undefined;
     const request = { step, task, workers, nowMs, allowed, preferredRack };
     const ownId = this.#isolationWorkers.get(task);
@@ -925,6 +929,13 @@
     // Tasks of a gang succeed together, so the first end marks all of them done.
     const done = step.spec.isGang ? step.tasks : [task];
     for (const each of done) {
+      if (each.crashes !== undefined && !each.isDone) {
+        this.#options.log.info("Suspect cleared, as it is done", {
+          job: job.job.jobId,
+          task: each.name,
+          crashes: each.crashes.count,
+        });
+      }
       step.markDone(each);
       if (each.run !== undefined && !step.spec.isGang) {
         this.#stop(each.run, "another run completed the task");
--- a/packages/testing/src/scheduling_model/model_store.ts
+++ b/packages/testing/src/scheduling_model/model_store.ts
@@ -47,6 +47,8 @@
     delaysLostWrites: false,
     extraLatencyMs: 0,
   };
+  /** When the store last rejected a call of any node because it was out for all of them. */
+  refusedAtMs = Number.NEGATIVE_INFINITY;
   readonly #random: SeededRandom;
   readonly #items = new Map<string, StoreItem & { leaseId?: number }>();
   readonly #leases = new Map<number, { ttlMs: number; untilMs: number }>();
@@ -152,7 +154,11 @@
   }
 
   #isRejected(node: string): boolean {
-    return this.faults.rejectedNodes.has(node) || this.faults.rejectedNodes.has("all");
+    if (this.faults.rejectedNodes.has("all")) {
+      this.refusedAtMs = Date.now();
+      return true;
+    }
+    return this.faults.rejectedNodes.has(node);
   }
 
   #get(key: string): StoreItem | undefined {
