--- a/packages/testing/src/scheduling_model/model_store.ts
+++ b/packages/testing/src/scheduling_model/model_store.ts
@@ -50,6 +50,8 @@
     extraLatencyMs: 0,
     silencesWatches: false,
   };
+  /** When the store last rejected a call of any node because it was out for all of them. */
+  refusedAtMs = Number.NEGATIVE_INFINITY;
   readonly #random: SeededRandom;
   readonly #items = new Map<string, StoreItem & { leaseId?: number }>();
   readonly #leases = new Map<number, { ttlMs: number; untilMs: number }>();
@@ -164,7 +166,11 @@
   }
 
   #isRejected(node: string): boolean {
-    return this.isOut || this.faults.rejectedNodes.has(node);
+    if (this.isOut) {
+      this.refusedAtMs = Date.now();
+      return true;
+    }
+    return this.faults.rejectedNodes.has(node);
   }
 
   #get(key: string): StoreItem | undefined {
