Take a long-running task that has been at work for 2 s for innocent of a crash

What callers saw: nothing yet; found by a new scenario before the landing. Long-running jobs without any such task were shown as failed when their VMs crashed by themselves again and again. Change: a long-running task that has been at work for 2 s, or was taken over at work, is no suspect, and what was counted before is dropped.

--- a/packages/policy/src/scheduling/crash_suspicion.ts
+++ b/packages/policy/src/scheduling/crash_suspicion.ts
@@ -15,8 +15,8 @@
 const RECENT_START_MS = 150;
 /** How long after its start a task may be at work until it is unlikely to crash its worker. */
 const CLEAR_AFTER_MS = 1_000;
-/** The same for a long-running task that was at work in several crashes. */
-const CLEAR_LONG_RUNNING_AFTER_MS = 6_000;
+/** The same for a long-running task: from then on it is no suspect, as VMs crash under it in the end. */
+const CLEAR_LONG_RUNNING_AFTER_MS = 2_000;
 /** How long a task waits for a VM of its own after its second crash, which may have had other causes. */
 const MAX_ISOLATION_WAIT_MS = 2_000;
 /** Crashes that are noticed within this time of each other may have one cause. */
@@ -123,9 +123,11 @@
   /** Records the crash of a worker; returns the runs that may have caused it. */
   recordCrash(worker: WorkerRecord, nowMs: number): readonly Run[] {
     const { vm, labels } = worker.info;
-    const suspects = [...worker.runs.values()].filter(({ delivery }) => delivery !== "refused");
-    const jobs = new Set(suspects.map(({ step }) => step.job));
-    const isAlone = jobs.size === 1;
+    const present = [...worker.runs.values()].filter(({ delivery }) => delivery !== "refused");
+    const isAlone = new Set(present.map(({ step }) => step.job)).size === 1;
+    const cleared = new Set(present.filter((run) => isCleared(run, nowMs)));
+    cleared.forEach(({ task }) => task.crashes = undefined);
+    const suspects = present.filter((run) => !cleared.has(run));
     const crash: WorkerCrash = {
       vm,
       rack: labels.at(-1),
@@ -164,9 +166,12 @@
     }
     this.#openVerdicts = this.#openVerdicts.filter((verdict) => !due.includes(verdict));
     const present = [...workers];
-    return due.map((verdict) => {
+    return due.flatMap((verdict) => {
       const { crash, run: { task, step: { job } } } = verdict;
-      const crashes = task.crashes!;
+      const { crashes } = task;
+      if (crashes === undefined) {
+        return [];
+      }
       crashes.isAwaitingVerdict = false;
       crashes.loneVms.add(crash.vm);
       if (!this.#hasRackFailed(verdict, present)) {
@@ -211,6 +216,12 @@
   }
 }
 
+/** Whether the run has been at work for so long that it cannot have caused a crash now. */
+function isCleared(run: Run, nowMs: number): boolean {
+  return run.step.spec.isLasting &&
+    (run.isTakenOver || nowMs - run.orderedAtMs >= CLEAR_LONG_RUNNING_AFTER_MS);
+}
+
 /** Whether none of the tasks at work can have caused the crash. */
 function isSpontaneous({ suspects }: WorkerCrash): boolean {
   return suspects.every(({ task }) => task.isDone);
--- a/packages/policy/src/scheduling/crash_suspicion_test.ts
+++ b/packages/policy/src/scheduling/crash_suspicion_test.ts
@@ -32,6 +32,7 @@
     pacePercent: 100,
     pacedAtMs: 0,
     mayBeStoppingUntilMs: 0,
+    isTakenOver: false,
     ...overrides,
   };
   worker.addRun(run);
--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -24,6 +24,8 @@
   readonly runId: number;
   readonly workerId: string;
   readonly orderedAtMs: number;
+  /** Whether a previous owner started the run, at a time that is not known. */
+  isTakenOver: boolean;
   /** The resources that the run takes on its worker. */
   readonly allocation: schema.scheduling.Resources;
   state: RunState;
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -49,6 +49,7 @@
     load: 0,
     pacePercent: 100,
     pacedAtMs: 0,
+    isTakenOver: false,
     mayBeStoppingUntilMs: 0,
     ...overrides,
   };
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -855,6 +855,7 @@
       runId,
       workerId: worker.info.workerId,
       orderedAtMs: nowMs,
+      isTakenOver: false,
       allocation: resources.allocationOf(step.spec),
       state: "starting",
       delivery: "pending",
@@ -1043,6 +1044,7 @@
     const { job, step, task } = found;
     const isNeeded = !job.isOver && !task.isDone && task.run === undefined;
     const run = this.#addRun(step, task, worker, { runId: reported.runId, nowMs });
+    run.isTakenOver = true;
     run.mayBeStoppingUntilMs = nowMs + PREVIOUS_OWNER_STOP_MS;
     if (isNeeded) {
       job.state = "active";
--- a/packages/scheduler/src/crash_model_test.ts
+++ b/packages/scheduler/src/crash_model_test.ts
@@ -15,6 +15,7 @@
 const LONG_DOWN_MS = 3_200;
 /** Every so many jobs, one has a task that crashes its workers. */
 const DEADLY_JOB_INTERVAL = 8;
+const LASTING_JOB_INTERVAL = 4;
 const POOLS = [
   ...Array.from({ length: 6 }, () => "pool-a"),
   ...Array.from({ length: 6 }, () => "pool-b"),
@@ -36,6 +37,7 @@
   readonly crashTime?: CrashTime;
   readonly kind?: StepKind;
   readonly deadlyJobInterval?: number;
+  readonly lastingJobInterval?: number;
 }
 
 function isAt(timeMs: number, atMs: number): boolean {
@@ -102,6 +104,17 @@
     },
     deadlyJobInterval: Infinity,
   },
+  {
+    name: "VMs with long-running tasks crash by themselves in turn, and no such task",
+    injectFaults: (world, atMs) => {
+      if (atMs >= TRAFFIC_MS && atMs < TRAFFIC_MS + 30_000 && atMs % 1_000 === 0) {
+        world.fleet.crash(VM_NAMES[(atMs / 1_000) % VM_NAMES.length]!, LONG_DOWN_MS);
+      }
+    },
+    kind: "lasting",
+    lastingJobInterval: 16,
+    deadlyJobInterval: Infinity,
+  },
   {
     name: "VMs crash by themselves, restart under the same id, and the owner is killed",
     injectFaults: (world, atMs) => {
@@ -185,11 +198,12 @@
 
 async function submit(
   world: World,
-  { number, kind, crashTime, interval }: {
+  { number, kind, crashTime, interval, lastingInterval }: {
     readonly number: number;
     readonly kind: StepKind;
     readonly crashTime: CrashTime;
     readonly interval: number;
+    readonly lastingInterval: number;
   },
 ): Promise<void> {
   const { random } = world;
@@ -209,7 +223,7 @@
   const last = testing.schedulingFixtures.step({
     ...steps.at(-1)!,
     isGang: kind === "gang",
-    isLasting: kind === "lasting" && number % 4 === 3,
+    isLasting: kind === "lasting" && number % lastingInterval === 3,
   });
   const all = last.isLasting ? [{ ...last, afterSteps: [] }] : [...steps.slice(0, -1), last];
   const crash = { index: random.between(0, taskCount - 1), afterMs: crashTime(estimateMs) };
@@ -235,15 +249,16 @@
 
 test.each(crossWithSeeds(SCENARIOS, SEEDS))(
   "tasks that crash their workers, $name, seed $seed: are given up, and no other job fails",
-  async ({ seed, injectFaults, crashTime = AT_ONCE, kind = "plain", deadlyJobInterval }) => {
+  async ({ seed, injectFaults, crashTime = AT_ONCE, kind = "plain", ...intervals }) => {
     const world = new World(seed, { pools: POOLS, rackCount: 4, failureProbability: 0 });
-    const interval = deadlyJobInterval ?? DEADLY_JOB_INTERVAL;
+    const interval = intervals.deadlyJobInterval ?? DEADLY_JOB_INTERVAL;
+    const lastingInterval = intervals.lastingJobInterval ?? LASTING_JOB_INTERVAL;
     await vi.advanceTimersByTimeAsync(2_000);
     let number = 0;
     for (let atMs = 0; atMs < TRAFFIC_MS + SETTLE_MS; atMs += STEP_MS) {
       injectFaults(world, atMs);
       if (atMs < TRAFFIC_MS && world.random.chance(0.8)) {
-        void submit(world, { number: number++, kind, crashTime, interval });
+        void submit(world, { number: number++, kind, crashTime, interval, lastingInterval });
       }
       await vi.advanceTimersByTimeAsync(STEP_MS);
     }
