Pause between starts that a worker's VM refuses to connect

Cause: a start without a response is repeated at once, since a response takes up to its time limit. A refused connection fails within a millisecond.

--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -191,6 +191,9 @@
       }
       this.#logUnansweredOrder("start", run, outcome.reason);
       isRepeated = true;
+      if (outcome.isSent === false) {
+        await pause(RETRY_INTERVAL_MS);
+      }
     }
   }
 
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -21,14 +21,12 @@
 /** Runs a session of an owner that may give orders. */
 function openSession(
   parts: TermFixture,
-  hold: ports.scheduling.WorkerClient["hold"],
+  client: Partial<ports.scheduling.WorkerClient>,
 ): WorkerSession {
   const session = new WorkerSession({
     ...parts,
     worker: parts.scheduler.putWorker(WORKER, Date.now())!,
-    client: { hold } as Partial<
-      ports.scheduling.WorkerClient
-    > as ports.scheduling.WorkerClient,
+    client: client as ports.scheduling.WorkerClient,
     fencingToken: 1,
     canIssueOrders: () => true,
     isCapacityConfirmed: () => true,
@@ -57,14 +55,16 @@
   const running = [{ task: "running.0.0.0", runId: 1, checkpoint: "", percent: 1, load: 0 }];
   /** The last end acknowledged by each report request. */
   const acknowledgedEnds: number[] = [];
-  const session = openSession(parts, async (_worker, { acknowledgedEnd, waitMs }) => {
-    acknowledgedEnds.push(acknowledgedEnd);
-    const ends = acknowledgedEnd < 1 ? [end] : [];
-    await testing.waitFor.pause(ends.length > 0 ? 2 : waitMs + 2);
-    return {
-      kind: "report",
-      report: { startedUnixMs: 1, workerClockMs: Date.now(), running, ends },
-    };
+  const session = openSession(parts, {
+    hold: async (_worker, { acknowledgedEnd, waitMs }) => {
+      acknowledgedEnds.push(acknowledgedEnd);
+      const ends = acknowledgedEnd < 1 ? [end] : [];
+      await testing.waitFor.pause(ends.length > 0 ? 2 : waitMs + 2);
+      return {
+        kind: "report",
+        report: { startedUnixMs: 1, workerClockMs: Date.now(), running, ends },
+      };
+    },
   });
   return { session, acknowledgedEnds };
 }
@@ -92,10 +92,12 @@
   "asks an idle worker less and less often when each request $name, and at once when its entry changes",
   async ({ failureMs, period }) => {
     const askedAtMs: number[] = [];
-    const session = openSession(termFixture(), async () => {
-      askedAtMs.push(Date.now());
-      await testing.waitFor.pause(failureMs);
-      return { kind: "unknown", reason: "test" };
+    const session = openSession(termFixture(), {
+      hold: async () => {
+        askedAtMs.push(Date.now());
+        await testing.waitFor.pause(failureMs);
+        return { kind: "unknown", reason: "test" };
+      },
     });
     await vi.advanceTimersByTimeAsync(10_000);
     const gapMs = askedAtMs.at(-1)! - askedAtMs.at(-2)!;
@@ -112,3 +114,37 @@
     session.stop();
   },
 );
+
+test("repeats a start that the worker's VM refuses to connect at a pace, not in a busy loop", async () => {
+  const parts = termFixture();
+  const { scheduler } = parts;
+  scheduler.setConfig({
+    version: 1,
+    maxBodyBytes: 1_000,
+    queues: [testing.schedulingFixtures.queue("quick")],
+    pools: [{ name: "pool", isStandby: false }],
+    workspaces: [{ name: "acme", keys: [], weight: 1, limit: { ...TOTAL, cpuMillicores: 0 } }],
+  });
+  let startCount = 0;
+  const session = openSession(parts, {
+    hold: () => Promise.resolve({ kind: "unknown", reason: "connection refused" }),
+    start: async () => {
+      startCount++;
+      await testing.waitFor.pause(1);
+      return { kind: "unknown", reason: "connection refused", isSent: false };
+    },
+  });
+  scheduler.applyReport(
+    session.worker,
+    { startedUnixMs: 1, workerClockMs: 1_000, running: [], ends: [] },
+    { sentAtMs: Date.now(), receivedAtMs: Date.now() },
+  );
+  scheduler.settle(Date.now(), "test");
+  putJob(scheduler, "job");
+  const [order] = scheduler.decide({ nowMs: Date.now(), wallMs: Date.now() });
+  void session.start((order as Extract<typeof order, { kind: "start" }>).run, undefined);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(startCount).toBeGreaterThan(2);
+  expect(startCount).toBeLessThan(10);
+  session.stop();
+});
