Give a pool a VM for a suspect of crashes that may start nowhere else

What callers saw: nothing yet; found by reading before the landing. Cause: a task with three crashes starts only on a VM without other jobs. Where each VM of the pool runs long-running tasks, none ever becomes free, and pools were sized by the sum of their demand, so the task waited without an end, an innocent one too. Change: a pool in which suspects wait for a VM of their own has at least one VM, at most two, more than are busy. Two crashes of different VMs on which the job was alone are enough once five have happened.

--- a/packages/policy/src/scheduling/crash_suspicion.ts
+++ b/packages/policy/src/scheduling/crash_suspicion.ts
@@ -190,8 +190,7 @@
       ? MIN_LONE_CRASHES_WHEN_VMS_FAIL
       : MIN_LONE_CRASHES;
     return (count >= MIN_CRASHES && vmCount >= minVmCount) ||
-      (count >= maxCrashes &&
-        (vmCount >= MIN_LONE_CRASHES || loneVms.size >= MIN_LONE_CRASHES_WHEN_VMS_FAIL)) ||
+      (count >= maxCrashes && loneVms.size >= MIN_LONE_CRASHES) ||
       (aloneOn.length >= MAX_LONE_CRASHES && !this.#hasCrashedWithout(task, aloneOn));
   }
 
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -36,6 +36,8 @@
 const MAX_UNSEEN_VM_STATE_MS = 1_000;
 /** The share of a pool's workers that suspects may have to themselves if they could start elsewhere. */
 const MAX_ISOLATED_SHARE = 0.25;
+/** How many workers a pool gets at a time for suspects that wait for one of their own. */
+const MAX_WORKERS_FOR_SUSPECTS = 2;
 const MAX_LOGGED_SUSPECTS = 8;
 
 /** A command that the caller carries out against a worker or the advice service. */
@@ -618,9 +620,12 @@
     return demand;
   }
 
-  /** The minimum number of workers that each pool needs to spread its long-running tasks. */
-  minWorkersByPool(): Map<string, number> {
-    const counts = new Map<string, number>();
+  /**
+   * The minimum number of workers that each pool needs to spread its long-running tasks, and to have one
+   * without runs for a suspect of crashes that may start nowhere else.
+   */
+  minWorkersByPool(nowMs: number): Map<string, number> {
+    const counts = this.#workersForSuspects(nowMs);
     for (const job of this.#active) {
       const pool = this.queueOf(job)?.pool;
       for (const { isLasting, maxTasksPerWorker, taskCount } of job.job.spec.steps) {
@@ -633,6 +638,27 @@
     return counts;
   }
 
+  /** For pools in which suspects wait for a worker of their own, the busy workers and some more. */
+  #workersForSuspects(nowMs: number): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const job of this.#active) {
+      const pool = this.queueOf(job)?.pool;
+      const waiting = job.occurrences.flat()
+        .filter(({ hasCrashes }) => hasCrashes)
+        .flatMap(({ tasks }) => tasks.filter((task) => this.#needsOwnWorker(task, nowMs)));
+      if (pool !== undefined && waiting.length > 0) {
+        const count = (counts.get(pool) ?? 0) + waiting.length;
+        counts.set(pool, Math.min(MAX_WORKERS_FOR_SUSPECTS, count));
+      }
+    }
+    for (const { info, runs } of counts.size === 0 ? [] : this.workers.values()) {
+      if (counts.has(info.pool) && runs.size > 0) {
+        counts.set(info.pool, counts.get(info.pool)! + 1);
+      }
+    }
+    return counts;
+  }
+
   #placeReadySteps(now: DecisionTime): void {
     const ready = this.readySteps(now);
     if (ready.length === 0) {
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -534,6 +534,33 @@
   expect(scheduler.demandByPool(NOW, 0).get("pool")?.cpuMillicores).toBe(3_000);
 });
 
+test.each([
+  { name: "one crash", count: 1, minWorkers: undefined },
+  { name: "three crashes", count: 3, minWorkers: 2 },
+])(
+  "sizes a pool whose workers are busy for a suspect of $name that waits",
+  ({ count, minWorkers }) => {
+    const scheduler = fixtures.scheduler(["w1"]);
+    put(scheduler, fixtures.job("busy", [testing.schedulingFixtures.step({ isLasting: true })]));
+    scheduler.decide(NOW);
+    scheduler.putJob(fixtures.job("suspect", [testing.schedulingFixtures.step()]), {
+      acceptedRevision: 1,
+      seenAtMs: 0,
+      progress: {
+        state: "active",
+        steps: [{
+          occurrence: 0,
+          step: 0,
+          doneTasks: [],
+          failedRuns: [],
+          crashes: [{ task: 0, count, aloneOn: [] }],
+        }],
+      },
+    });
+    expect(scheduler.minWorkersByPool(NOW.nowMs).get("pool")).toBe(minWorkers);
+  },
+);
+
 test("does not add a retired job again, and acknowledges its last ends", () => {
   const scheduler = fixtures.scheduler(["w"]);
   scheduler.retireJob("j", "complete");
--- a/packages/scheduler/src/vm_manager.ts
+++ b/packages/scheduler/src/vm_manager.ts
@@ -287,7 +287,7 @@
     const { scheduler, clock } = this.#options;
     const nowMs = clock.steadyMs();
     const demand = scheduler.demandByPool({ nowMs, wallMs: clock.wallMs() }, DEMAND_LOOKAHEAD_MS);
-    const minWorkers = scheduler.minWorkersByPool();
+    const minWorkers = scheduler.minWorkersByPool(nowMs);
     return (this.#config?.pools ?? []).map(({ name, isStandby }) => ({
       pool: name,
       isStandby,
