Clear a long-running task by when its worker was last seen, not by when its crash is noticed

What callers saw: nothing yet; found by reading before the landing. Cause: a long-running task counted as innocent if its worker's crash was noticed 2 s or more after its start. While the list of VMs is out, or after the owner stood still, a crash right after the start is noticed late, and what had been counted against the task was dropped. Change: the task has to have been at work for 2 s when a report or a list of VMs last showed its worker up.

--- a/packages/policy/src/scheduling/crash_suspicion.ts
+++ b/packages/policy/src/scheduling/crash_suspicion.ts
@@ -113,6 +113,7 @@
 export class CrashSuspicion {
   #crashes: WorkerCrash[] = [];
   #openVerdicts: OpenVerdict[] = [];
+  /** When the last list was requested; the workers that are known were up on it. */
   #listAskedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Records a list of VMs, whose crashes have been recorded already. */
@@ -125,7 +126,7 @@
     const { vm, labels } = worker.info;
     const present = [...worker.runs.values()].filter(({ delivery }) => delivery !== "refused");
     const isAlone = new Set(present.map(({ step }) => step.job)).size === 1;
-    const cleared = new Set(present.filter((run) => isCleared(run, nowMs)));
+    const cleared = new Set(present.filter((run) => isCleared(run, this.#listAskedAtMs)));
     cleared.forEach(({ task }) => task.crashes = undefined);
     const suspects = present.filter((run) => !cleared.has(run));
     const crash: WorkerCrash = {
@@ -215,10 +216,11 @@
   }
 }
 
-/** Whether the run has been at work for so long that it cannot have caused a crash now. */
-function isCleared(run: Run, nowMs: number): boolean {
-  return run.step.spec.isLasting &&
-    (run.isTakenOver || nowMs - run.orderedAtMs >= CLEAR_LONG_RUNNING_AFTER_MS);
+/** Whether the run was at work for so long, on a worker last seen at `seenAtMs`, that it caused no crash. */
+function isCleared(run: Run, seenAtMs: number): boolean {
+  const { step, isTakenOver, reportedAtMs = seenAtMs, orderedAtMs } = run;
+  const atWorkMs = Math.max(reportedAtMs, seenAtMs) - orderedAtMs;
+  return step.spec.isLasting && (isTakenOver || atWorkMs >= CLEAR_LONG_RUNNING_AFTER_MS);
 }
 
 /** Whether none of the tasks at work can have caused the crash. */
--- a/packages/policy/src/scheduling/crash_suspicion_test.ts
+++ b/packages/policy/src/scheduling/crash_suspicion_test.ts
@@ -1,5 +1,6 @@
 import * as testing from "@jackdawlink/testing";
 import { describe, expect, test } from "vitest";
+import { CrashHistory } from "./crash_history.ts";
 import * as crashSuspicion from "./crash_suspicion.ts";
 import { JobRecord, type Run } from "./job_record.ts";
 import type { WorkerRecord } from "./worker_record.ts";
@@ -26,6 +27,7 @@
     suspectUntilMs: 0,
     isolatedUntilMs: 0,
     confirmedAtMs: 1,
+    reportedAtMs: undefined,
     verifyAfterMs: undefined,
     percent: 100,
     load: 0,
@@ -217,6 +219,39 @@
   expect(crashSuspicion.canHaveCrashed(worker)).toBe(false);
 });
 
+test.each([
+  { name: "just started", isLasting: true, isSuspect: true },
+  { name: "not reported since its start", isLasting: true, crashAtMs: 9_000, isSuspect: true },
+  {
+    name: "on a VM that a list shows after 2 s",
+    isLasting: true,
+    listAtMs: 3_000,
+    isSuspect: false,
+  },
+  { name: "reported after 2 s at work", isLasting: true, reportedAtMs: 3_000, isSuspect: false },
+  { name: "taken over at work", isLasting: true, isTakenOver: true, isSuspect: false },
+  { name: "not long-running", isLasting: false, reportedAtMs: 3_000, isSuspect: true },
+])("a crash counts against a task that was $name: $isSuspect", (given) => {
+  const { isLasting, crashAtMs = 3_010, listAtMs, isTakenOver = false, isSuspect } = given;
+  const owner = new JobRecord(
+    fixtures.job("j", [testing.schedulingFixtures.step({ isLasting })]),
+    { acceptedRevision: 1, seenAtMs: 0 },
+  );
+  const worker = fixtures.openWorker("w", { vm: "a" });
+  const { task } = addRun(worker, owner, {
+    orderedAtMs: 1_000,
+    reportedAtMs: given.reportedAtMs,
+    isTakenOver,
+  });
+  task.crashes = CrashHistory.restore(2, ["b"]);
+  const suspicion = new crashSuspicion.CrashSuspicion();
+  if (listAtMs !== undefined) {
+    suspicion.recordVmList(listAtMs);
+  }
+  suspicion.recordCrash(worker, crashAtMs);
+  expect(task.crashes?.count).toBe(isSuspect ? 3 : undefined);
+});
+
 test("progress keeps the crashes of unfinished tasks, and that of earlier versions is restored", () => {
   const worker = fixtures.openWorker("w", { vm: "a" });
   const owner = job("j");
--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -37,6 +37,8 @@
   readonly isolatedUntilMs: number;
   /** When the worker confirmed the start; undefined before. */
   confirmedAtMs: number | undefined;
+  /** When a report last showed the run at work; undefined before. */
+  reportedAtMs: number | undefined;
   /** A report that was requested after this time shows reliably whether the run exists. */
   verifyAfterMs: number | undefined;
   percent: number;
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -44,6 +44,7 @@
     suspectUntilMs: 0,
     isolatedUntilMs: 0,
     confirmedAtMs: 1,
+    reportedAtMs: undefined,
     verifyAfterMs: undefined,
     percent: 100,
     load: 0,
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -888,6 +888,7 @@
       suspectUntilMs,
       isolatedUntilMs: worker.isFreeFor(step.job) ? suspectUntilMs : 0,
       confirmedAtMs: undefined,
+      reportedAtMs: undefined,
       verifyAfterMs: undefined,
       percent: 0,
       load: 0,
@@ -1093,6 +1094,7 @@
   run.state = run.state === "starting" ? "running" : run.state;
   run.percent = reported.percent;
   run.load = reported.load;
+  run.reportedAtMs = nowMs;
   if (reported.checkpoint !== "" && run.task.run === run) {
     run.task.checkpoint = reported.checkpoint;
   }
