Share the fixture of a run, and the timing of faults, between tests

Cause: two tests of the policy built the same run field by field, and three model tests each had their own isAt and step. Change: fixtures.run, and isAt and STEP_MS of the model world. Tests and their assertions are as before; no program changes.

--- a/packages/policy/src/scheduling/crash_suspicion_test.ts
+++ b/packages/policy/src/scheduling/crash_suspicion_test.ts
@@ -15,28 +15,7 @@
 
 function addRun(worker: WorkerRecord, owner: JobRecord, overrides: Partial<Run> = {}): Run {
   const step = owner.step(0, 0)!;
-  const run: Run = {
-    step,
-    task: step.tasks[0]!,
-    runId: 1,
-    workerId: worker.info.workerId,
-    orderedAtMs: 0,
-    allocation: step.spec.resources,
-    state: "running",
-    delivery: "sent",
-    suspectUntilMs: 0,
-    isolatedUntilMs: 0,
-    confirmedAtMs: 1,
-    reportedAtMs: undefined,
-    verifyAfterMs: undefined,
-    percent: 100,
-    load: 0,
-    pacePercent: 100,
-    pacedAtMs: 0,
-    mayBeStoppingUntilMs: 0,
-    isTakenOver: false,
-    ...overrides,
-  };
+  const run = fixtures.run(step, worker, overrides);
   worker.addRun(run);
   return run;
 }
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -30,31 +30,8 @@
       seenAtMs: 0,
     },
   );
-  const step = job.step(0, 0)!;
-  const task = step.tasks[0]!;
-  const run: Run = {
-    step,
-    task,
-    runId: 1,
-    workerId: worker.info.workerId,
-    orderedAtMs: 0,
-    allocation: step.spec.resources,
-    state: "running",
-    delivery: "sent",
-    suspectUntilMs: 0,
-    isolatedUntilMs: 0,
-    confirmedAtMs: 1,
-    reportedAtMs: undefined,
-    verifyAfterMs: undefined,
-    percent: 100,
-    load: 0,
-    pacePercent: 100,
-    pacedAtMs: 0,
-    isTakenOver: false,
-    mayBeStoppingUntilMs: 0,
-    ...overrides,
-  };
-  run.step.assign(task, run);
+  const run = fixtures.run(job.step(0, 0)!, worker, overrides);
+  run.step.assign(run.task, run);
   worker.addRun(run);
   return run;
 }
--- a/packages/policy/src/scheduling/test/fixtures.ts
+++ b/packages/policy/src/scheduling/test/fixtures.ts
@@ -5,6 +5,7 @@
  */
 import type * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
+import type { Run, StepRecord } from "../job_record.ts";
 import { type DecisionLog, Scheduler } from "../scheduler.ts";
 import type { VmView } from "../vm_view.ts";
 import { WorkerRecord } from "../worker_record.ts";
@@ -72,6 +73,32 @@
   };
 }
 
+/** The confirmed run of a step's first task on a worker, which it is not added to. */
+export function run(step: StepRecord, worker: WorkerRecord, given: Partial<Run> = {}): Run {
+  return {
+    step,
+    task: step.tasks[0]!,
+    runId: 1,
+    workerId: worker.info.workerId,
+    orderedAtMs: 0,
+    isTakenOver: false,
+    allocation: step.spec.resources,
+    state: "running",
+    delivery: "sent",
+    suspectUntilMs: 0,
+    isolatedUntilMs: 0,
+    confirmedAtMs: 1,
+    reportedAtMs: undefined,
+    verifyAfterMs: undefined,
+    percent: 100,
+    load: 0,
+    pacePercent: 100,
+    pacedAtMs: 0,
+    mayBeStoppingUntilMs: 0,
+    ...given,
+  };
+}
+
 export function emptyReport(
   given: Partial<schema.scheduling.WorkerReport> = {},
 ): schema.scheduling.WorkerReport {
--- a/packages/scheduler/src/crash_model_test.ts
+++ b/packages/scheduler/src/crash_model_test.ts
@@ -6,11 +6,17 @@
  */
 import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
-import { crossWithSeeds, type FaultInjector, useSimulatedTime, World } from "./test/model_world.ts";
+import {
+  crossWithSeeds,
+  type FaultInjector,
+  isAt,
+  STEP_MS,
+  useSimulatedTime,
+  World,
+} from "./test/model_world.ts";
 
 const TRAFFIC_MS = 12_000;
 const SETTLE_MS = 40_000;
-const STEP_MS = 250;
 const SEEDS = [1, 2, 3, 4];
 const LONG_DOWN_MS = 3_200;
 /** Every so many jobs, one has a task that crashes its workers. */
@@ -40,10 +46,6 @@
   readonly lastingJobInterval?: number;
 }
 
-function isAt(timeMs: number, atMs: number): boolean {
-  return atMs >= timeMs && atMs < timeMs + STEP_MS;
-}
-
 function anyVm(world: World): string {
   return VM_NAMES[world.random.between(0, VM_NAMES.length - 1)]!;
 }
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -7,18 +7,19 @@
  */
 import { expect, test, vi } from "vitest";
 import * as storeKeys from "./store_keys.ts";
-import { crossWithSeeds, type FaultInjector, useSimulatedTime, World } from "./test/model_world.ts";
+import {
+  crossWithSeeds,
+  type FaultInjector,
+  isAt,
+  STEP_MS,
+  useSimulatedTime,
+  World,
+} from "./test/model_world.ts";
 
 const TRAFFIC_MS = 12_000;
 const SETTLE_MS = 30_000;
 const SEEDS = [1, 2, 3, 4];
 
-const STEP_MS = 250;
-
-function isAt(timeMs: number, atMs: number): boolean {
-  return atMs >= timeMs && atMs < timeMs + STEP_MS;
-}
-
 const SCENARIOS: readonly { readonly name: string; readonly injectFaults: FaultInjector }[] = [
   { name: "without faults", injectFaults: () => {} },
   {
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -403,6 +403,14 @@
 /** Injects faults; called repeatedly with the time since the start of traffic. */
 export type FaultInjector = (world: World, atMs: number) => void;
 
+/** How far the scenarios advance the time between two injections of faults. */
+export const STEP_MS = 250;
+
+/** Whether the step that begins at `atMs` contains a time. */
+export function isAt(timeMs: number, atMs: number): boolean {
+  return atMs >= timeMs && atMs < timeMs + STEP_MS;
+}
+
 /** Combines each scenario with each seed. */
 export function crossWithSeeds<
   T extends { readonly name: string; readonly injectFaults: FaultInjector },
--- a/packages/scheduler/src/worker_capacity_model_test.ts
+++ b/packages/scheduler/src/worker_capacity_model_test.ts
@@ -5,21 +5,23 @@
  * @module
  */
 import { expect, test, vi } from "vitest";
-import { crossWithSeeds, type FaultInjector, useSimulatedTime, World } from "./test/model_world.ts";
+import {
+  crossWithSeeds,
+  type FaultInjector,
+  isAt,
+  STEP_MS,
+  useSimulatedTime,
+  World,
+} from "./test/model_world.ts";
 
 const TRAFFIC_MS = 20_000;
 /** The backlog takes 36 s or more of the workspace's limit of 60 cores, most of it after the traffic. */
 const SETTLE_MS = 60_000;
 const SEEDS = [1, 2, 3, 4];
-const STEP_MS = 250;
 const FULL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
 /** The shares of the full capacity to which a worker shrinks or grows. */
 const SHARES = [0, 0.1, 0.25, 0.5, 1];
 
-function isAt(timeMs: number, atMs: number): boolean {
-  return atMs >= timeMs && atMs < timeMs + STEP_MS;
-}
-
 function setShare(world: World, vm: string, share: number): void {
   world.fleet.setWorkerTotal(vm, {
     cpuMillicores: FULL.cpuMillicores * share,
