--- a/review/stand_ins/deployment.mjs
+++ b/review/stand_ins/deployment.mjs
@@ -57,6 +57,8 @@
   advice = new StandInAdvice();
   nodes = new Map();
   workers = new Map();
+  /** Called when a node's process has ended. */
+  onNodeEnd = () => {};
   /** All events of workers, in the order of their arrival. */
   events = [];
   /** All calls of clients with their answers. */
@@ -154,6 +156,9 @@
       node.isUp = false;
       this.#children.delete(child);
       this.log(`${name} ended`, { code, signal });
+      if (!this.#isEnding) {
+        this.onNodeEnd(name);
+      }
     });
     this.log(`${name} started`, { ip });
   }
