--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,9 +4,9 @@
  */
 import { HAS_TROUBLE, configOf, jobOf, newJobId, runCase, sleep, until, workersOf } from "../stand_ins/deployment.mjs";
 
-const TASK_COUNT = 780;
+const TASK_COUNT = 1_560;
 const TASK_MS = 4_000;
-const TASK_CPU = 20;
+const TASK_CPU = 10;
 const KILL_BEFORE_FIRST_END_MS = 500;
 /** `node_kill` of the site's list: the node is back after this time. */
 const NODE_DOWN_MS = 3_500;
