Keep a worker whose registration lapses before its first report

Cause: an unregistered worker without known runs was dropped before it had reported. Its session still applied a report to the dropped record, so that the task's run was one that nothing looks at. Related paths with the same second half: a VM listed as down, a move, and another start of the process, each beside a report on its way.

Change: an unregistered worker is dropped once it has reported and runs nothing, and the report of a removed record is ignored.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -363,7 +363,7 @@
     });
   }
 
-  /** Drops the runs of workers whose lease expired, and unlisted workers without runs. */
+  /** Drops the runs of workers whose lease expired, and unlisted workers that run nothing. */
   expireLeases(nowMs: number): void {
     for (const worker of [...this.workers.values()]) {
       if (worker.runs.size > 0 && worker.hasClock && nowMs > worker.leaseExpiryMs()) {
@@ -377,19 +377,28 @@
           this.#loseRun(run, nowMs, "the lease expired");
         }
       }
-      if (!worker.isListed && worker.runs.size === 0) {
+      if (!worker.isListed && isKnownIdle(worker)) {
         this.workers.delete(worker.info.workerId);
       }
     }
   }
 
   /**
-   * Applies a worker's full report, whose state dates from between the request and the response.
+   * Applies a worker's full report, whose state dates from between the request and the response. A worker
+   * that has been removed meanwhile is left alone: nothing would ever end a run that it took over.
    */
   applyReport(worker: WorkerRecord, report: schema.scheduling.WorkerReport, at: {
     readonly sentAtMs: number;
     readonly receivedAtMs: number;
   }): void {
+    if (this.workers.get(worker.info.workerId) !== worker) {
+      this.#options.log.info("Ignored the report of a removed worker", {
+        worker: worker.info.workerId,
+        running: report.running.length,
+        ends: report.ends.length,
+      });
+      return;
+    }
     worker.setClock(report.workerClockMs, at.receivedAtMs);
     if (!worker.hasReported) {
       worker.recordPreviousLease();
@@ -1088,6 +1097,11 @@
   }
 }
 
+/** Whether the worker is known to run nothing; before its first report it may run tasks of a previous owner. */
+function isKnownIdle(worker: WorkerRecord): boolean {
+  return worker.hasReported && worker.runs.size === 0 && worker.unknownTasks.size === 0;
+}
+
 function updateRun(run: Run, reported: schema.scheduling.ReportedRun, nowMs: number): void {
   run.confirmedAtMs ??= nowMs;
   run.delivery = "sent";
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -5,10 +5,12 @@
  *
  * @module
  */
+import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
 import * as storeKeys from "./store_keys.ts";
 import {
   crossWithSeeds,
+  DOCUMENTS,
   type FaultInjector,
   isAt,
   STEP_MS,
@@ -221,6 +223,38 @@
   },
 );
 
+// Guards against a sound run that the new owner stops and never starts again.
+test.each(SEEDS)(
+  "keeps a run whose worker's registration lapses during a takeover, seed %s",
+  async (seed) => {
+    const world = new World(seed, { failureProbability: 0 });
+    await vi.advanceTimersByTimeAsync(2_000);
+    const step = testing.schedulingFixtures.step({ estimateMs: 16_000 });
+    const [jobId] = await Promise.all([
+      world.submitSteps([step], "quick"),
+      vi.advanceTimersByTimeAsync(1_000),
+    ]);
+    const vm = world.fleet.vmNames.find((name) => world.fleet.runsOn(name) > 0)!;
+    const worker = world.fleet.workerOf(vm);
+    // The next heartbeat after the cut is lost, and the registration goes with the third.
+    world.fleet.faults.blockedLinks.add(`*>${worker}`);
+    world.fleet.faults.vmsCutFromStore.add(vm);
+    await vi.advanceTimersByTimeAsync(500);
+    world.restartOwner();
+    const entryKey = `${DOCUMENTS.workerPrefix}${worker}`;
+    while (world.store.read(entryKey) !== undefined) {
+      await vi.advanceTimersByTimeAsync(STEP_MS);
+    }
+    world.fleet.faults.blockedLinks.clear();
+    world.fleet.faults.vmsCutFromStore.clear();
+    await vi.advanceTimersByTimeAsync(25_000);
+    const state = world.storedState(jobId);
+    world.nodes.forEach((node) => node.kill());
+    expect({ state, starts: world.witness.startCount, violations: world.witness.violations })
+      .toEqual({ state: "complete", starts: 1, violations: [] });
+  },
+);
+
 /** Task ends have to be acknowledged within this time at every known site. */
 const ACKNOWLEDGEMENT_BOUND_MS = 4_000;
 
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -48,7 +48,8 @@
   }],
 };
 
-const DOCUMENTS = testing.schedulingFixtures.documents({
+/** The documents of the model store. */
+export const DOCUMENTS = testing.schedulingFixtures.documents({
   decodeConfig: () => ok(CONFIG),
   decodeWorker: (_key, text) => ok(JSON.parse(text) as schema.scheduling.WorkerInfo),
   decodeWave: (text) => ok(JSON.parse(text) as schema.scheduling.MaintenanceWave),
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -216,6 +216,11 @@
     return this.#vms.get(vm)?.worker?.workerId;
   }
 
+  /** The number of runs at work on a VM. */
+  runsOn(vm: string): number {
+    return this.#vms.get(vm)?.worker?.runs.size ?? 0;
+  }
+
   /** The names of the VMs with a label. */
   vmsWithLabel(label: string): string[] {
     return [...this.#vms.values()].filter(({ labels }) => labels.includes(label))
