Ask about further workers while a queue's policy allows none of those asked

Cause: a refusal was not kept, so each request began with the same workers again. On the same path, no further worker was asked about while those with tickets were full, and one refused ticket dropped all of a step.

Full workers are not asked about while the step has tickets.

--- a/packages/policy/src/scheduling/placement.ts
+++ b/packages/policy/src/scheduling/placement.ts
@@ -95,8 +95,18 @@
     .reduce((free, run) => resources.subtract(free, run.allocation), worker.info.total);
 }
 
+/** The workers that may run the step's tasks, regardless of their free capacity. */
+export function eligibleWorkers(request: EligibilityRequest): WorkerRecord[] {
+  return request.workers.filter((worker) => isEligible(request, worker));
+}
+
+/** Whether the worker has the free capacity for one more task of the step. */
+export function hasRoom(step: StepRecord, worker: WorkerRecord): boolean {
+  return resources.fits(resources.allocationOf(step.spec), worker.free);
+}
+
 function canPlace(request: PlacementRequest, worker: WorkerRecord): boolean {
-  return resources.fits(resources.allocationOf(request.step.spec), worker.free) &&
+  return hasRoom(request.step, worker) &&
     isEligible(request, worker) && (!request.isApart || worker.isFreeFor(request.step.job));
 }
 
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -271,6 +271,7 @@
   dropWorker(worker: WorkerRecord, nowMs: number, reason: string): void {
     worker.hasEnded = true;
     this.#endedIncarnations.record(worker.info, nowMs);
+    this.#advice.forgetWorker(worker.info.workerId);
     for (const run of [...worker.runs.values()]) {
       this.#loseRun(run, nowMs, reason);
     }
@@ -480,7 +481,7 @@
       reason: outcome.reason,
     });
     if (outcome.reason === "ticket") {
-      this.#advice.invalidate(run.step);
+      this.#advice.invalidateTicket(run.step, run.workerId);
     } else if (outcome.reason !== "old" && outcome.reason !== "late") {
       worker.recordFailure(run.step.job.job.jobId, nowMs);
     }
@@ -505,12 +506,16 @@
 
   /** Caches the tickets that the advice service granted, up to a monotonic time. */
   recordAdvice(step: StepRecord, tickets: Tickets, untilMs: number): void {
-    this.#advice.recordAnswer(step, tickets, untilMs);
+    if (!step.job.isOver) {
+      this.#advice.recordAnswer(step, tickets, untilMs);
+    }
   }
 
   /** Records that an advice request failed; the next decision repeats it. */
   recordAdviceFailure(step: StepRecord): void {
-    this.#advice.recordFailure(step);
+    if (!step.job.isOver) {
+      this.#advice.recordFailure(step);
+    }
   }
 
   /** Places ready tasks and adjusts paces; returns the orders given since the last call. */
@@ -736,10 +741,6 @@
     const { pool, reserved, nowMs, queue } = context;
     const { workers } = pool;
     const tickets = queue.advice === undefined ? undefined : this.#advice.ticketsFor(step, nowMs);
-    if (queue.advice !== undefined && tickets === undefined) {
-      this.#requestAdvice(step, workers, nowMs);
-      return;
-    }
     const waiting = step.hasCrashes
       ? step.waitingTasks().filter((task) => !crashSuspicion.isHeld(task))
       : step.waitingTasks();
@@ -758,6 +759,10 @@
       const worker = task.crashes === undefined
         ? this.#chooseWorker(task, choice)
         : this.#chooseWorkerForSuspect(task, choice);
+      const mightHelp = tickets?.size === 0 || pool.mightFit(resources.allocationOf(step.spec));
+      if (worker === undefined && tickets !== undefined && mightHelp) {
+        this.#requestAdvice({ step, workers, reserved, nowMs });
+      }
       if (worker === undefined && !step.spec.isGang && this.#needsOwnWorker(task, nowMs)) {
         continue;
       }
@@ -868,10 +873,10 @@
     }
   }
 
-  #requestAdvice(step: StepRecord, workers: readonly WorkerRecord[], nowMs: number): void {
-    const workerIds = this.#advice.workersToAsk(step, workers, nowMs);
+  #requestAdvice(request: EligibilityRequest): void {
+    const workerIds = this.#advice.workersToAsk(request);
     if (workerIds.length > 0) {
-      this.#orders.push({ kind: "advise", step, workerIds });
+      this.#orders.push({ kind: "advise", step: request.step, workerIds });
     }
   }
 
@@ -1031,7 +1036,7 @@
     this.#active.delete(job);
     this.#dirty.add(job);
     for (const step of job.occurrences.flat()) {
-      this.#advice.invalidate(step);
+      this.#advice.forgetStep(step);
     }
     for (const run of job.runs()) {
       this.#stop(run, `the job is ${state}`);
