Keep records only for tasks and occurrences of which something is known

Cause: the memory of an owner grew with the tasks that jobs describe. Steps of 100,000 tasks that are due have the same cause, and the stored progress of a long timetable outgrew an item of the store.

Change: records come with the due time or the first run and go with the end. A decision looks at 64 ready steps of a job at a time.

--- a/packages/policy/src/scheduling/crash_suspicion_test.ts
+++ b/packages/policy/src/scheduling/crash_suspicion_test.ts
@@ -182,7 +182,7 @@
     state: "active",
     steps: [{ occurrence: 0, step: 0, doneTasks: [], failedRuns: [], crashes }],
   });
-  expect(crashSuspicion.isolationOf(restored.step(0, 0)!.tasks[0]!, 10_000)).toBe("required");
+  expect(crashSuspicion.isolationOf(restored.step(0, 0)!.task(0)!, 10_000)).toBe("required");
 });
 
 test.each([
@@ -243,13 +243,13 @@
   expect(progress.steps).toMatchObject([{ crashes: [{ task: 0, count: 1, aloneOn: ["a"] }] }]);
   const restored = job("j");
   restored.restore(progress);
-  expect(restored.step(0, 0)!.tasks[0]!.crashes).toMatchObject({ count: 1, storedCount: 1 });
+  expect(restored.step(0, 0)!.task(0)!.crashes).toMatchObject({ count: 1, storedCount: 1 });
   const earlier = job("j");
   earlier.restore({
     state: "active",
     steps: [{ occurrence: 0, step: 0, doneTasks: [], failedRuns: [] }],
   });
-  expect(earlier.step(0, 0)!.tasks[0]!.crashes).toBeUndefined();
+  expect(earlier.step(0, 0)!.task(0)!.crashes).toBeUndefined();
   expect(run.task.crashes).toMatchObject({ hasUnstored: true });
   owner.snapshotCrashes()();
   expect(run.task.crashes).toMatchObject({ hasUnstored: false });
--- a/packages/policy/src/scheduling/evacuation.ts
+++ b/packages/policy/src/scheduling/evacuation.ts
@@ -46,10 +46,11 @@
 }
 
 function countUnavailableOthers(run: Run, nowMs: number): number {
-  return run.step.tasks.filter((task) => task !== run.task && !isAvailable(task.run, nowMs)).length;
+  const others = run.step.runs().filter((other) => other.task !== run.task);
+  return run.step.spec.taskCount - 1 - others.filter((other) => isAvailable(other, nowMs)).length;
 }
 
-function isAvailable(run: Run | undefined, nowMs: number): boolean {
-  return run?.state === "running" && run.percent >= FULL_SPEED_PERCENT &&
+function isAvailable(run: Run, nowMs: number): boolean {
+  return run.state === "running" && run.percent >= FULL_SPEED_PERCENT &&
     nowMs >= run.mayBeStoppingUntilMs;
 }
--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type * as schema from "@jackdawlink/schema";
+import * as schema from "@jackdawlink/schema";
+import { CompletionSet } from "./completion_set.ts";
 import { CrashHistory } from "./crash_history.ts";
 import { formatTaskName } from "./task_names.ts";
 
@@ -51,6 +52,14 @@
   mayBeStoppingUntilMs: number;
 }
 
+/**
+ * The occurrences that are done are stored with all their tasks for jobs of up to so many, as earlier
+ * versions read nothing else and would run the tasks again.
+ */
+const MAX_LISTED_TASKS = 2_000;
+/** As many ready steps of a job are considered at a time, or all of its earliest occurrence. */
+const MIN_READY_STEPS = 64;
+
 export function runKey(taskName: string, runId: number): string {
   return `${taskName}#${runId}`;
 }
@@ -80,28 +89,39 @@
   }
 }
 
-/** The tasks of one step of one occurrence. */
+/**
+ * The tasks of one step of one occurrence. A task has a record only while something is known of it: that it
+ * runs, has run, or is looked at. A step may have many thousands of tasks that wait or are done.
+ */
 export class StepRecord {
   readonly job: JobRecord;
   readonly occurrence: number;
   readonly number: number;
   readonly spec: schema.scheduling.Step;
-  readonly tasks: readonly TaskRecord[];
-  doneCount = 0;
+  readonly #tasks = new Map<number, TaskRecord>();
+  readonly #done: CompletionSet;
   /** The number of tasks without a run that aren't done; a counter, as every decision reads it. */
   waitingCount: number;
+  /** No task below this number waits. */
+  #firstWaiting = 0;
+  /** Whether a task of the step has been at work on a worker that crashed. */
+  hasCrashes = false;
 
-  constructor(job: JobRecord, occurrence: number, number: number) {
+  constructor(job: JobRecord, { occurrence, number, isDone }: {
+    readonly occurrence: number;
+    readonly number: number;
+    readonly isDone: boolean;
+  }) {
     this.job = job;
     this.occurrence = occurrence;
     this.number = number;
     this.spec = job.job.spec.steps[number]!;
-    this.waitingCount = this.spec.taskCount;
-    this.tasks = Array.from({ length: this.spec.taskCount }, (_, index) =>
-      new TaskRecord(
-        formatTaskName({ jobId: job.job.jobId, occurrence, step: number, index }),
-        index,
-      ));
+    const { taskCount } = this.spec;
+    this.waitingCount = isDone ? 0 : taskCount;
+    this.#done = new CompletionSet(taskCount);
+    if (isDone) {
+      this.#done.addRange([0, taskCount - 1]);
+    }
   }
 
   /** The name of the step in advice requests. */
@@ -109,16 +129,45 @@
     return `${this.job.job.jobId}.${this.occurrence}.${this.number}`;
   }
 
-  /** Whether a task of the step has been at work on a worker that crashed. */
-  hasCrashes = false;
-
   get isDone(): boolean {
-    return this.doneCount === this.spec.taskCount;
+    return this.#done.isComplete;
+  }
+
+  /** The numbers of the tasks that are done, in ascending order. */
+  get doneTasks(): Iterable<number> {
+    return this.#done;
+  }
+
+  /** The tasks of which more is known than that they wait or are done. */
+  get knownTasks(): Iterable<TaskRecord> {
+    return this.#tasks.values();
+  }
+
+  /** The task with a number; undefined if the step has no such task. */
+  task(index: number): TaskRecord | undefined {
+    let task = this.#tasks.get(index);
+    if (task === undefined && index >= 0 && index < this.spec.taskCount) {
+      const { job: { job: { jobId } }, occurrence, number } = this;
+      task = new TaskRecord(formatTaskName({ jobId, occurrence, step: number, index }), index);
+      task.isDone = this.#done.has(index);
+      this.#tasks.set(index, task);
+    }
+    return task;
   }
 
-  /** The tasks that are neither done nor have a run. */
-  waitingTasks(): TaskRecord[] {
-    return this.tasks.filter((task) => task.isWaiting);
+  /** The tasks that are neither done nor have a run; their records are made as they are read. */
+  *waitingTasks(): Generator<TaskRecord> {
+    for (let index = this.#firstWaiting; index < this.spec.taskCount; index++) {
+      if (!this.#done.has(index) && this.#tasks.get(index)?.run === undefined) {
+        yield this.task(index)!;
+      } else if (index === this.#firstWaiting) {
+        this.#firstWaiting = index + 1;
+      }
+    }
+  }
+
+  runs(): Run[] {
+    return [...this.#tasks.values()].flatMap(({ run }) => run ?? []);
   }
 
   /** Sets a task's run; if it has one already, that one is kept. */
@@ -130,26 +179,59 @@
   /** Clears a task's run after its end. */
   release(task: TaskRecord): void {
     task.run = undefined;
-    this.waitingCount += task.isWaiting ? 1 : 0;
+    if (task.isWaiting) {
+      this.waitingCount++;
+      this.#firstWaiting = Math.min(this.#firstWaiting, task.index);
+    }
+    this.#forgetIfDone(task);
   }
 
   markDone(task: TaskRecord): void {
     if (!task.isDone) {
       this.waitingCount -= task.isWaiting ? 1 : 0;
       task.isDone = true;
-      this.doneCount++;
+      this.#done.add(task.index);
+    }
+    this.#forgetIfDone(task);
+  }
+
+  /** Marks the tasks with these numbers as done, as far as there are such tasks. */
+  markAllDone(indexes: Iterable<number>): void {
+    for (const index of indexes) {
+      const task = this.task(index);
+      if (task !== undefined) {
+        this.markDone(task);
+      }
+    }
+  }
+
+  markEveryTaskDone(): void {
+    this.markAllDone(numbersBelow(this.spec.taskCount));
+  }
+
+  #forgetIfDone(task: TaskRecord): void {
+    if (!task.isDone) {
+      return;
+    }
+    if (task.run === undefined) {
+      this.#tasks.delete(task.index);
     }
+    this.job.recordDone(this);
   }
 }
 
-/** One job with all its occurrences. */
+/**
+ * One job with all its occurrences. An occurrence has records only while it is due or something of it is
+ * known, as a timetable may have many thousands of occurrences.
+ */
 export class JobRecord {
   readonly job: Job;
   /** The store's revision when the job was accepted. */
   readonly acceptedRevision: number;
   /** When this process first received the job. */
   readonly seenAtMs: number;
-  readonly #occurrences: (readonly StepRecord[])[] = [];
+  readonly #occurrences = new Map<number, readonly StepRecord[]>();
+  readonly #doneOccurrences: CompletionSet;
   state: JobState = "queued";
   readonly #criticalPathsMs: readonly number[];
   readonly #criticalPathMs: number;
@@ -170,24 +252,48 @@
     this.seenAtMs = seenAtMs;
     this.#criticalPathsMs = computeCriticalPathsMs(job.spec.steps);
     this.#criticalPathMs = this.#criticalPathsMs.reduce((a, b) => Math.max(a, b), 0);
-    const count = job.spec.timetable?.occurrenceCount ?? 1;
-    for (let occurrence = 0; occurrence < count; occurrence++) {
-      this.#occurrences.push(
-        job.spec.steps.map((_, step) => new StepRecord(this, occurrence, step)),
-      );
-    }
+    this.#doneOccurrences = new CompletionSet(this.#occurrenceCount);
   }
 
   get isOver(): boolean {
     return this.state === "complete" || this.state === "failed" || this.state === "cancelled";
   }
 
-  get occurrences(): readonly (readonly StepRecord[])[] {
-    return this.#occurrences;
+  get #occurrenceCount(): number {
+    return this.job.spec.timetable?.occurrenceCount ?? 1;
+  }
+
+  /** The steps of which something is known, in the order of their occurrences. */
+  get knownSteps(): StepRecord[] {
+    return [...this.#occurrences].sort(([a], [b]) => a - b).flatMap(([, steps]) => steps);
   }
 
   step(occurrence: number, step: number): StepRecord | undefined {
-    return this.#occurrences[occurrence]?.[step];
+    return this.#stepsOf(occurrence)?.[step];
+  }
+
+  /** The steps of an occurrence; undefined if the job has no such occurrence. */
+  #stepsOf(occurrence: number): readonly StepRecord[] | undefined {
+    let steps = this.#occurrences.get(occurrence);
+    if (steps === undefined && occurrence >= 0 && occurrence < this.#occurrenceCount) {
+      const isDone = this.#doneOccurrences.has(occurrence);
+      steps = this.job.spec.steps.map((_, number) =>
+        new StepRecord(this, { occurrence, number, isDone })
+      );
+      this.#occurrences.set(occurrence, steps);
+    }
+    return steps;
+  }
+
+  /** Records that a task of a step is done; drops the step's occurrence once nothing of it is left to do. */
+  recordDone({ occurrence, isDone }: StepRecord): void {
+    const steps = isDone ? this.#occurrences.get(occurrence) : undefined;
+    if (steps?.every((step) => step.isDone)) {
+      this.#doneOccurrences.add(occurrence);
+      if (steps.every((step) => step.runs().length === 0)) {
+        this.#occurrences.delete(occurrence);
+      }
+    }
   }
 
   /** The earliest start of an occurrence, in Unix ms; zero for a job without a timetable. */
@@ -196,24 +302,48 @@
     return timetable === undefined ? 0 : timetable.startUnixMs + occurrence * timetable.intervalMs;
   }
 
-  /** The steps with waiting tasks that are due and whose preceding steps are done. */
+  /**
+   * The steps with waiting tasks that are due and whose preceding steps are done, of the earliest
+   * occurrences; the next ones follow once these have been placed.
+   */
   readySteps(wallMs: number): StepRecord[] {
     const ready: StepRecord[] = [];
     if (this.isOver) {
       return ready;
     }
-    for (const steps of this.#occurrences) {
+    const dueCount = this.#dueCount(wallMs);
+    for (let occurrence = this.#doneOccurrences.firstOpen; occurrence < dueCount; occurrence++) {
+      if (this.#doneOccurrences.has(occurrence)) {
+        continue;
+      }
+      const steps = this.#stepsOf(occurrence)!;
       for (const step of steps) {
-        const isReady = step.waitingCount > 0 && this.dueUnixMs(step.occurrence) <= wallMs &&
-          step.spec.afterSteps.every((after) => steps[after]!.isDone);
-        if (isReady) {
+        if (step.waitingCount > 0 && step.spec.afterSteps.every((after) => steps[after]!.isDone)) {
           ready.push(step);
         }
       }
+      if (ready.length >= MIN_READY_STEPS) {
+        break;
+      }
     }
     return ready;
   }
 
+  /** How many occurrences are due. */
+  #dueCount(wallMs: number): number {
+    const { timetable } = this.job.spec;
+    if (timetable === undefined) {
+      return 1;
+    }
+    const { occurrenceCount, startUnixMs, intervalMs } = timetable;
+    if (wallMs < startUnixMs) {
+      return 0;
+    }
+    return intervalMs === 0
+      ? occurrenceCount
+      : Math.min(occurrenceCount, Math.floor((wallMs - startUnixMs) / intervalMs) + 1);
+  }
+
   /** The estimated critical path from a step's start to the end of its occurrence. */
   criticalPathFromMs(step: number): number {
     return this.#criticalPathsMs[step]!;
@@ -226,7 +356,7 @@
 
   /** Whether all tasks are done; never true for a job with long-running tasks. */
   isAllDone(): boolean {
-    return this.#occurrences.every((steps) => steps.every((step) => step.isDone));
+    return this.#doneOccurrences.isComplete;
   }
 
   /** Whether the job is over and has no runs, so its spec is no longer needed. */
@@ -235,17 +365,18 @@
   }
 
   runs(): Run[] {
-    return this.#occurrences.flat().flatMap((step) => step.tasks.flatMap((task) => task.run ?? []));
+    return [...this.#occurrences.values()].flatMap((steps) => steps.flatMap((step) => step.runs()));
   }
 
-  /** The progress to store: the state, finished tasks and failed runs. */
+  /** The progress to store: the state, what is done, failed runs and crashes. */
   progress(): schema.scheduling.JobProgress {
-    const steps = this.#occurrences.flat()
+    const openSteps = this.knownSteps
+      .filter(({ occurrence }) => !this.#doneOccurrences.has(occurrence))
       .map((step) => ({
         occurrence: step.occurrence,
         step: step.number,
-        doneTasks: step.tasks.filter(({ isDone }) => isDone).map(({ index }) => index),
-        failedRuns: step.tasks
+        doneTasks: [...step.doneTasks],
+        failedRuns: [...step.knownTasks]
           .filter(({ failedRuns }) => failedRuns.size > 0)
           .map(({ index, failedRuns }): [number, number[]] => [index, [...failedRuns]]),
         ...crashesOf(step),
@@ -253,13 +384,32 @@
       .filter(({ doneTasks, failedRuns, crashes = [] }) =>
         doneTasks.length + failedRuns.length + crashes.length > 0
       );
-    return { state: this.state, steps };
+    if (schema.scheduling.countTasks(this.job.spec) <= MAX_LISTED_TASKS) {
+      return { state: this.state, steps: [...this.#doneSteps(), ...openSteps] };
+    }
+    const doneOccurrences = this.#doneOccurrences.ranges().map(([first, last]) => ({
+      first,
+      last,
+    }));
+    return { state: this.state, steps: openSteps, doneOccurrences };
+  }
+
+  /** The progress of the steps of the occurrences that are done. */
+  #doneSteps(): schema.scheduling.StepProgress[] {
+    return [...this.#doneOccurrences].flatMap((occurrence) =>
+      this.job.spec.steps.map(({ taskCount }, step) => ({
+        occurrence,
+        step,
+        doneTasks: [...numbersBelow(taskCount)],
+        failedRuns: [],
+      }))
+    );
   }
 
   /** Captures the crashes counted so far; the returned function marks them as stored. */
   snapshotCrashes(): () => void {
-    const counts = this.#occurrences.flat().flatMap(({ tasks }) =>
-      tasks.flatMap(({ crashes }) =>
+    const counts = this.knownSteps.flatMap(({ knownTasks }) =>
+      [...knownTasks].flatMap(({ crashes }) =>
         crashes?.hasUnstored ? [{ crashes, count: crashes.count }] : []
       )
     );
@@ -275,31 +425,36 @@
   restore(progress: schema.scheduling.JobProgress): void {
     this.state = progress.state;
     this.storedState = progress.state;
+    for (const { first, last } of progress.doneOccurrences ?? []) {
+      this.#doneOccurrences.addRange([first, last]);
+    }
     for (const { occurrence, step, doneTasks, failedRuns, crashes = [] } of progress.steps) {
       const record = this.step(occurrence, step);
-      doneTasks.forEach((index) => {
-        const task = record?.tasks[index];
-        if (task !== undefined) {
-          record!.markDone(task);
-        }
-      });
       failedRuns.forEach(([index, runIds]) => {
-        runIds.forEach((runId) => record?.tasks[index]?.failedRuns.add(runId));
+        runIds.forEach((runId) => record?.task(index)?.failedRuns.add(runId));
       });
       crashes.forEach(({ task: index, count, aloneOn }) => {
-        const task = record?.tasks[index];
+        const task = record?.task(index);
         if (task !== undefined) {
           record!.hasCrashes = true;
           task.crashes = CrashHistory.restore(count, aloneOn);
         }
       });
+      record?.markAllDone(doneTasks);
     }
   }
 }
 
+/** The numbers from 0 to `count` - 1. */
+function* numbersBelow(count: number): Generator<number> {
+  for (let number = 0; number < count; number++) {
+    yield number;
+  }
+}
+
 /** The crashes to store of a step's unfinished tasks. */
 function crashesOf(step: StepRecord): Pick<schema.scheduling.StepProgress, "crashes"> {
-  const crashes = step.tasks.flatMap((task) =>
+  const crashes = [...step.knownTasks].flatMap((task) =>
     task.crashes === undefined || task.isDone
       ? []
       : [{ task: task.index, count: task.crashes.count, aloneOn: [...task.crashes.aloneOn] }]
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -272,7 +272,9 @@
     const job = new JobRecord(fixtures.job("l", [spec]), { acceptedRevision: 1, seenAtMs: 0 });
     const step = job.step(0, 0)!;
     const { worker } = view;
-    step.tasks.forEach((task) => worker!.addRun({ ...runOn(worker!, {}), step, task }));
+    [...step.waitingTasks()].forEach((task) =>
+      worker!.addRun({ ...runOn(worker!, {}), step, task })
+    );
     return view;
   };
   const wanted = new Set<string>();
@@ -348,13 +350,13 @@
     });
     const job = new JobRecord(fixtures.job("j", [spec]), { acceptedRevision: 1, seenAtMs: 0 });
     const step = job.step(0, 0)!;
-    for (const task of step.tasks) {
+    for (const task of step.waitingTasks()) {
       const run = { ...runOn(worker, {}), step, task };
       worker.removeRun(task.run ?? run, 0);
       task.run = run;
     }
     worker.runs.clear();
-    step.tasks.forEach((task) => worker.addRun(task.run!));
+    step.runs().forEach((run) => worker.addRun(run));
     return { worker, step };
   };
 
@@ -364,19 +366,19 @@
     expect(chosen).toHaveLength(1);
     chosen[0]!.state = "stopping";
     expect(evacuation.runsToEvacuate(worker, { nowMs: 0, isUrgent: true })).toEqual([]);
-    expect(step.tasks).toHaveLength(3);
+    expect(step.runs()).toHaveLength(3);
   });
 
   test("stops no long-running task while another one is not at full speed", () => {
     const { step } = longRunning(2);
-    step.tasks[1]!.run!.percent = 50;
-    expect(evacuation.canStopLongRunning(step.tasks[0]!.run!, 0)).toBe(false);
+    step.task(1)!.run!.percent = 50;
+    expect(evacuation.canStopLongRunning(step.task(0)!.run!, 0)).toBe(false);
   });
 
   test("stops no long-running task while a previous owner may be stopping another one", () => {
     const { step } = longRunning(2);
-    step.tasks[1]!.run!.mayBeStoppingUntilMs = 2_000;
-    const run = step.tasks[0]!.run!;
+    step.task(1)!.run!.mayBeStoppingUntilMs = 2_000;
+    const run = step.task(0)!.run!;
     expect([1_999, 2_000].map((nowMs) => evacuation.canStopLongRunning(run, nowMs)))
       .toEqual([false, true]);
   });
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -39,6 +39,7 @@
 /** How many workers a pool gets at a time for suspects that wait for one of their own. */
 const MAX_WORKERS_FOR_SUSPECTS = 2;
 const MAX_LOGGED_SUSPECTS = 8;
+const NO_TASKS: ReadonlySet<TaskRecord> = new Set();
 
 /** A command that the caller carries out against a worker or the advice service. */
 export type Order =
@@ -230,7 +231,7 @@
    * without one of its tasks, so all of its runs are withdrawn.
    */
   withdrawStart(run: Run, reason: string): void {
-    const runs = run.step.spec.isGang ? run.step.tasks.flatMap((task) => task.run ?? []) : [run];
+    const runs = run.step.spec.isGang ? run.step.runs() : [run];
     for (const each of runs) {
       if (each.state !== "stopping") {
         this.#stop(each, reason);
@@ -645,7 +646,7 @@
       const pool = this.#queues.get(queue)?.pool;
       const used = planned.get(workspace) ?? this.#workspaces.used(workspace);
       const limit = this.#workspaces.limit(workspace);
-      const maxCount = step.waitingTasks().length;
+      const maxCount = step.waitingCount;
       const count = resources.countWithinLimit(step.spec.resources, { used, limit, maxCount });
       planned.set(workspace, resources.add(used, step.spec.resources, count));
       if (pool !== undefined) {
@@ -678,9 +679,9 @@
     const counts = new Map<string, number>();
     for (const job of this.#active) {
       const pool = this.queueOf(job)?.pool;
-      const waiting = job.occurrences.flat()
+      const waiting = job.knownSteps
         .filter(({ hasCrashes }) => hasCrashes)
-        .flatMap(({ tasks }) => tasks.filter((task) => this.#needsOwnWorker(task, nowMs)));
+        .flatMap((step) => this.#tasksForOwnWorkers(step, nowMs));
       if (pool !== undefined && waiting.length > 0) {
         const count = (counts.get(pool) ?? 0) + waiting.length;
         counts.set(pool, Math.min(MAX_WORKERS_FOR_SUSPECTS, count));
@@ -704,7 +705,7 @@
     const jobIdsOfUnknownTasks = this.#jobIdsOfUnknownTasks();
     // Tasks that need a worker of their own come first, as they would find none after the others.
     const needsWorker = ready.filter(({ step }) =>
-      step.hasCrashes && step.tasks.some((task) => this.#needsOwnWorker(task, now.nowMs))
+      step.hasCrashes && this.#tasksForOwnWorkers(step, now.nowMs).length > 0
     );
     const ordered = needsWorker.length === 0 ? ready : [
       ...needsWorker,
@@ -721,6 +722,10 @@
     }
   }
 
+  #tasksForOwnWorkers(step: StepRecord, nowMs: number): TaskRecord[] {
+    return [...step.knownTasks].filter((task) => this.#needsOwnWorker(task, nowMs));
+  }
+
   #needsOwnWorker(task: TaskRecord, nowMs: number): boolean {
     return task.isWaiting && !crashSuspicion.isHeld(task) &&
       crashSuspicion.isolationOf(task, nowMs) === "required";
@@ -762,17 +767,16 @@
     const { pool, reserved, nowMs, queue } = context;
     const { workers } = pool;
     const tickets = queue.advice === undefined ? undefined : this.#advice.ticketsFor(step, nowMs);
-    const waiting = step.hasCrashes
-      ? step.waitingTasks().filter((task) => !crashSuspicion.isHeld(task))
-      : step.waitingTasks();
-    if (step.spec.isGang && waiting.length < step.spec.taskCount) {
+    const held = step.hasCrashes ? heldTasks(step) : NO_TASKS;
+    if (step.spec.isGang && step.waitingCount - held.size < step.spec.taskCount) {
       return;
     }
     const placed: Run[] = [];
-    const runId = step.spec.isGang
-      ? Math.max(...step.tasks.map((task) => this.#nextRunId(task)))
-      : undefined;
-    for (const task of waiting) {
+    const gangRunId = step.spec.isGang ? this.#nextGangRunId(step) : undefined;
+    for (const task of step.waitingTasks()) {
+      if (held.has(task)) {
+        continue;
+      }
       if (!this.#workspaces.hasCapacity(step.job.job.workspace, step.spec.resources)) {
         break;
       }
@@ -792,7 +796,7 @@
         break;
       }
       placed.push(
-        this.#addRun(step, task, worker, { runId: runId ?? this.#nextRunId(task), nowMs }),
+        this.#addRun(step, task, worker, { runId: gangRunId ?? this.#nextRunId(task), nowMs }),
       );
     }
     if (step.spec.isGang && placed.length < step.spec.taskCount) {
@@ -901,8 +905,22 @@
     }
   }
 
+  /** The first id of this term. */
+  get #firstRunId(): number {
+    return (this.#options.term - 1) * RUN_IDS_PER_TERM + 1;
+  }
+
   #nextRunId(task: TaskRecord): number {
-    return Math.max(task.lastRunId, (this.#options.term - 1) * RUN_IDS_PER_TERM) + 1;
+    return Math.max(task.lastRunId + 1, this.#firstRunId);
+  }
+
+  /** The tasks of a gang share the id of their runs. */
+  #nextGangRunId(step: StepRecord): number {
+    let runId = this.#firstRunId;
+    for (const task of step.knownTasks) {
+      runId = Math.max(runId, this.#nextRunId(task));
+    }
+    return runId;
   }
 
   #addRun(step: StepRecord, task: TaskRecord, worker: WorkerRecord, { runId, nowMs }: {
@@ -1016,9 +1034,8 @@
   }
 
   #applyTaskDone(job: JobRecord, step: StepRecord, task: TaskRecord): void {
-    // Tasks of a gang succeed together, so the first end marks all of them done.
-    const done = step.spec.isGang ? step.tasks : [task];
-    for (const each of done) {
+    const { isGang } = step.spec;
+    for (const each of isGang ? step.knownTasks : [task]) {
       if (each.crashes !== undefined && !each.isDone) {
         this.#options.log.info("Suspect cleared, as it is done", {
           job: job.job.jobId,
@@ -1026,9 +1043,14 @@
           crashes: each.crashes.count,
         });
       }
-      step.markDone(each);
-      if (each.run !== undefined && !step.spec.isGang) {
-        this.#stop(each.run, "another run completed the task");
+    }
+    if (isGang) {
+      // Tasks of a gang succeed together, so the first end marks all of them done.
+      step.markEveryTaskDone();
+    } else {
+      step.markDone(task);
+      if (task.run !== undefined) {
+        this.#stop(task.run, "another run completed the task");
       }
     }
     this.#dirty.add(job);
@@ -1042,7 +1064,7 @@
     readonly workerId: string;
   }): void {
     // Tasks of a gang fail together, so failures are counted on the first task.
-    const counted = step.spec.isGang ? step.tasks[0]! : task;
+    const counted = step.spec.isGang ? step.task(0)! : task;
     counted.failedRuns.add(failed.runId);
     task.failedOn.add(failed.workerId);
     this.#dirty.add(job);
@@ -1056,7 +1078,7 @@
     job.state = state;
     this.#active.delete(job);
     this.#dirty.add(job);
-    for (const step of job.occurrences.flat()) {
+    for (const step of job.knownSteps) {
       this.#advice.forgetStep(step);
     }
     for (const run of job.runs()) {
@@ -1082,7 +1104,7 @@
     const path = parseTaskName(taskName);
     const job = path && this.jobs.get(path.jobId);
     const step = path && job?.step(path.occurrence, path.step);
-    const task = path && step?.tasks[path.index];
+    const task = path && step?.task(path.index);
     return job && step && task ? { job, step, task } : undefined;
   }
 
@@ -1128,6 +1150,13 @@
   return worker.hasReported && worker.runs.size === 0 && worker.unknownTasks.size === 0;
 }
 
+/** The tasks that must not start yet, as their last crash is not explained or not stored. */
+function heldTasks(step: StepRecord): Set<TaskRecord> {
+  return new Set(
+    [...step.knownTasks].filter((task) => task.isWaiting && crashSuspicion.isHeld(task)),
+  );
+}
+
 function updateRun(run: Run, reported: schema.scheduling.ReportedRun, nowMs: number): void {
   run.confirmedAtMs ??= nowMs;
   run.delivery = "sent";
@@ -1153,6 +1182,6 @@
   step: StepRecord,
   workers: ReadonlyMap<string, WorkerRecord>,
 ): string | undefined {
-  const run = step.tasks.find((task) => task.run !== undefined)?.run;
+  const [run] = step.runs();
   return run === undefined ? undefined : workers.get(run.workerId)?.info.labels.at(-1);
 }
--- a/packages/policy/src/scheduling/test/fixtures.ts
+++ b/packages/policy/src/scheduling/test/fixtures.ts
@@ -77,7 +77,7 @@
 export function run(step: StepRecord, worker: WorkerRecord, given: Partial<Run> = {}): Run {
   return {
     step,
-    task: step.tasks[0]!,
+    task: step.task(0)!,
     runId: 1,
     workerId: worker.info.workerId,
     orderedAtMs: 0,
--- a/packages/policy/src/scheduling/worker_reports_test.ts
+++ b/packages/policy/src/scheduling/worker_reports_test.ts
@@ -138,7 +138,7 @@
   const worker = scheduler.workers.get("w1")!;
   const running = [RUNNING].filter(() => report.hasMoreEnds !== true);
   scheduler.applyReport(worker, fixtures.emptyReport({ running, ...report }), AT);
-  expect(scheduler.jobs.get("j")!.step(0, 0)!.tasks[1]!.run).toBeDefined();
+  expect(scheduler.jobs.get("j")!.step(0, 0)!.task(1)!.run).toBeDefined();
   expect(orders(scheduler)).toEqual([]);
 });
 
--- a/packages/schema/src/scheduling.ts
+++ b/packages/schema/src/scheduling.ts
@@ -63,8 +63,7 @@
 });
 
 /**
- * The most tasks of a job over all occurrences. The owner keeps all of them in memory, so that a single job
- * beyond any real one could end each owner in turn.
+ * The most tasks of a job over all occurrences. Their progress has to fit into one item of the store.
  */
 export const MAX_TASKS_PER_JOB = 100_000;
 
@@ -123,7 +122,10 @@
 /** The progress of a job as stored. */
 export const jobProgressSchema = v.object({
   state: jobStateSchema,
+  /** The steps of the other occurrences, as far as there is progress. */
   steps: v.array(stepProgressSchema),
+  /** The occurrences that are done; earlier versions list the steps of these too. */
+  doneOccurrences: v.optional(v.array(v.object({ first: countSchema, last: countSchema }))),
 });
 
 /** The elected leader that schedules; the store revision of the record is its fencing token. */
