Stop a run whose repeated start was refused, as the first order may come late

A task ran again after it was done, or beside its next run, when the first copy of a start got no answer, its repetition was refused, and the first copy was carried out seconds later.

Cause: the refusal of one copy counted for all copies, and no stop kept the worker from the others.

Change: such a run is withdrawn by a stop, which bars all copies of its start.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -508,7 +508,8 @@
       worker.recordFailure(run.step.job.job.jobId, nowMs);
     }
     if (isRepeated) {
-      run.verifyAfterMs = nowMs;
+      // An earlier order may be carried out seconds later; only a stop keeps the worker from that.
+      this.withdrawStart(run, `a repeated start was refused: ${outcome.reason}`);
     } else {
       this.#loseRun(run, nowMs, `refused: ${outcome.reason}`);
     }
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -712,3 +712,20 @@
   put(scheduler, fixtures.job("k", [testing.schedulingFixtures.step()]));
   expect(starts(scheduler.decide(NOW))).toEqual(["k.0.0.0#1 w2"]);
 });
+
+// Guards against a start that is carried out late, after its run has been given up.
+test.each([
+  { name: "the first order", isRepeated: false, expected: ["start j.0.0.0#2"] },
+  { name: "a repetition", isRepeated: true, expected: ["stop j.0.0.0#1"] },
+])("when $name of a start is refused, orders $expected", ({ isRepeated, expected }) => {
+  const scheduler = fixtures.scheduler(["w1"]);
+  put(scheduler, fixtures.job("j", [testing.schedulingFixtures.step()]));
+  const [order] = scheduler.decide(NOW);
+  const { run } = order as Extract<typeof order, { kind: "start" }>;
+  const refused = { kind: "refused", reason: "429" } as const;
+  scheduler.recordStartOutcome(run, refused, { nowMs: 10_000, isRepeated });
+  const orders = scheduler.decide(NOW).flatMap((next) =>
+    "run" in next ? [`${next.kind} ${next.run.task.name}#${next.run.runId}`] : []
+  );
+  expect(orders).toEqual(expected);
+});
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -42,6 +42,13 @@
       }
     },
   },
+  {
+    name: "starts are late, and their repetitions are refused",
+    injectFaults: (world, atMs) => {
+      world.fleet.faults.lateOrderProbability = atMs < TRAFFIC_MS ? 0.3 : 0;
+      world.fleet.faults.startRefusalProbability = atMs < TRAFFIC_MS ? 0.5 : 0;
+    },
+  },
   {
     name: "the store refuses the owner's requests for 6 s, twice",
     injectFaults: (world, atMs) => {
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -46,6 +46,8 @@
   answerLossProbability: number;
   /** Probability that an order is carried out seconds later, without an answer. */
   lateOrderProbability: number;
+  /** Probability that a worker is unhealthy when a start arrives in time, and refuses it. */
+  startRefusalProbability: number;
   /** Blocked `node>worker` pairs; `*` matches any node or any worker. */
   readonly blockedLinks: Set<string>;
   /** VMs whose workers cannot write to the store, though nodes reach them. */
@@ -162,6 +164,7 @@
   readonly faults: FleetFaults = {
     answerLossProbability: 0,
     lateOrderProbability: 0,
+    startRefusalProbability: 0,
     blockedLinks: new Set(),
     vmsCutFromStore: new Set(),
   };
@@ -543,7 +546,7 @@
     order: ports.scheduling.StartOrder,
     { isLate }: OrderContext,
   ): OrderOutcome {
-    const { witness, resourcesOf, behaviour } = this.#options;
+    const { witness, random, resourcesOf, behaviour } = this.#options;
     const fenced = this.#checkFencingToken(worker, order.fencingToken);
     if (fenced !== undefined) {
       return fenced;
@@ -558,6 +561,10 @@
     if (order.leaseUntilWorkerMs <= worker.clockMs()) {
       return { kind: "refused", reason: "late" };
     }
+    const { startRefusalProbability } = this.faults;
+    if (!isLate && startRefusalProbability > 0 && random.chance(startRefusalProbability)) {
+      return { kind: "refused", reason: "429" };
+    }
     this.#renewLease(worker, order.leaseUntilWorkerMs);
     const { durationMs, fails, crashAfterMs } = behaviour(order.task, order.runId);
     const run: ModelRun = {
