Repeat a stop that its worker has refused

A cancelled job's task worked on when its worker refused the stop, as an unhealthy worker does with 429 or 503: any answer counted as a stop carried out, and nothing stopped the run again.

Change: only a stop that was carried out ends the order; a refusal is logged and the stop repeated.

Before: the new test sees one stop and the run at work after 5 s. After: four stops, three of them refused, and the run is over.

--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -203,7 +203,7 @@
       this.#isTracked(run) && run.state === "starting";
   }
 
-  /** Sends a stop order, and repeats it until the worker has answered or the run is over. */
+  /** Sends a stop order, and repeats it until the worker has carried it out or the run is over. */
   async stopRun(run: Run, reason: string): Promise<void> {
     const { client, clock, scheduler, fencingToken, log } = this.#options;
     log.info("Stopping run", {
@@ -224,12 +224,21 @@
         return;
       }
       this.#recordOutcome(outcome, askedAtMs);
-      if (outcome.kind !== "unknown") {
+      if (outcome.kind === "done") {
         scheduler.recordStopAccepted(run, clock.steadyMs());
         this.#wakeUp.wake();
         return;
       }
-      this.#logUnansweredOrder("stop", run, outcome.reason);
+      if (outcome.kind === "unknown") {
+        this.#logUnansweredOrder("stop", run, outcome.reason);
+      } else if (outcome.kind === "refused") {
+        log.info("Stop refused", {
+          task: run.task.name,
+          run: run.runId,
+          worker: run.workerId,
+          reason: outcome.reason,
+        });
+      }
       await pause(RETRY_INTERVAL_MS);
     }
   }
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -1,4 +1,6 @@
+import type * as policy from "@jackdawlink/policy";
 import type * as ports from "@jackdawlink/ports";
+import type * as schema from "@jackdawlink/schema";
 import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
 import { useSimulatedTime } from "./test/model_world.ts";
@@ -115,6 +117,52 @@
   },
 );
 
+/** A session with one run at work, on a worker that reports it until it has carried out a stop. */
+function openSessionWithOneRun(
+  stop: ports.scheduling.WorkerClient["stop"],
+): { session: WorkerSession; run: policy.scheduling.jobRecord.Run; isAtWork: () => boolean } {
+  const parts = termFixture();
+  const { scheduler } = parts;
+  putJob(scheduler, "j");
+  let isAtWork = true;
+  const reported = { task: "j.0.0.0", runId: 1, checkpoint: "", percent: 1, load: 0 };
+  const session = openSession(parts, {
+    hold: async (_worker, { waitMs }) => {
+      await testing.waitFor.pause(waitMs + 2);
+      const running = isAtWork ? [reported] : [];
+      const report = { startedUnixMs: 1, workerClockMs: Date.now(), running, ends: [] };
+      return { kind: "report", report: { ...report, hasMoreEnds: false } };
+    },
+    stop: async (worker, order) => {
+      const outcome = await stop(worker, order);
+      isAtWork &&= outcome.kind !== "done";
+      return outcome;
+    },
+  });
+  const atMs = { sentAtMs: Date.now(), receivedAtMs: Date.now() };
+  const report = { startedUnixMs: 1, workerClockMs: 1_000, running: [reported], ends: [] };
+  scheduler.applyReport(session.worker, { ...report, hasMoreEnds: false }, atMs);
+  const [run] = session.worker.runs.values();
+  return { session, run: run!, isAtWork: () => isAtWork };
+}
+
+// Guards against a cancelled job that works on, as its worker has refused the stop.
+test.each<{ readonly name: string; readonly outcome: schema.scheduling.OrderOutcome }>([
+  { name: "refuses", outcome: { kind: "refused", reason: "429" } },
+  { name: "does not answer", outcome: { kind: "unknown", reason: "test" } },
+])("repeats a stop that the worker first $name until it is carried out", async ({ outcome }) => {
+  let stopCount = 0;
+  const { session, run, isAtWork } = openSessionWithOneRun(() => {
+    stopCount++;
+    const done = { kind: "done", workerClockMs: 1_000 } as const;
+    return Promise.resolve(stopCount <= 3 ? outcome : done);
+  });
+  void session.stopRun(run, "test");
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect([isAtWork(), session.worker.runs.size, stopCount]).toEqual([false, 0, 4]);
+  session.stop();
+});
+
 test("repeats a start that the worker's VM refuses to connect at a pace, not in a busy loop", async () => {
   const parts = termFixture();
   const { scheduler } = parts;
