Look at a worker's free capacity before its other conditions when asking for advice

The cheap conditions come first, and a pool's free capacity is not computed for tasks that have found a worker.

--- a/packages/policy/src/scheduling/advice_cache.ts
+++ b/packages/policy/src/scheduling/advice_cache.ts
@@ -61,10 +61,11 @@
       return [];
     }
     const hasTickets = this.ticketsFor(step, nowMs).size > 0;
-    const candidates = eligibleWorkers(request).filter((worker) =>
+    const workers = request.workers.filter((worker) =>
       (known.workers.get(worker.info.workerId)?.untilMs ?? 0) <= nowMs &&
       (!hasTickets || hasRoom(step, worker))
     );
+    const candidates = eligibleWorkers({ ...request, workers });
     const base = Math.max(MIN_ADVISED_WORKERS, Math.min(MAX_ADVISED_WORKERS, step.spec.taskCount));
     const count = Math.min(MAX_WIDENED_WORKERS, base * 2 ** known.fruitlessAnswers);
     known.askedIds = candidates
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -785,8 +785,7 @@
       const worker = task.crashes === undefined
         ? this.#chooseWorker(task, choice)
         : this.#chooseWorkerForSuspect(task, choice);
-      const mightHelp = tickets?.size === 0 || pool.mightFit(resources.allocationOf(step.spec));
-      if (worker === undefined && tickets !== undefined && mightHelp) {
+      if (worker === undefined && tickets !== undefined) {
         this.#requestAdvice({ step, workers, reserved, nowMs });
       }
       if (worker === undefined && !step.spec.isGang && this.#needsOwnWorker(task, nowMs)) {
