Measure the time limit of the takeover tests in simulated time

Cause: vi.waitFor measures its limit of 4,000 ms in real time even with fake timers, and the test steps by 1 ms; on an idle machine it takes 2.4 s. Shown by a run beside 40 busy processes, which fails after 4,075 ms in the same way.

The same limit now counts simulated time, as it was meant, in all three tests of the file; every assertion stays.

--- a/packages/scheduler/src/ownership_test.ts
+++ b/packages/scheduler/src/ownership_test.ts
@@ -31,6 +31,18 @@
   return { ownership, starts };
 }
 
+/**
+ * Advances the simulated time until a condition holds, for `MAX_TAKEOVER_MS` at the most. `vi.waitFor` would
+ * measure this limit in real time, which a busy machine exceeds.
+ */
+async function advanceUntil(condition: () => boolean): Promise<void> {
+  const untilMs = Date.now() + MAX_TAKEOVER_MS;
+  while (!condition() && Date.now() < untilMs) {
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  expect(condition()).toBe(true);
+}
+
 useSimulatedTime();
 
 test.each([
@@ -46,11 +58,11 @@
     const second = startCandidate(store, "n2");
     // The store refuses the first owner, which does not learn that its lease has expired.
     store.faults.rejectedNodes.add("n1");
-    await vi.waitFor(() => expect(second.starts).toHaveLength(1), { timeout: MAX_TAKEOVER_MS });
+    await advanceUntil(() => second.starts.length === 1);
     const third = startCandidate(store, "n3");
     await vi.advanceTimersByTimeAsync(lastedMs);
     void second.ownership.release();
-    await vi.waitFor(() => expect(third.starts).toHaveLength(1), { timeout: MAX_TAKEOVER_MS });
+    await advanceUntil(() => third.starts.length === 1);
     expect(second.starts[0]).toMatchObject({ hasPreviousOwnerStopped: false });
     expect(third.starts[0]).toMatchObject({ hasPreviousOwnerStopped: expected });
     [first, second, third].forEach(({ ownership }) => ownership.stop());
@@ -61,10 +73,7 @@
   const world = new World(1);
   const startedAtMs = Date.now();
   world.store.faults.extraLatencyMs = 700;
-  await vi.waitFor(() => expect(world.owner).toBeDefined(), {
-    timeout: MAX_TAKEOVER_MS,
-    interval: 1,
-  });
+  await advanceUntil(() => world.owner !== undefined);
   const askedAtMs = Date.now() - startedAtMs - world.store.faults.extraLatencyMs;
   const proof = world.owner!.term!.ownershipProof;
   expect(proof.isStoreProofValid(askedAtMs)).toBe(true);
