Model cancelled long-running jobs, and witness runs that go on after a cancellation

The model could not show the report: its witness saw only starts after a cancellation, no long-running job was ever cancelled, and the owner was always notified. Now jobs with long-running tasks are cancelled throughout, beside drains, maintenance, changes of owner, refused and late orders, leases that count from a late arrival, and cuts; half of the cancellations come from the store alone.

--- /dev/null
+++ b/packages/scheduler/src/cancellation_model_test.ts
@@ -0,0 +1,212 @@
+/**
+ * Runs the scheduler in simulated time while jobs with long-running tasks are submitted and cancelled, and
+ * workers, owners and orders fail. A witness records each task that works on after its job was cancelled.
+ *
+ * @module
+ */
+import * as testing from "@jackdawlink/testing";
+import { expect, test, vi } from "vitest";
+import {
+  crossWithSeeds,
+  type FaultInjector,
+  isAt,
+  STEP_MS,
+  useSimulatedTime,
+  World,
+} from "./test/model_world.ts";
+
+const TRAFFIC_MS = 24_000;
+const SETTLE_MS = 20_000;
+const SEEDS = [1, 2, 3, 4];
+const POOLS = [
+  ...Array.from({ length: 6 }, () => "pool-a"),
+  ...Array.from({ length: 6 }, () => "pool-b"),
+  ...Array.from({ length: 4 }, () => "spare"),
+];
+const VM_NAMES = POOLS.map((_, index) => `vm-${index}`);
+/** How often a job is submitted, and one that is there is cancelled. */
+const JOB_INTERVAL_MS = 500;
+const RESTART_DELAY_MS = 600;
+const MIN_CANCELLED_JOBS = 20;
+
+function anyVm(world: World): string {
+  return VM_NAMES[world.random.between(0, VM_NAMES.length - 1)]!;
+}
+
+function isEvery(intervalMs: number, atMs: number): boolean {
+  return atMs < TRAFFIC_MS && atMs % intervalMs === 0;
+}
+
+/** Whether the time is in the first half of a period of 8 s, so that calm and trouble take turns. */
+function isInTrouble(atMs: number): boolean {
+  return atMs < TRAFFIC_MS && atMs % 8_000 < 4_000;
+}
+
+function setLateOrders(world: World, probability: number): void {
+  world.fleet.faults.lateOrderProbability = probability;
+}
+
+function startWave(world: World): void {
+  world.startWave({ wave: 1, vms: VM_NAMES.slice(0, 12), durationMs: 20_000, maxConcurrent: 3 });
+}
+
+/** Hands the ownership over, and restarts the node's process. */
+async function replaceOwner(world: World): Promise<void> {
+  const { owner } = world;
+  await owner?.release();
+  owner?.kill();
+  setTimeout(() => owner?.start(), RESTART_DELAY_MS);
+}
+
+const SCENARIOS: readonly { readonly name: string; readonly injectFaults: FaultInjector }[] = [
+  { name: "without faults", injectFaults: () => {} },
+  {
+    name: "workers drain and leave",
+    injectFaults: (world, atMs) => {
+      if (isEvery(1_000, atMs)) {
+        world.fleet.drain(anyVm(world), 3_000);
+      }
+    },
+  },
+  {
+    name: "VMs are maintained while workers drain",
+    injectFaults: (world, atMs) => {
+      if (isAt(1_000, atMs)) {
+        startWave(world);
+      }
+      if (isEvery(2_000, atMs)) {
+        world.fleet.drain(anyVm(world), 3_000);
+      }
+    },
+  },
+  {
+    name: "the ownership is handed over again and again during maintenance",
+    injectFaults: (world, atMs) => {
+      if (isAt(1_000, atMs)) {
+        startWave(world);
+      }
+      if (isEvery(3_000, atMs)) {
+        void replaceOwner(world);
+      }
+    },
+  },
+  {
+    name: "owners are killed while workers drain",
+    injectFaults: (world, atMs) => {
+      if (isAt(4_000, atMs) || isAt(12_000, atMs) || isAt(20_000, atMs)) {
+        world.restartOwner();
+      }
+      if (isEvery(1_000, atMs)) {
+        world.fleet.drain(anyVm(world), 3_000);
+      }
+    },
+  },
+  {
+    name: "workers refuse stops",
+    injectFaults: (world, atMs) => {
+      world.fleet.faults.stopRefusalProbability = isInTrouble(atMs) ? 0.5 : 0;
+    },
+  },
+  {
+    name: "orders are late",
+    injectFaults: (world, atMs) => setLateOrders(world, isInTrouble(atMs) ? 0.3 : 0),
+  },
+  {
+    name: "orders are late, and their leases count from their arrival",
+    injectFaults: (world, atMs) => {
+      world.fleet.faults.areLateLeasesRelative = true;
+      setLateOrders(world, isInTrouble(atMs) ? 0.5 : 0);
+    },
+  },
+  {
+    name: "late leases, and workers that are cut off in turn",
+    injectFaults: (world, atMs) => {
+      world.fleet.faults.areLateLeasesRelative = true;
+      setLateOrders(world, isInTrouble(atMs) ? 0.3 : 0);
+      const { blockedLinks } = world.fleet.faults;
+      if (isAt(1_000, atMs) || isAt(9_000, atMs) || isAt(17_000, atMs)) {
+        [anyVm(world), anyVm(world), anyVm(world)].forEach((vm) =>
+          blockedLinks.add(`*>${world.fleet.workerOf(vm)}`)
+        );
+      } else if (isAt(8_000, atMs) || isAt(16_000, atMs) || isAt(24_000, atMs)) {
+        blockedLinks.clear();
+      }
+    },
+  },
+  {
+    name: "workers are cut off from the store and lose their entries while owners change",
+    injectFaults: (world, atMs) => {
+      const { vmsCutFromStore } = world.fleet.faults;
+      if (isAt(1_000, atMs) || isAt(13_000, atMs)) {
+        [anyVm(world), anyVm(world), anyVm(world)].forEach((vm) => vmsCutFromStore.add(vm));
+      } else if (isAt(8_000, atMs)) {
+        world.restartOwner();
+      } else if (isAt(11_000, atMs) || isAt(20_000, atMs)) {
+        vmsCutFromStore.clear();
+      }
+    },
+  },
+  {
+    name: "the store is out, and the owner is killed when it returns",
+    injectFaults: (world, atMs) => {
+      if (isAt(3_000, atMs) || isAt(14_000, atMs)) {
+        world.store.faults.rejectedNodes.add("all");
+      } else if (isAt(8_000, atMs) || isAt(19_000, atMs)) {
+        world.store.faults.rejectedNodes.clear();
+        world.restartOwner();
+      }
+    },
+  },
+  {
+    name: "the store drops its history while watches are silent",
+    injectFaults: (world, atMs) => {
+      world.store.faults.silencesWatches = isInTrouble(atMs);
+      if (isEvery(4_000, atMs)) {
+        world.store.dropHistory();
+      }
+    },
+  },
+];
+
+async function submit(world: World): Promise<void> {
+  const { random } = world;
+  const step = testing.schedulingFixtures.step({
+    taskCount: random.between(2, 6),
+    resources: { cpuMillicores: random.between(5, 20) * 100, memoryMb: 100, gpuCount: 0 },
+    isLasting: true,
+    maxUnavailableTasks: 1,
+  });
+  await world.submitSteps([step], random.chance(0.5) ? "quick" : "batch");
+}
+
+useSimulatedTime();
+
+test.each(crossWithSeeds(SCENARIOS, SEEDS))(
+  "cancelled long-running jobs, $name, seed $seed: no task runs on",
+  async ({ seed, injectFaults }) => {
+    const world = new World(seed, {
+      pools: POOLS,
+      failureProbability: 0,
+      cancelNoticeProbability: 0.5,
+    });
+    await vi.advanceTimersByTimeAsync(2_000);
+    const cancelled = new Set<string>();
+    for (let atMs = 0; atMs < TRAFFIC_MS + SETTLE_MS; atMs += STEP_MS) {
+      injectFaults(world, atMs);
+      if (isEvery(JOB_INTERVAL_MS, atMs)) {
+        void submit(world);
+        const open = world.jobIds.filter((jobId) => !cancelled.has(jobId));
+        const jobId = open[world.random.between(0, open.length - 1)];
+        if (jobId !== undefined && open.length > 4) {
+          cancelled.add(jobId);
+          void world.cancel(jobId);
+        }
+      }
+      await vi.advanceTimersByTimeAsync(STEP_MS);
+      world.checkCancelledJobs();
+    }
+    world.nodes.forEach((node) => node.kill());
+    expect(world.witness.violations).toEqual([]);
+    expect(world.witness.cancelledJobCount).toBeGreaterThan(MIN_CANCELLED_JOBS);
+  },
+);
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -175,6 +175,8 @@
   readonly rackCount?: number;
   /** The probability that a run fails. */
   readonly failureProbability?: number;
+  /** The probability that the owner is notified of a stored cancellation; it watches the store too. */
+  readonly cancelNoticeProbability?: number;
 }
 
 const DEFAULT_POOLS = [
@@ -208,6 +210,8 @@
   readonly #crashAfterMs = new Map<string, number>();
   readonly #jobs: JobStore;
   #submittedCount = 0;
+  readonly #cancelNoticeProbability: number;
+  #disturbedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     seed: number,
@@ -216,8 +220,10 @@
       pools = DEFAULT_POOLS,
       rackCount = 0,
       failureProbability = 0.04,
+      cancelNoticeProbability = 1,
     }: WorldOptions = {},
   ) {
+    this.#cancelNoticeProbability = cancelNoticeProbability;
     this.random = new testing.seededRandom.SeededRandom(seed);
     this.store = new testing.modelStore.ModelStore(this.random);
     this.fleet = new testing.modelFleet.ModelFleet({
@@ -333,7 +339,36 @@
       await testing.waitFor.pause(CANCEL_RETRY_INTERVAL_MS);
     }
     this.witness.recordCancellation(jobId);
-    this.owner?.term?.cancelJob(jobId);
+    const probability = this.#cancelNoticeProbability;
+    if (probability === 1 || this.random.chance(probability)) {
+      this.owner?.term?.cancelJob(jobId);
+    }
+  }
+
+  /**
+   * Checks that the runs of cancelled jobs are over, as far as nothing has been disturbed for long enough;
+   * called once for each injection of faults.
+   */
+  checkCancelledJobs(): void {
+    if (this.#isDisturbed) {
+      this.#disturbedAtMs = Date.now();
+    }
+    this.witness.checkCancelledJobs(this.#disturbedAtMs + CONTACT_MS);
+  }
+
+  get #isDisturbed(): boolean {
+    const { fleet: { faults: fleet }, store: { faults: store } } = this;
+    const probabilities = [
+      fleet.answerLossProbability,
+      fleet.lateOrderProbability,
+      fleet.startRefusalProbability,
+      fleet.stopRefusalProbability,
+      store.answerLossProbability,
+      store.extraLatencyMs,
+    ];
+    const cuts = [fleet.blockedLinks, fleet.vmsCutFromStore, store.rejectedNodes];
+    return probabilities.some((value) => value > 0) || cuts.some(({ size }) => size > 0) ||
+      store.silencesWatches || this.nodes.some(({ isAlive }) => !isAlive);
   }
 
   /** Kills the owner's process, and starts it again after `RESTART_DELAY_MS`. */
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -46,8 +46,12 @@
   answerLossProbability: number;
   /** Probability that an order is carried out seconds later, without an answer. */
   lateOrderProbability: number;
+  /** Whether the time of a late lease counts from its arrival, also that of a late report request. */
+  areLateLeasesRelative: boolean;
   /** Probability that a worker is unhealthy when a start arrives in time, and refuses it. */
   startRefusalProbability: number;
+  /** Probability that a worker is unhealthy when a stop arrives, and refuses it. */
+  stopRefusalProbability: number;
   /** Blocked `node>worker` pairs; `*` matches any node or any worker. */
   readonly blockedLinks: Set<string>;
   /** VMs whose workers cannot write to the store, though nodes reach them. */
@@ -126,9 +130,10 @@
   }
 }
 
-/** Whether an order is carried out seconds after it was sent. */
+/** Whether an order is carried out seconds after it was sent, and by how much later its lease ends for that. */
 interface OrderContext {
   readonly isLate: boolean;
+  readonly extraLeaseMs: number;
 }
 
 type OrderHandler = (worker: ModelWorker, context: OrderContext) => OrderOutcome;
@@ -164,7 +169,9 @@
   readonly faults: FleetFaults = {
     answerLossProbability: 0,
     lateOrderProbability: 0,
+    areLateLeasesRelative: false,
     startRefusalProbability: 0,
+    stopRefusalProbability: 0,
     blockedLinks: new Set(),
     vmsCutFromStore: new Set(),
   };
@@ -468,16 +475,20 @@
       return this.#noAnswer(from);
     }
     if (random.chance(this.faults.lateOrderProbability)) {
-      setTimeout(
-        () => worker.isAlive && run(worker, { isLate: true }),
-        random.between(...LATE_ORDER_DELAY_MS),
-      );
+      this.#carryOutLate(worker, run);
       return this.#noAnswer(from);
     }
-    const outcome = run(worker, { isLate: false });
+    const outcome = run(worker, { isLate: false, extraLeaseMs: 0 });
     return random.chance(this.faults.answerLossProbability) ? this.#noAnswer(from) : outcome;
   }
 
+  /** Carries out an order seconds later, if the worker's process is still the same. */
+  #carryOutLate(worker: ModelWorker, run: (worker: ModelWorker, context: OrderContext) => void): void {
+    const delayMs = this.#options.random.between(...LATE_ORDER_DELAY_MS);
+    const extraLeaseMs = this.faults.areLateLeasesRelative ? delayMs * WORKER_CLOCK_RATE : 0;
+    setTimeout(() => worker.isAlive && run(worker, { isLate: true, extraLeaseMs }), delayMs);
+  }
+
   /** Whether the process at an address is over, so that a call fails at once. */
   #refusesConnections(address: string): boolean {
     const worker = this.#workersByAddress.get(address);
@@ -522,6 +533,17 @@
       await this.#noAnswer(from);
       return unknown;
     }
+    const { areLateLeasesRelative, lateOrderProbability } = this.faults;
+    if (areLateLeasesRelative && this.#options.random.chance(lateOrderProbability)) {
+      this.#carryOutLate(worker, (late, { extraLeaseMs }) => {
+        const isFenced = this.#checkFencingToken(late, order.fencingToken) !== undefined;
+        if (!isFenced && order.leaseUntilWorkerMs !== undefined) {
+          this.#renewLease(late, order.leaseUntilWorkerMs + extraLeaseMs);
+        }
+      });
+      await this.#noAnswer(from);
+      return unknown;
+    }
     if (this.#checkFencingToken(worker, order.fencingToken) !== undefined) {
       return { kind: "fenced" };
     }
@@ -544,7 +566,7 @@
   #start(
     worker: ModelWorker,
     order: ports.scheduling.StartOrder,
-    { isLate }: OrderContext,
+    { isLate, extraLeaseMs }: OrderContext,
   ): OrderOutcome {
     const { witness, random, resourcesOf, behaviour } = this.#options;
     const fenced = this.#checkFencingToken(worker, order.fencingToken);
@@ -558,14 +580,15 @@
     if (present !== undefined || order.runId <= (worker.highestEndedRunIds.get(order.task) ?? 0)) {
       return { kind: "refused", reason: "old" };
     }
-    if (order.leaseUntilWorkerMs <= worker.clockMs()) {
+    const leaseUntilWorkerMs = order.leaseUntilWorkerMs + extraLeaseMs;
+    if (leaseUntilWorkerMs <= worker.clockMs()) {
       return { kind: "refused", reason: "late" };
     }
     const { startRefusalProbability } = this.faults;
     if (!isLate && startRefusalProbability > 0 && random.chance(startRefusalProbability)) {
       return { kind: "refused", reason: "429" };
     }
-    this.#renewLease(worker, order.leaseUntilWorkerMs);
+    this.#renewLease(worker, leaseUntilWorkerMs);
     const { durationMs, fails, crashAfterMs } = behaviour(order.task, order.runId);
     const run: ModelRun = {
       task: order.task,
@@ -623,6 +646,10 @@
     if (fenced !== undefined) {
       return fenced;
     }
+    const { stopRefusalProbability } = this.faults;
+    if (stopRefusalProbability > 0 && this.#options.random.chance(stopRefusalProbability)) {
+      return { kind: "refused", reason: "429" };
+    }
     const highest = worker.highestEndedRunIds.get(order.task) ?? 0;
     worker.highestEndedRunIds.set(order.task, Math.max(highest, order.runId));
     const run = worker.runs.get(order.task);
--- a/packages/testing/src/scheduling_model/run_witness.ts
+++ b/packages/testing/src/scheduling_model/run_witness.ts
@@ -13,6 +13,10 @@
 /** After so many crashes of workers under a task, the number of its further starts is limited. */
 const MIN_CRASHES_BEFORE_LIMIT = 3;
 const MAX_LATE_STARTS = 2;
+/** How long after its acknowledgement a cancellation may take to stop the job's runs. */
+const CANCEL_BOUND_MS = 3_000;
+/** How long the workers may take to carry out the stops. */
+const STOP_BOUND_MS = 900;
 
 interface LiveRun {
   readonly workerId: string;
@@ -32,6 +36,8 @@
   readonly #deadly = new Map<string, { crashCount: number; lateStarts: number }>();
   readonly #maxAttempts: number;
   readonly #isCalm: () => boolean;
+  /** Runs that have been found at work after their job was cancelled, so that each is reported once. */
+  readonly #runningOn = new Set<LiveRun>();
   startCount = 0;
   /** How often each task was at work on a worker that crashed. */
   readonly crashCounts = new Map<string, number>();
@@ -55,6 +61,28 @@
     this.#cancelledAtMs.set(jobId, Date.now());
   }
 
+  /**
+   * Checks that no run of a cancelled job is at work any more. `calmSinceMs`: since when nothing has been
+   * disturbed, so that the job's runs have to be over soon.
+   */
+  checkCancelledJobs(calmSinceMs: number): void {
+    for (const [task, runs] of this.#live) {
+      const cancelledAtMs = this.#cancelledAtMs.get(task.split(".")[0]!) ?? Infinity;
+      const boundAtMs = Math.max(cancelledAtMs, calmSinceMs) + CANCEL_BOUND_MS + STOP_BOUND_MS;
+      for (const run of Date.now() > boundAtMs ? runs : []) {
+        if (!this.#runningOn.has(run)) {
+          this.#runningOn.add(run);
+          this.#addViolation(task, run, "runs on, and its job was cancelled");
+        }
+      }
+    }
+  }
+
+  /** The number of jobs whose cancellation has been acknowledged. */
+  get cancelledJobCount(): number {
+    return this.#cancelledAtMs.size;
+  }
+
   /** The task crashes each worker that starts it. */
   recordDeadlyTask(task: string): void {
     this.#deadly.set(task, { crashCount: 0, lateStarts: 0 });
@@ -110,7 +138,7 @@
       }
     }
     const cancelledAtMs = this.#cancelledAtMs.get(jobId!);
-    if (cancelledAtMs !== undefined && Date.now() - cancelledAtMs > 3_000) {
+    if (cancelledAtMs !== undefined && Date.now() - cancelledAtMs > CANCEL_BOUND_MS) {
       this.#addViolation(task, run, "started after its job was cancelled");
     }
     this.#live.set(task, [...others, run]);
