--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -483,7 +483,10 @@
   }
 
   /** Carries out an order seconds later, if the worker's process is still the same. */
-  #carryOutLate(worker: ModelWorker, run: (worker: ModelWorker, context: OrderContext) => void): void {
+  #carryOutLate(
+    worker: ModelWorker,
+    run: (worker: ModelWorker, context: OrderContext) => void,
+  ): void {
     const delayMs = this.#options.random.between(...LATE_ORDER_DELAY_MS);
     const extraLeaseMs = this.faults.areLateLeasesRelative ? delayMs * WORKER_CLOCK_RATE : 0;
     setTimeout(() => worker.isAlive && run(worker, { isLate: true, extraLeaseMs }), delayMs);
@@ -599,7 +602,12 @@
       isStopping: false,
     };
     worker.runs.set(order.task, run);
-    witness.recordStart(order.task, { workerId: worker.workerId, runId: order.runId });
+    const isUnstoppable = isLate && this.faults.blockedLinks.has(`*>${worker.workerId}`);
+    witness.recordStart(
+      order.task,
+      { workerId: worker.workerId, runId: order.runId },
+      { isUnstoppable },
+    );
     // Nobody can recall an order that is carried out late, so it is judged by any earlier capacity.
     const totals = worker.totalsWithin(isLate ? Infinity : SHRINK_NOTICE_MS);
     if (!totals.some((total) => fits(worker, total))) {
