Log how stops end and where a cancellation came from

A run that goes on after its job was cancelled can have four causes, and the log told only the refused stop: neither the acceptance of a stop nor the outcome of one for a retired job was logged, nor when and from whom the owner learned of a cancellation. Now each stop logs its outcome with the run and the time it took, and each cancellation its source and whether the job is known.

--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -152,9 +152,20 @@
     }
   }
 
-  /** Applies a stored cancellation, also to a job that is not loaded yet. */
+  /** Applies a stored cancellation that an entry reports, also to a job that is not loaded yet. */
   cancelJob(jobId: string): void {
-    this.#cancelledJobIds.add(jobId);
+    this.#cancelJob(jobId, "entry");
+  }
+
+  #cancelJob(jobId: string, source: "entry" | "store"): void {
+    if (!this.#cancelledJobIds.has(jobId)) {
+      this.#cancelledJobIds.add(jobId);
+      this.#options.log.info("Cancellation received", {
+        job: jobId,
+        source,
+        isKnown: this.scheduler.knowsJob(jobId),
+      });
+    }
     this.scheduler.cancelJob(jobId);
     this.#scheduleDecision();
   }
@@ -271,7 +282,7 @@
       return;
     }
     if (intake.kind === "cancel") {
-      this.cancelJob(intake.jobId);
+      this.#cancelJob(intake.jobId, "store");
       return;
     }
     this.#addStoredJob(intake.jobId, {
@@ -280,7 +291,7 @@
       progressText: progress.get(storeKeys.progressKey(intake.jobId)),
     });
     if (this.#cancelledJobIds.has(intake.jobId)) {
-      this.cancelJob(intake.jobId);
+      this.#cancelJob(intake.jobId, "store");
     }
   }
 
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -34,6 +34,14 @@
 /** Poll interval for idle workers while only workers can prove the ownership. */
 const PROOF_INTERVAL_MS = 700;
 
+const STOP_OUTCOME_MESSAGES: Readonly<Record<schema.scheduling.OrderOutcome["kind"], string>> = {
+  done: "Stop accepted",
+  refused: "Stop refused",
+  unknown: "Stop got no response",
+  fenced: "Stop fenced",
+  "other-life": "Stop reached another incarnation",
+};
+
 export interface WorkerSessionOptions {
   readonly worker: WorkerRecord;
   readonly scheduler: policy.scheduling.scheduler.Scheduler;
@@ -213,6 +221,7 @@
       worker: run.workerId,
       reason,
     });
+    const orderedAtMs = clock.nowMs();
     while (this.#isTracked(run)) {
       const askedAtMs = clock.nowMs();
       const outcome = await client.stop(this.#address(), {
@@ -224,21 +233,16 @@
         return;
       }
       this.#recordOutcome(outcome, askedAtMs);
+      this.#logStopOutcome(outcome, {
+        task: run.task.name,
+        runId: run.runId,
+        tookMs: clock.nowMs() - orderedAtMs,
+      });
       if (outcome.kind === "done") {
         scheduler.recordStopAccepted(run, clock.steadyMs());
         this.#wakeUp.wake();
         return;
       }
-      if (outcome.kind === "unknown") {
-        this.#logUnansweredOrder("stop", run, outcome.reason);
-      } else if (outcome.kind === "refused") {
-        log.info("Stop refused", {
-          task: run.task.name,
-          run: run.runId,
-          worker: run.workerId,
-          reason: outcome.reason,
-        });
-      }
       await pause(RETRY_INTERVAL_MS);
     }
   }
@@ -254,6 +258,7 @@
     const outcome = await client.stop(this.#address(), { task, runId, fencingToken });
     if (!this.#isStopped) {
       this.#recordOutcome(outcome, askedAtMs);
+      this.#logStopOutcome(outcome, { task, runId, tookMs: clock.nowMs() - askedAtMs });
       this.#wakeUp.wake();
     }
   }
@@ -372,4 +377,22 @@
       reason,
     });
   }
+
+  /** Logs how a worker answered a stop; `tookMs` is the time since the stop was first sent. */
+  #logStopOutcome(
+    outcome: schema.scheduling.OrderOutcome,
+    { task, runId, tookMs }: {
+      readonly task: string;
+      readonly runId: number;
+      readonly tookMs: number;
+    },
+  ): void {
+    this.#options.log.info(STOP_OUTCOME_MESSAGES[outcome.kind], {
+      task,
+      run: runId,
+      worker: this.worker.info.workerId,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+      tookMs: Math.round(tookMs),
+    });
+  }
 }
