Repeat a stop that was accepted while later reports show the run at work

A worker's acceptance of a stop counted as its effect: the order ended with it, later reports left the run as being stopped, and the owner went on renewing the worker's lease, so that a long-running task of a cancelled job could work for good. Same class as the refused stop: an answer taken for the effect.

Change: after an acceptance the session waits for the run to be gone; a report that is newer than any stop takes and still shows the run logs a warning, and the stop is sent again.

Before: the new test sees one stop and the run at work after 5 s. After: two stops, and the run is over.

--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -31,6 +31,8 @@
  * times out is asked this often in any case: a request takes 700 ms to time out.
  */
 const MAX_RETRY_PERIOD_MS = 900;
+/** A stop takes up to 0.9 s on the known sites, and a report may be 1.5 s old when it arrives. */
+const STOP_EFFECT_MS = 2_500;
 /** Poll interval for idle workers while only workers can prove the ownership. */
 const PROOF_INTERVAL_MS = 700;
 
@@ -211,7 +213,7 @@
       this.#isTracked(run) && run.state === "starting";
   }
 
-  /** Sends a stop order, and repeats it until the worker has carried it out or the run is over. */
+  /** Sends a stop order, and repeats it until the run is over. */
   async stopRun(run: Run, reason: string): Promise<void> {
     const { client, clock, scheduler, fencingToken, log } = this.#options;
     log.info("Stopping run", {
@@ -241,6 +243,24 @@
       if (outcome.kind === "done") {
         scheduler.recordStopAccepted(run, clock.steadyMs());
         this.#wakeUp.wake();
+        await this.#waitForStop(run);
+      } else {
+        await pause(RETRY_INTERVAL_MS);
+      }
+    }
+  }
+
+  /** Waits until a run is over whose stop has been accepted, or a later report still shows it at work. */
+  async #waitForStop(run: Run): Promise<void> {
+    const { clock, log } = this.#options;
+    const overdueAtMs = clock.steadyMs() + STOP_EFFECT_MS;
+    while (this.#isTracked(run)) {
+      if (run.reportedAtMs !== undefined && run.reportedAtMs > overdueAtMs) {
+        log.warn("Run goes on after its stop was accepted", {
+          task: run.task.name,
+          run: run.runId,
+          worker: run.workerId,
+        });
         return;
       }
       await pause(RETRY_INTERVAL_MS);
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -117,10 +117,16 @@
   },
 );
 
-/** A session with one run at work, on a worker that reports it until it has carried out a stop. */
+/** A session with one run at work, on a worker that reports it until it has accepted a stop, or `finish`. */
 function openSessionWithOneRun(
   stop: ports.scheduling.WorkerClient["stop"],
-): { session: WorkerSession; run: policy.scheduling.jobRecord.Run; isAtWork: () => boolean } {
+  { endsAtStop = true } = {},
+): {
+  session: WorkerSession;
+  run: policy.scheduling.jobRecord.Run;
+  isAtWork: () => boolean;
+  finish: () => void;
+} {
   const parts = termFixture();
   const { scheduler } = parts;
   putJob(scheduler, "j");
@@ -135,7 +141,7 @@
     },
     stop: async (worker, order) => {
       const outcome = await stop(worker, order);
-      isAtWork &&= outcome.kind !== "done";
+      isAtWork &&= !endsAtStop || outcome.kind !== "done";
       return outcome;
     },
   });
@@ -143,7 +149,7 @@
   const report = { startedUnixMs: 1, workerClockMs: 1_000, running: [reported], ends: [] };
   scheduler.applyReport(session.worker, { ...report, hasMoreEnds: false }, atMs);
   const [run] = session.worker.runs.values();
-  return { session, run: run!, isAtWork: () => isAtWork };
+  return { session, run: run!, isAtWork: () => isAtWork, finish: () => isAtWork = false };
 }
 
 // Guards against a cancelled job that works on, as its worker has refused the stop.
@@ -163,6 +169,22 @@
   session.stop();
 });
 
+// Guards against a cancelled job that works on, as its worker has accepted the stop and not carried it out.
+test("repeats an accepted stop until reports lack the run", async () => {
+  let stopCount = 0;
+  const { session, run, finish } = openSessionWithOneRun(() => {
+    stopCount++;
+    if (stopCount === 2) {
+      finish();
+    }
+    return Promise.resolve({ kind: "done", workerClockMs: 1_000 });
+  }, { endsAtStop: false });
+  void session.stopRun(run, "test");
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect([session.worker.runs.size, stopCount]).toEqual([0, 2]);
+  session.stop();
+});
+
 test("repeats a start that the worker's VM refuses to connect at a pace, not in a busy loop", async () => {
   const parts = termFixture();
   const { scheduler } = parts;
