--- a/packages/scheduler/src/metrics.ts
+++ b/packages/scheduler/src/metrics.ts
@@ -41,6 +41,12 @@
     labelNames: ["direction"],
     registers: [this.#registry],
   });
+  readonly stops = new prom.Counter({
+    name: "jackdawlink_stops_total",
+    help: "Stop orders by outcome; overdue: accepted, and the run went on",
+    labelNames: ["outcome"],
+    registers: [this.#registry],
+  });
   readonly workerCrashes = new prom.Gauge({
     name: "jackdawlink_worker_crashes",
     help: "Crashes of workers that this node has seen in its last term as owner",
--- a/packages/scheduler/src/term_statistics.ts
+++ b/packages/scheduler/src/term_statistics.ts
@@ -63,6 +63,11 @@
     this.#options.metrics.workerCalls.inc({ outcome });
   }
 
+  /** Counts a stop order by its outcome; `overdue` is one that was accepted while the run went on. */
+  recordStop(outcome: string): void {
+    this.#options.metrics.stops.inc({ outcome });
+  }
+
   /** Counts a report; `acknowledgedWaitsMs` are the times that ends waited for their acknowledgement. */
   recordReport(acknowledgedWaitsMs: readonly number[]): void {
     this.#reportCount++;
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -235,7 +235,7 @@
         return;
       }
       this.#recordOutcome(outcome, askedAtMs);
-      this.#logStopOutcome(outcome, {
+      this.#recordStopOutcome(outcome, {
         task: run.task.name,
         runId: run.runId,
         tookMs: clock.nowMs() - orderedAtMs,
@@ -252,10 +252,11 @@
 
   /** Waits until a run is over whose stop has been accepted, or a later report still shows it at work. */
   async #waitForStop(run: Run): Promise<void> {
-    const { clock, log } = this.#options;
+    const { clock, log, statistics } = this.#options;
     const overdueAtMs = clock.steadyMs() + STOP_EFFECT_MS;
     while (this.#isTracked(run)) {
       if (run.reportedAtMs !== undefined && run.reportedAtMs > overdueAtMs) {
+        statistics.recordStop("overdue");
         log.warn("Run goes on after its stop was accepted", {
           task: run.task.name,
           run: run.runId,
@@ -278,7 +279,7 @@
     const outcome = await client.stop(this.#address(), { task, runId, fencingToken });
     if (!this.#isStopped) {
       this.#recordOutcome(outcome, askedAtMs);
-      this.#logStopOutcome(outcome, { task, runId, tookMs: clock.nowMs() - askedAtMs });
+      this.#recordStopOutcome(outcome, { task, runId, tookMs: clock.nowMs() - askedAtMs });
       this.#wakeUp.wake();
     }
   }
@@ -398,8 +399,8 @@
     });
   }
 
-  /** Logs how a worker answered a stop; `tookMs` is the time since the stop was first sent. */
-  #logStopOutcome(
+  /** Logs and counts how a worker answered a stop; `tookMs` is the time since the stop was first sent. */
+  #recordStopOutcome(
     outcome: schema.scheduling.OrderOutcome,
     { task, runId, tookMs }: {
       readonly task: string;
@@ -407,6 +408,7 @@
       readonly tookMs: number;
     },
   ): void {
+    this.#options.statistics.recordStop(outcome.kind);
     this.#options.log.info(STOP_OUTCOME_MESSAGES[outcome.kind], {
       task,
       run: runId,
