Cancel a job whose notice reaches the owner after that of its cancellation

Callers cancel a job at one entry while another entry's notice of the job, or the caller's repeated request, is still under way. The owner remembered the cancellation, but looked it up only for jobs from the store: a job from an entry's notice started, and worked until the watch brought the job once more, which takes up to 5 s while the watch is silent.

Change: both ways of adding a job look up the cancellation. Before: the task starts once, and the job is not retired. After: no start, and the job is retired as cancelled.

--- a/packages/scheduler/src/cancellation_model_test.ts
+++ b/packages/scheduler/src/cancellation_model_test.ts
@@ -211,3 +211,25 @@
     expect(world.witness.cancelledJobCount).toBeGreaterThan(MIN_CANCELLED_JOBS);
   },
 );
+
+// Guards against tasks of a cancelled job that start because the cancellation arrives before the job.
+test("starts no task of a job whose notice arrives after that of its cancellation", async () => {
+  const world = new World(1, { pools: POOLS });
+  await vi.advanceTimersByTimeAsync(2_000);
+  world.store.faults.silencesWatches = true;
+  const term = world.owner!.term!;
+  const jobId = "0000000000000001";
+  term.cancelJob(jobId);
+  const step = testing.schedulingFixtures.step({ isLasting: true });
+  const submitted = world.submitSteps([step], "quick");
+  await vi.advanceTimersByTimeAsync(100);
+  expect(await submitted).toBe(jobId);
+  // The caller repeats its request, as half of the notices to the owner are lost.
+  for (let count = 0; !term.scheduler.knowsJob(jobId) && count < 10; count++) {
+    void world.resubmit(jobId);
+    await vi.advanceTimersByTimeAsync(100);
+  }
+  await vi.advanceTimersByTimeAsync(500);
+  world.nodes.forEach((node) => node.kill());
+  expect([world.witness.startCount, term.scheduler.retiredState(jobId)]).toEqual([0, "cancelled"]);
+});
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -144,14 +144,22 @@
     this.#scheduleDecision();
   }
 
-  /** Adds a job that an entry has just stored. */
+  /** Adds a job that an entry has just stored, unless it has been cancelled meanwhile. */
   putJob(job: schema.scheduling.Job, acceptedRevision: number): void {
     if (this.#isLoaded && !this.#isStopped) {
       this.scheduler.putJob(job, { acceptedRevision, seenAtMs: this.#options.clock.steadyMs() });
+      this.#applyEarlyCancellation(job.jobId);
       this.#scheduleDecision();
     }
   }
 
+  /** Cancels a job that was added after its cancellation had been received. */
+  #applyEarlyCancellation(jobId: string): void {
+    if (this.#cancelledJobIds.has(jobId)) {
+      this.scheduler.cancelJob(jobId);
+    }
+  }
+
   /** Applies a stored cancellation that an entry reports, also to a job that is not loaded yet. */
   cancelJob(jobId: string): void {
     this.#cancelJob(jobId, "entry");
@@ -290,9 +298,7 @@
       acceptedRevision: item.createdRevision,
       progressText: progress.get(storeKeys.progressKey(intake.jobId)),
     });
-    if (this.#cancelledJobIds.has(intake.jobId)) {
-      this.#cancelJob(intake.jobId, "store");
-    }
+    this.#applyEarlyCancellation(intake.jobId);
   }
 
   #addStoredJob(jobId: string, { item, acceptedRevision, progressText }: {
