Repeat a change of a run's speed that its worker has refused or not answered

The owner took a speed order for carried out, whatever the answer. The next one follows only when the wanted speed differs from the last one ordered, so that spare work whose pause was refused went on at full speed for as long as the task beside it stayed late.

Change: a refused or unanswered order marks the run's speed as uncertain, and the next decision after the usual interval orders again; the outcome is logged.

Before: the new case sees no second order 700 ms after a refused pause. After: one, and none if a newer order has replaced the failed one.

--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -47,6 +47,8 @@
   load: number;
   /** The last ordered speed, in percent of full speed. */
   pacePercent: number;
+  /** Whether the last speed order was refused or got no answer, so that it has to be repeated. */
+  isPaceUncertain: boolean;
   pacedAtMs: number;
   /** Until when a stop by the previous owner may take effect; reports don't show pending stops. */
   mayBeStoppingUntilMs: number;
--- a/packages/policy/src/scheduling/pacing.ts
+++ b/packages/policy/src/scheduling/pacing.ts
@@ -23,7 +23,7 @@
   readonly percent: number;
 }
 
-/** Returns the due pace changes and records them on the runs; reports reveal a lost order. */
+/** Returns the due pace changes and records them on the runs. */
 export function decidePaceChanges(workers: Iterable<WorkerRecord>, nowMs: number): PaceChange[] {
   const changes: PaceChange[] = [];
   for (const worker of workers) {
@@ -35,8 +35,10 @@
     const latencyRatio = Math.max(0, ...runs.map(latencyRatioOf));
     for (const run of spareRuns) {
       const percent = nextPercent(run.pacePercent, latencyRatio);
-      if (percent !== run.pacePercent && nowMs - run.pacedAtMs >= PACE_INTERVAL_MS) {
+      const isDue = percent !== run.pacePercent || run.isPaceUncertain;
+      if (isDue && nowMs - run.pacedAtMs >= PACE_INTERVAL_MS) {
         run.pacePercent = percent;
+        run.isPaceUncertain = false;
         run.pacedAtMs = nowMs;
         changes.push({ run, percent });
       }
@@ -45,6 +47,11 @@
   return changes;
 }
 
+/** Records that an order to change a run's speed was refused or got no answer; a newer one replaces it. */
+export function recordPaceFailure(run: Run, percent: number): void {
+  run.isPaceUncertain ||= run.pacePercent === percent;
+}
+
 /** The ratio of a serving task's tail latency to its objective. */
 function latencyRatioOf(run: Run): number {
   const objectiveMs = run.step.spec.latencyObjectiveMs;
--- a/packages/policy/src/scheduling/plans_test.ts
+++ b/packages/policy/src/scheduling/plans_test.ts
@@ -10,7 +10,7 @@
 import { JobRecord, type Run } from "./job_record.ts";
 import { OwnershipProof } from "./ownership_proof.ts";
 import * as stepOrder from "./step_order.ts";
-import { decidePaceChanges } from "./pacing.ts";
+import { decidePaceChanges, recordPaceFailure } from "./pacing.ts";
 import { neededVms, planMoves } from "./pool_plan.ts";
 import { TokenBucket } from "./token_bucket.ts";
 import { NO_RESOURCES } from "./resources.ts";
@@ -416,6 +416,25 @@
   expect(decidePaceChanges([worker], 10_000).map(({ percent }) => percent)).toEqual(expected);
 });
 
+// Guards against spare work that runs at full speed beside a late task, as the order to pause it was refused.
+test.each([
+  { name: "repeats a change that failed", failedPercent: 0, expected: [0] },
+  {
+    name: "does not repeat a change that a newer one has replaced",
+    failedPercent: 50,
+    expected: [],
+  },
+])("pace: $name", ({ failedPercent, expected }) => {
+  const worker = fixtures.openWorker("w");
+  runOn(worker, { latencyObjectiveMs: 100, isLasting: true }, { load: 120 });
+  runOn(worker, { usesSpareCpu: true }, {});
+  const [change] = decidePaceChanges([worker], 10_000);
+  recordPaceFailure(change!.run, failedPercent);
+  const soon = decidePaceChanges([worker], 10_100);
+  const later = decidePaceChanges([worker], 10_700);
+  expect([change!.percent, soon, later.map(({ percent }) => percent)]).toEqual([0, [], expected]);
+});
+
 describe("ownership proof", () => {
   const workers = ["a", "b", "c"];
   test.each([
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -946,6 +946,7 @@
       percent: 0,
       load: 0,
       pacePercent: 100,
+      isPaceUncertain: false,
       pacedAtMs: 0,
       mayBeStoppingUntilMs: 0,
     };
--- a/packages/policy/src/scheduling/test/fixtures.ts
+++ b/packages/policy/src/scheduling/test/fixtures.ts
@@ -93,6 +93,7 @@
     percent: 100,
     load: 0,
     pacePercent: 100,
+    isPaceUncertain: false,
     pacedAtMs: 0,
     mayBeStoppingUntilMs: 0,
     ...given,
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -284,9 +284,9 @@
     }
   }
 
-  /** Sets the speed of a run, in percent of full speed; the order is not repeated. */
+  /** Sets the speed of a run, in percent of full speed; a later decision repeats an order that failed. */
   async pace(run: Run, percent: number): Promise<void> {
-    const { client, clock, fencingToken } = this.#options;
+    const { client, clock, fencingToken, log } = this.#options;
     const askedAtMs = clock.nowMs();
     const { task: { name: task }, runId } = run;
     const outcome = await client.pace(this.#address(), { task, runId, percent, fencingToken });
@@ -294,8 +294,16 @@
       return;
     }
     this.#recordOutcome(outcome, askedAtMs);
-    if (outcome.kind === "unknown") {
-      this.#logUnansweredOrder("pace", run, outcome.reason);
+    if (outcome.kind === "unknown" || outcome.kind === "refused") {
+      policy.scheduling.pacing.recordPaceFailure(run, percent);
+      log.info("Speed unchanged", {
+        task,
+        run: runId,
+        worker: run.workerId,
+        percent,
+        outcome: outcome.kind,
+        reason: outcome.reason,
+      });
     }
   }
 
