Stop the runs of a cancelled job that the owner does not know

A cancellation had an effect only on a known job. The runs of a stored job that the owner could not decode were neither stopped nor left to lapse: each report listed them as unknown tasks, and each renewed the worker's lease, for good, although the cancellation had been acknowledged. Found by the reviewer, shown by the new test; no way in which our own code writes such an item is known.

Change: the scheduler keeps the cancellations of jobs that it does not know, stops their runs by name as it does with those of retired jobs, and cancels such a job once it is added. That also replaces the look-up for jobs whose notice comes late, which was in the owner's term.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -96,6 +96,8 @@
   readonly #active = new Set<JobRecord>();
   /** The final states of finished jobs without runs; their specs are dropped. */
   readonly #retired = new Map<string, schema.scheduling.JobState>();
+  /** The ids of jobs that were cancelled before they were added, if they ever are. */
+  readonly #cancelledEarly = new Set<string>();
   readonly #dirty = new Set<JobRecord>();
   readonly #orders: Order[] = [];
   /** By long-running step that fits nowhere, the id of the worker reserved for it. */
@@ -154,6 +156,7 @@
   /** Drops a finished job, except for its final state. */
   retireJob(jobId: string, finalState: schema.scheduling.JobState): void {
     this.jobs.delete(jobId);
+    this.#cancelledEarly.delete(jobId);
     this.#retired.set(jobId, finalState);
   }
 
@@ -177,12 +180,20 @@
     if (!record.isOver) {
       this.#active.add(record);
     }
+    if (this.#cancelledEarly.delete(job.jobId)) {
+      this.cancelJob(job.jobId);
+    }
   }
 
-  /** Cancels a job at its submitter's request and stops its runs. */
+  /**
+   * Cancels a job at its submitter's request and stops its runs, those of a job that has not been added by
+   * the names of their tasks.
+   */
   cancelJob(jobId: string): void {
     const job = this.jobs.get(jobId);
-    if (job !== undefined && !job.isOver) {
+    if (job === undefined && !this.#retired.has(jobId)) {
+      this.#cancelledEarly.add(jobId);
+    } else if (job !== undefined && !job.isOver) {
       this.#endJob(job, "cancelled");
     }
   }
@@ -451,7 +462,7 @@
   ): Set<string> {
     worker.ends.recordListed(report.ends.at(-1)?.endNumber ?? 0, receivedAtMs);
     for (const end of report.ends) {
-      if (this.#findTask(end.task) === undefined && !this.#belongsToRetiredJob(end.task)) {
+      if (this.#findTask(end.task) === undefined && !this.#belongsToForgottenJob(end.task)) {
         return new Set([end.task]);
       }
       if (end.endNumber > worker.ends.processed) {
@@ -462,14 +473,16 @@
     return new Set();
   }
 
-  #belongsToRetiredJob(taskName: string): boolean {
+  /** Whether the task's job is over and nothing else of it is known. */
+  #belongsToForgottenJob(taskName: string): boolean {
     const path = parseTaskName(taskName);
-    return path !== undefined && this.#retired.has(path.jobId);
+    return path !== undefined &&
+      (this.#retired.has(path.jobId) || this.#cancelledEarly.has(path.jobId));
   }
 
-  /** Stops a late-started run of a retired job by its task name, as nothing else is kept. */
+  /** Stops a run by its task name if nothing else is known of its job but that it is over. */
   #stopIfStray(worker: WorkerRecord, { task, runId }: schema.scheduling.ReportedRun): void {
-    if (this.#belongsToRetiredJob(task)) {
+    if (this.#belongsToForgottenJob(task)) {
       this.#orders.push({ kind: "stop-stray", workerId: worker.info.workerId, task, runId });
     }
   }
--- a/packages/scheduler/src/cancellation_model_test.ts
+++ b/packages/scheduler/src/cancellation_model_test.ts
@@ -6,6 +6,7 @@
  */
 import * as testing from "@jackdawlink/testing";
 import { expect, test, vi } from "vitest";
+import * as storeKeys from "./store_keys.ts";
 import {
   crossWithSeeds,
   type FaultInjector,
@@ -233,3 +234,23 @@
   world.nodes.forEach((node) => node.kill());
   expect([world.witness.startCount, term.scheduler.retiredState(jobId)]).toEqual([0, "cancelled"]);
 });
+
+// Guards against runs that no owner stops, as the stored job can no longer be decoded when it is cancelled.
+test("stops the runs of a cancelled job that the owner cannot decode", async () => {
+  const world = new World(1, { failureProbability: 0 });
+  await vi.advanceTimersByTimeAsync(2_000);
+  const step = testing.schedulingFixtures.step({ isLasting: true });
+  const [jobId] = await Promise.all([
+    world.submitSteps([step], "quick"),
+    vi.advanceTimersByTimeAsync(2_000),
+  ]);
+  const task = `${jobId}.0.0.0`;
+  world.store.write(storeKeys.jobKey(jobId), "{");
+  world.restartOwner();
+  await vi.advanceTimersByTimeAsync(8_000);
+  const isAtWorkBefore = world.fleet.isRunning(task);
+  void world.cancel(jobId);
+  await vi.advanceTimersByTimeAsync(4_000);
+  world.nodes.forEach((node) => node.kill());
+  expect([isAtWorkBefore, world.fleet.isRunning(task)]).toEqual([true, false]);
+});
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -68,7 +68,7 @@
   readonly #vmManager: VmManager;
   readonly #followers: PrefixFollower[] = [];
   readonly #startedAtMs: number;
-  /** Cancelled job ids; a cancellation may be seen before the job itself. */
+  /** The ids of jobs whose cancellation has been received; each is received more than once. */
   readonly #cancelledJobIds = new Set<string>();
   #isLoaded = false;
   #isStopped = false;
@@ -144,22 +144,14 @@
     this.#scheduleDecision();
   }
 
-  /** Adds a job that an entry has just stored, unless it has been cancelled meanwhile. */
+  /** Adds a job that an entry has just stored. */
   putJob(job: schema.scheduling.Job, acceptedRevision: number): void {
     if (this.#isLoaded && !this.#isStopped) {
       this.scheduler.putJob(job, { acceptedRevision, seenAtMs: this.#options.clock.steadyMs() });
-      this.#applyEarlyCancellation(job.jobId);
       this.#scheduleDecision();
     }
   }
 
-  /** Cancels a job that was added after its cancellation had been received. */
-  #applyEarlyCancellation(jobId: string): void {
-    if (this.#cancelledJobIds.has(jobId)) {
-      this.scheduler.cancelJob(jobId);
-    }
-  }
-
   /** Applies a stored cancellation that an entry reports, also to a job that is not loaded yet. */
   cancelJob(jobId: string): void {
     this.#cancelJob(jobId, "entry");
@@ -298,7 +290,6 @@
       acceptedRevision: item.createdRevision,
       progressText: progress.get(storeKeys.progressKey(intake.jobId)),
     });
-    this.#applyEarlyCancellation(intake.jobId);
   }
 
   #addStoredJob(jobId: string, { item, acceptedRevision, progressText }: {
