Store the cancellation of a job that may still be stored

A submission whose write got no answer is answered with 504, and may be stored seconds later. A cancellation in between found no job, was answered with 410 and stored nothing, so that the job ran, a long-running one for good, although its submitter had cancelled it.

Change: the cancellation is stored whether or not the job is there; the answer is still 410 for a job that is not. It costs one write for each cancellation of an unknown job.

Before: the new test finds the job stored and no cancellation. After: both are stored.

--- a/packages/scheduler/src/caller_service.ts
+++ b/packages/scheduler/src/caller_service.ts
@@ -71,6 +71,7 @@
   reason: "the configuration may be out of date; nothing was done",
   retryAfterS: RETRY_AFTER_S,
 };
+const NO_SUCH_JOB: CallerResponse = { status: 410, reason: "no such job" };
 
 /** Handles callers' requests at one entry. */
 export class CallerService {
@@ -199,7 +200,7 @@
       };
     }
     return stored.kind === "missing"
-      ? { status: 410, reason: "no such job" }
+      ? NO_SUCH_JOB
       : { status: 200, reason: "the stored state", body: { state: stored.state } };
   }
 
@@ -212,10 +213,11 @@
 
   async #cancel(jobId: string): Promise<CallerResponse> {
     const { jobs } = this.#options;
-    const isKnown = await jobs.has(jobId);
-    if (isKnown === false) {
-      return { status: 410, reason: "no such job" };
+    if (!JOB_ID.test(jobId)) {
+      return NO_SUCH_JOB;
     }
+    const isKnown = await jobs.has(jobId);
+    // A write that got no answer may store the job later, so its cancellation is stored in any case.
     if (isKnown === undefined || !await jobs.cancel(jobId)) {
       return {
         status: 503,
@@ -224,7 +226,7 @@
       };
     }
     await this.#notifyOwner({ kind: "cancelled", jobId });
-    return { status: 200, reason: "cancelled", body: {} };
+    return isKnown ? { status: 200, reason: "cancelled", body: {} } : NO_SUCH_JOB;
   }
 
   /** Tells the owner of a stored change. The owner watches the store too, so a lost message only adds delay. */
--- a/packages/scheduler/src/caller_service_test.ts
+++ b/packages/scheduler/src/caller_service_test.ts
@@ -200,3 +200,17 @@
   expect(await status("GET", `/a/${JOB_ID}`)).toBe(503);
   expect(callers.isReady).toBe(false);
 });
+
+// Guards against a job that runs although its submitter was told that there is none to cancel.
+test("a job that is stored after its cancellation was answered with 410 is stored as cancelled", async () => {
+  store.faults.answerLossProbability = 1;
+  store.faults.delaysLostWrites = true;
+  const submission = status("POST", `/a/${JOB_ID}`);
+  await vi.advanceTimersByTimeAsync(1_000);
+  store.faults.answerLossProbability = 0;
+  const cancellation = status("DELETE", `/a/${JOB_ID}`);
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect([await submission, await cancellation]).toEqual([504, 410]);
+  const keys = [storeKeys.jobKey(JOB_ID), storeKeys.cancelKey(JOB_ID)];
+  expect(keys.map((key) => store.read(key) !== undefined)).toEqual([true, true]);
+});
