Stop the runs of a gang that an earlier run has completed

When a task is done by another run than its current one, the current one is stopped; for a gang nothing was, and its members worked on, taking their room, until they ended by themselves. It takes two runs of one gang, as after a change of owner beside a worker that was cut off.

Before: no stop is ordered. After: one for each member of the other run; members of the run that is done are left to end.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -82,6 +82,13 @@
 /** The inputs of a decision, as log fields; names carry units. */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** A task and what it belongs to. */
+interface FoundTask {
+  readonly job: JobRecord;
+  readonly step: StepRecord;
+  readonly task: TaskRecord;
+}
+
 export interface SchedulerOptions {
   readonly term: number;
   readonly takeover: Takeover;
@@ -1041,13 +1048,13 @@
       return;
     }
     if (end.kind === "done") {
-      this.#applyTaskDone(job, step, task);
+      this.#applyTaskDone(found, end.runId);
     } else if (end.kind === "failed") {
       this.#applyTaskFailure(job, step, task, { runId: end.runId, workerId: worker.info.workerId });
     }
   }
 
-  #applyTaskDone(job: JobRecord, step: StepRecord, task: TaskRecord): void {
+  #applyTaskDone({ job, step, task }: FoundTask, runId: number): void {
     const { isGang } = step.spec;
     for (const each of isGang ? step.knownTasks : [task]) {
       if (each.crashes !== undefined && !each.isDone) {
@@ -1058,14 +1065,18 @@
         });
       }
     }
+    // The other tasks of the gang's run that is done end by themselves.
+    const unneeded = isGang
+      ? step.runs().filter((run) => run.runId !== runId)
+      : [task.run].filter((run) => run !== undefined);
     if (isGang) {
       // Tasks of a gang succeed together, so the first end marks all of them done.
       step.markEveryTaskDone();
     } else {
       step.markDone(task);
-      if (task.run !== undefined) {
-        this.#stop(task.run, "another run completed the task");
-      }
+    }
+    for (const run of unneeded) {
+      this.#stop(run, "another run completed the task");
     }
     this.#dirty.add(job);
     if (job.isAllDone()) {
@@ -1114,7 +1125,7 @@
     this.#durationRatios.set(queue, known + DURATION_RATIO_WEIGHT * (Math.min(ratio, 3) - known));
   }
 
-  #findTask(taskName: string): { job: JobRecord; step: StepRecord; task: TaskRecord } | undefined {
+  #findTask(taskName: string): FoundTask | undefined {
     const path = parseTaskName(taskName);
     const job = path && this.jobs.get(path.jobId);
     const step = path && job?.step(path.occurrence, path.step);
--- a/packages/policy/src/scheduling/scheduler_test.ts
+++ b/packages/policy/src/scheduling/scheduler_test.ts
@@ -729,3 +729,32 @@
   );
   expect(orders).toEqual(expected);
 });
+
+// Guards against the members of a gang that work on after an earlier run of the gang has completed it.
+test("stops the runs of a gang that another run has completed", () => {
+  const scheduler = fixtures.scheduler(["w1", "w2", "w3"], { term: 2 });
+  const gang = testing.schedulingFixtures.step({
+    taskCount: 2,
+    isGang: true,
+    maxTasksPerWorker: 1,
+  });
+  const after = testing.schedulingFixtures.step({ afterSteps: [0] });
+  scheduler.putJob(fixtures.job("j", [gang, after]), { acceptedRevision: 10, seenAtMs: 9_900 });
+  const now = { nowMs: 10_000, wallMs: 10_000 };
+  const starts = scheduler.decide(now).flatMap((order) => order.kind === "start" ? [order] : []);
+  for (const { run } of starts) {
+    const outcome = { kind: "done", workerClockMs: 1_000 } as const;
+    scheduler.recordStartOutcome(run, outcome, { nowMs: 9_000, isRepeated: false });
+  }
+  const usedIds = starts.map(({ run }) => run.workerId);
+  const other = [...scheduler.workers.values()].find(({ info }) =>
+    !usedIds.includes(info.workerId)
+  )!;
+  const end = { endNumber: 1, task: "j.0.0.0", runId: 5, kind: "done", checkpoint: "" } as const;
+  const at = { sentAtMs: 9_990, receivedAtMs: 10_000 };
+  scheduler.applyReport(other, fixtures.emptyReport({ ends: [end] }), at);
+  const stopped = scheduler.decide(now).flatMap((order) =>
+    order.kind === "stop" ? [order.run.task.name] : []
+  );
+  expect([starts.length, stopped]).toEqual([2, ["j.0.0.0", "j.0.0.1"]]);
+});
