--- a/packages/scheduler/src/cancellation_model_test.ts
+++ b/packages/scheduler/src/cancellation_model_test.ts
@@ -92,6 +92,17 @@
       }
     },
   },
+  {
+    name: "the ownership is handed over, with calm in between, while workers drain",
+    injectFaults: (world, atMs) => {
+      if (isEvery(9_000, atMs)) {
+        void replaceOwner(world);
+      }
+      if (isEvery(1_000, atMs)) {
+        world.fleet.drain(anyVm(world), 3_000);
+      }
+    },
+  },
   {
     name: "owners are killed while workers drain",
     injectFaults: (world, atMs) => {
