--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -14,6 +14,7 @@
 import { decidePaceChanges } from "./pacing.ts";
 import { chooseReservation, chooseWorker, type EligibilityRequest } from "./placement.ts";
 import * as resources from "./resources.ts";
+import type { RunName } from "./lost_runs.ts";
 import { aliveWorkerIds, MAX_MISSED_LISTS, TakeoverCensus } from "./takeover_census.ts";
 import { parseTaskName } from "./task_names.ts";
 import { groupByPool, type PoolWorkers } from "./pool_workers.ts";
@@ -403,7 +404,7 @@
         });
         for (const run of [...worker.runs.values()]) {
           this.#loseRun(run, nowMs, "the lease expired");
-          worker.recordLostRun(run);
+          worker.lostRuns.record(run);
         }
       }
       if (!worker.isListed && isKnownIdle(worker)) {
@@ -449,7 +450,11 @@
       }
     }
     worker.unknownTasks = unknownTasks;
-    this.#settleLostRuns(worker, report, at.sentAtMs);
+    const lostRunStops = worker.lostRuns.settle(report, {
+      sentAtMs: at.sentAtMs,
+      isTracked: (key) => worker.runs.has(key),
+    });
+    lostRunStops.forEach((run) => this.#stopByName(worker, run));
     for (const run of report.hasMoreEnds ? [] : [...worker.runs.values()]) {
       const isAbsent = (run.verifyAfterMs ?? run.confirmedAtMs ?? Infinity) < at.sentAtMs;
       if (isAbsent && !listed.has(runKey(run.task.name, run.runId))) {
@@ -485,36 +490,6 @@
     return new Set();
   }
 
-  /**
-   * Settles the lost runs that the report shows to be over or that are tracked again, and stops the others.
-   * A run that is not listed may start yet, unless the worker has accepted a stop before.
-   */
-  #settleLostRuns(
-    worker: WorkerRecord,
-    { running, ends, hasMoreEnds }: schema.scheduling.WorkerReport,
-    sentAtMs: number,
-  ): void {
-    if (worker.lostRuns.size === 0) {
-      return;
-    }
-    const atWork = new Set(running.map(({ task, runId }) => runKey(task, runId)));
-    const ended = new Set(ends.map(({ task, runId }) => runKey(task, runId)));
-    for (const [key, lost] of worker.lostRuns) {
-      const { task, runId, isStopUnderWay, stopAcceptedAtMs } = lost;
-      const isAfterStop = stopAcceptedAtMs !== undefined && stopAcceptedAtMs < sentAtMs;
-      if (ended.has(key) || worker.runs.has(key) || (isAfterStop && !atWork.has(key))) {
-        worker.lostRuns.delete(key);
-        continue;
-      }
-      const isStopUnconfirmed = isStopUnderWay || (stopAcceptedAtMs !== undefined && !isAfterStop);
-      const mayHaveEnded = hasMoreEnds && !atWork.has(key);
-      if (!isStopUnconfirmed && !mayHaveEnded) {
-        lost.isStopUnderWay = true;
-        this.#orders.push({ kind: "stop-stray", workerId: worker.info.workerId, task, runId });
-      }
-    }
-  }
-
   /** Whether the task's job is over and nothing else of it is known. */
   #belongsToForgottenJob(taskName: string): boolean {
     const path = parseTaskName(taskName);
@@ -522,13 +497,17 @@
       (this.#retired.has(path.jobId) || this.#cancelledEarly.has(path.jobId));
   }
 
-  /** Stops a run by its task name if nothing else is known of its job but that it is over. */
-  #stopIfStray(worker: WorkerRecord, { task, runId }: schema.scheduling.ReportedRun): void {
-    if (this.#belongsToForgottenJob(task) && !worker.lostRuns.has(runKey(task, runId))) {
-      this.#orders.push({ kind: "stop-stray", workerId: worker.info.workerId, task, runId });
+  /** Stops a run if nothing else is known of its job but that it is over. */
+  #stopIfStray(worker: WorkerRecord, reported: schema.scheduling.ReportedRun): void {
+    if (this.#belongsToForgottenJob(reported.task) && !worker.lostRuns.has(reported)) {
+      this.#stopByName(worker, reported);
     }
   }
 
+  #stopByName({ info: { workerId } }: WorkerRecord, { task, runId }: RunName): void {
+    this.#orders.push({ kind: "stop-stray", workerId, task, runId });
+  }
+
   /** Applies the outcome of a start order. */
   recordStartOutcome(run: Run, outcome: schema.scheduling.OrderOutcome, { nowMs, isRepeated }: {
     readonly nowMs: number;
@@ -575,20 +554,6 @@
     run.verifyAfterMs ??= nowMs;
   }
 
-  /** Records how the stop of a run ended that is not tracked; does nothing if the run is not a lost one. */
-  recordStrayStop(worker: WorkerRecord, { task, runId, isAccepted, nowMs }: {
-    readonly task: string;
-    readonly runId: number;
-    readonly isAccepted: boolean;
-    readonly nowMs: number;
-  }): void {
-    const lost = worker.lostRuns.get(runKey(task, runId));
-    if (lost !== undefined) {
-      lost.isStopUnderWay = false;
-      lost.stopAcceptedAtMs = isAccepted ? nowMs : undefined;
-    }
-  }
-
   /** Stops a run whose task is to continue elsewhere, for example before maintenance of its VM. */
   evacuate(run: Run, reason: string): void {
     if (run.state !== "stopping") {
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -5,6 +5,7 @@
  */
 import { EndProgress } from "./end_progress.ts";
 import { type JobRecord, type Run, runKey } from "./job_record.ts";
+import { LostRuns } from "./lost_runs.ts";
 import type * as schema from "@jackdawlink/schema";
 import * as resources from "./resources.ts";
 
@@ -37,22 +38,12 @@
   return nowMs - writtenAtMs <= CAPACITY_VALIDITY_MS;
 }
 
-/** A run that was given up without evidence of its end: it may be at work, or may start yet. */
-export interface LostRun {
-  readonly task: string;
-  readonly runId: number;
-  /** Whether a stop has been ordered whose outcome isn't known. */
-  isStopUnderWay: boolean;
-  /** When the worker accepted the last stop; undefined if it has not. */
-  stopAcceptedAtMs: number | undefined;
-}
-
 /** Tracks one worker process. */
 export class WorkerRecord {
   info: schema.scheduling.WorkerInfo;
   readonly runs = new Map<string, Run>();
-  /** The runs that were given up without evidence of their end, by key; none of them is in `runs`. */
-  readonly lostRuns = new Map<string, LostRun>();
+  /** The runs that were given up without evidence of their end; none of them is in `runs`. */
+  readonly lostRuns = new LostRuns();
   used: schema.scheduling.Resources = resources.NO_RESOURCES;
   /** The runs whose tasks were at work on another worker that crashed. */
   readonly #suspectRuns = new Set<Run>();
@@ -113,22 +104,6 @@
     }
   }
 
-  /** Records that a run has been given up without evidence of its end. */
-  recordLostRun({ task: { name }, runId }: Run): void {
-    const lost = { task: name, runId, isStopUnderWay: false, stopAcceptedAtMs: undefined };
-    this.lostRuns.set(runKey(name, runId), lost);
-  }
-
-  /** Whether a report is needed to learn what has become of a lost run. */
-  get isReportDue(): boolean {
-    for (const { isStopUnderWay } of this.lostRuns.values()) {
-      if (!isStopUnderWay) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** The number of runs of other jobs that may still crash the worker. */
   suspectCount(job: JobRecord, nowMs: number): number {
     let count = 0;
--- a/packages/policy/src/scheduling/worker_reports_test.ts
+++ b/packages/policy/src/scheduling/worker_reports_test.ts
@@ -243,7 +243,7 @@
   ({ prepare, report, stops: expected, isSettled }) => {
     const { scheduler, worker } = lostRunFixture();
     prepare?.(scheduler);
-    expect([worker.isReportDue, worker.isSchedulable(NOW.nowMs)]).toEqual([true, false]);
+    expect([worker.lostRuns.isReportDue, worker.isSchedulable(NOW.nowMs)]).toEqual([true, false]);
     scheduler.applyReport(worker, fixtures.emptyReport(report), AT);
     expect(stops(scheduler)).toEqual(expected);
     expect(worker.lostRuns.size).toBe(isSettled ? 0 : 1);
@@ -253,18 +253,18 @@
 // Guards against a start that is carried out after its run was given up and the worker had no run to list.
 test("orders the stop of a lost run again until it is accepted and a later report lacks the run", () => {
   const { scheduler, worker } = lostRunFixture();
-  const stop = { task: "j.0.0.0", runId: 1, nowMs: 10_100 };
+  const lost = { task: "j.0.0.0", runId: 1 };
   const report = (sentAtMs: number, running: readonly (typeof RUNNING)[] = []) => {
     const at = { sentAtMs, receivedAtMs: sentAtMs + 10 };
     scheduler.applyReport(worker, fixtures.emptyReport({ running: [...running] }), at);
     return stops(scheduler);
   };
   expect(report(10_010)).toEqual(["stop-stray j.0.0.0 1"]);
-  expect([worker.isReportDue, report(10_030)]).toEqual([false, []]);
-  scheduler.recordStrayStop(worker, { ...stop, isAccepted: false });
-  expect([worker.isReportDue, report(10_110)]).toEqual([true, ["stop-stray j.0.0.0 1"]]);
-  scheduler.recordStrayStop(worker, { ...stop, isAccepted: true, nowMs: 10_200 });
-  expect([worker.isReportDue, report(10_190)]).toEqual([true, []]);
+  expect([worker.lostRuns.isReportDue, report(10_030)]).toEqual([false, []]);
+  worker.lostRuns.recordStop(lost, undefined);
+  expect([worker.lostRuns.isReportDue, report(10_110)]).toEqual([true, ["stop-stray j.0.0.0 1"]]);
+  worker.lostRuns.recordStop(lost, 10_200);
+  expect([worker.lostRuns.isReportDue, report(10_190)]).toEqual([true, []]);
   expect(worker.isSchedulable(10_200)).toBe(false);
   expect(report(10_300)).toEqual([]);
   expect([worker.lostRuns.size, worker.isSchedulable(10_300)]).toEqual([0, true]);
@@ -277,8 +277,7 @@
   const report = fixtures.emptyReport({ running: [RUNNING] });
   scheduler.applyReport(worker, report, AT);
   expect(stops(scheduler)).toEqual(["stop-stray j.0.0.0 1"]);
-  const stop = { task: "j.0.0.0", runId: 1, isAccepted: true, nowMs: 10_100 };
-  scheduler.recordStrayStop(worker, stop);
+  worker.lostRuns.recordStop({ task: "j.0.0.0", runId: 1 }, 10_100);
   scheduler.applyReport(worker, report, { sentAtMs: 10_200, receivedAtMs: 10_210 });
   expect(stops(scheduler)).toEqual(["stop-stray j.0.0.0 1"]);
 });
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -273,7 +273,7 @@
    * without evidence of its end. The scheduler orders the stop again if a later report shows the need.
    */
   async stopStrayRun(task: string, runId: number): Promise<void> {
-    const { client, clock, fencingToken, log, scheduler, worker } = this.#options;
+    const { client, clock, fencingToken, log, worker } = this.#options;
     log.info("Stopping stray run", { task, run: runId, worker: worker.info.workerId });
     const askedAtMs = clock.nowMs();
     const outcome = await client.stop(this.#address(), { task, runId, fencingToken });
@@ -286,7 +286,7 @@
     if (!isAccepted) {
       await pause(RETRY_INTERVAL_MS);
     }
-    scheduler.recordStrayStop(worker, { task, runId, isAccepted, nowMs: clock.steadyMs() });
+    worker.lostRuns.recordStop({ task, runId }, isAccepted ? clock.steadyMs() : undefined);
     this.#wakeUp.wake();
   }
 
@@ -316,7 +316,7 @@
   #needsReport(): boolean {
     const { worker, clock, needsWorkerProof } = this.#options;
     return !worker.hasReported || worker.runs.size > 0 || worker.unknownTasks.size > 0 ||
-      worker.isReportDue || worker.ends.stored > worker.ends.acknowledged ||
+      worker.lostRuns.isReportDue || worker.ends.stored > worker.ends.acknowledged ||
       (needsWorkerProof() && clock.steadyMs() - this.#reportRequestedAtMs >= PROOF_INTERVAL_MS);
   }
 
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -273,7 +273,7 @@
       void session.stopStrayRun("j.0.0.0", 1);
     }
   }
-  expect([stopCount, worker.isReportDue]).toEqual([3, false]);
+  expect([stopCount, worker.lostRuns.isReportDue]).toEqual([3, false]);
   expect(askedCount - askedBefore).toBeGreaterThanOrEqual(4);
   expect(askedCount - askedBefore).toBeLessThanOrEqual(5);
   session.stop();
