--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -180,12 +180,17 @@
   readonly #workersByAddress = new Map<string, ModelWorker>();
   readonly #maintenanceStartsByWave = new Map<number, Map<string, number>>();
   readonly #workers: ModelWorker[] = [];
+  /** Since when no node has reached a worker, by worker id. */
+  readonly #unreachableSinceMs = new Map<string, number>();
   /** The highest number of VMs that were down for maintenance at the same time. */
   maxVmsInMaintenance = 0;
 
   constructor(options: ModelFleetOptions) {
     this.#options = options;
-    setInterval(() => this.#checkLeases(), LEASE_CHECK_INTERVAL_MS);
+    setInterval(() => {
+      this.#checkLeases();
+      this.#recordReachability();
+    }, LEASE_CHECK_INTERVAL_MS);
   }
 
   addVm(vm: string, pool: string, { labels = [] }: { labels?: readonly string[] } = {}): void {
@@ -602,11 +607,10 @@
       isStopping: false,
     };
     worker.runs.set(order.task, run);
-    const isUnstoppable = isLate && this.faults.blockedLinks.has(`*>${worker.workerId}`);
     witness.recordStart(
       order.task,
       { workerId: worker.workerId, runId: order.runId },
-      { isUnstoppable },
+      isLate ? { unreachableSinceMs: this.#unreachableSinceMs.get(worker.workerId) } : {},
     );
     // Nobody can recall an order that is carried out late, so it is judged by any earlier capacity.
     const totals = worker.totalsWithin(isLate ? Infinity : SHRINK_NOTICE_MS);
@@ -712,6 +716,16 @@
     return undefined;
   }
 
+  #recordReachability(): void {
+    for (const { workerId } of this.#workersByAddress.values()) {
+      if (!this.faults.blockedLinks.has(`*>${workerId}`)) {
+        this.#unreachableSinceMs.delete(workerId);
+      } else if (!this.#unreachableSinceMs.has(workerId)) {
+        this.#unreachableSinceMs.set(workerId, Date.now());
+      }
+    }
+  }
+
   #checkLeases(): void {
     for (const worker of this.#workersByAddress.values()) {
       if (worker.isAlive && worker.clockMs() > worker.leaseUntilMs) {
--- a/packages/testing/src/scheduling_model/run_witness.ts
+++ b/packages/testing/src/scheduling_model/run_witness.ts
@@ -115,9 +115,16 @@
     }
   }
 
-  /** `isUnstoppable`: the order was carried out late, on a worker that no stop could reach. */
-  recordStart(task: string, started: LiveRun, { isUnstoppable = false } = {}): void {
-    const run = isUnstoppable
+  /** `unreachableSinceMs`: given for an order carried out late on a worker that no node has reached since. */
+  recordStart(
+    task: string,
+    started: LiveRun,
+    { unreachableSinceMs = Infinity }: { readonly unreachableSinceMs?: number | undefined } = {},
+  ): void {
+    const cancelledAtMs = this.#cancelledAtMs.get(task.split(".")[0]!) ?? Infinity;
+    // Cut off before the time that the stops have was over; the first ones may be late as well.
+    const isUnstoppable = unreachableSinceMs <= cancelledAtMs + CANCEL_BOUND_MS;
+    const run = isUnstoppable && Number.isFinite(cancelledAtMs)
       ? { ...started, countsFromMs: Date.now() + LATE_START_BOUND_MS }
       : started;
     this.startCount++;
@@ -149,9 +156,7 @@
         this.#addViolation(task, run, `started before step ${after} was done`);
       }
     }
-    const cancelledAtMs = this.#cancelledAtMs.get(jobId!);
-    const isOverdue = cancelledAtMs !== undefined && Date.now() - cancelledAtMs > CANCEL_BOUND_MS;
-    if (isOverdue && !isUnstoppable) {
+    if (Date.now() - cancelledAtMs > CANCEL_BOUND_MS && !isUnstoppable) {
       this.#addViolation(task, run, "started after its job was cancelled");
     }
     this.#live.set(task, [...others, run]);
