Share the fleet, a random VM and the handover with a restart between the model tests

The cancellation model had its own copies of what the crash model has. A move without a change of behaviour: the same draws in the same order, and no assertion touched.

--- a/packages/scheduler/src/cancellation_model_test.ts
+++ b/packages/scheduler/src/cancellation_model_test.ts
@@ -11,6 +11,7 @@
   crossWithSeeds,
   type FaultInjector,
   isAt,
+  LARGE_POOLS,
   STEP_MS,
   useSimulatedTime,
   World,
@@ -19,22 +20,12 @@
 const TRAFFIC_MS = 24_000;
 const SETTLE_MS = 20_000;
 const SEEDS = [1, 2, 3, 4];
-const POOLS = [
-  ...Array.from({ length: 6 }, () => "pool-a"),
-  ...Array.from({ length: 6 }, () => "pool-b"),
-  ...Array.from({ length: 4 }, () => "spare"),
-];
-const VM_NAMES = POOLS.map((_, index) => `vm-${index}`);
+const VM_NAMES = LARGE_POOLS.map((_, index) => `vm-${index}`);
 const TROUBLE_PERIOD_MS = 12_000;
 /** How often a job is submitted, and one that is there is cancelled. */
 const JOB_INTERVAL_MS = 500;
-const RESTART_DELAY_MS = 600;
 const MIN_CANCELLED_JOBS = 20;
 
-function anyVm(world: World): string {
-  return VM_NAMES[world.random.between(0, VM_NAMES.length - 1)]!;
-}
-
 function isEvery(intervalMs: number, atMs: number): boolean {
   return atMs < TRAFFIC_MS && atMs % intervalMs === 0;
 }
@@ -52,21 +43,13 @@
   world.startWave({ wave: 1, vms: VM_NAMES.slice(0, 12), durationMs: 20_000, maxConcurrent: 3 });
 }
 
-/** Hands the ownership over, and restarts the node's process. */
-async function replaceOwner(world: World): Promise<void> {
-  const { owner } = world;
-  await owner?.release();
-  owner?.kill();
-  setTimeout(() => owner?.start(), RESTART_DELAY_MS);
-}
-
 const SCENARIOS: readonly { readonly name: string; readonly injectFaults: FaultInjector }[] = [
   { name: "without faults", injectFaults: () => {} },
   {
     name: "workers drain and leave",
     injectFaults: (world, atMs) => {
       if (isEvery(1_000, atMs)) {
-        world.fleet.drain(anyVm(world), 3_000);
+        world.fleet.drain(world.anyVm(), 3_000);
       }
     },
   },
@@ -77,7 +60,7 @@
         startWave(world);
       }
       if (isEvery(2_000, atMs)) {
-        world.fleet.drain(anyVm(world), 3_000);
+        world.fleet.drain(world.anyVm(), 3_000);
       }
     },
   },
@@ -88,7 +71,7 @@
         startWave(world);
       }
       if (isEvery(3_000, atMs)) {
-        void replaceOwner(world);
+        void world.replaceOwner();
       }
     },
   },
@@ -96,10 +79,10 @@
     name: "the ownership is handed over, with calm in between, while workers drain",
     injectFaults: (world, atMs) => {
       if (isEvery(9_000, atMs)) {
-        void replaceOwner(world);
+        void world.replaceOwner();
       }
       if (isEvery(1_000, atMs)) {
-        world.fleet.drain(anyVm(world), 3_000);
+        world.fleet.drain(world.anyVm(), 3_000);
       }
     },
   },
@@ -110,7 +93,7 @@
         world.restartOwner();
       }
       if (isEvery(1_000, atMs)) {
-        world.fleet.drain(anyVm(world), 3_000);
+        world.fleet.drain(world.anyVm(), 3_000);
       }
     },
   },
@@ -151,7 +134,7 @@
     injectFaults: (world, atMs) => {
       const { vmsCutFromStore } = world.fleet.faults;
       if (isAt(1_000, atMs) || isAt(13_000, atMs)) {
-        [anyVm(world), anyVm(world), anyVm(world)].forEach((vm) => vmsCutFromStore.add(vm));
+        [world.anyVm(), world.anyVm(), world.anyVm()].forEach((vm) => vmsCutFromStore.add(vm));
       } else if (isAt(8_000, atMs)) {
         world.restartOwner();
       } else if (isAt(11_000, atMs) || isAt(20_000, atMs)) {
@@ -198,7 +181,7 @@
   "cancelled long-running jobs, $name, seed $seed: no task runs on",
   async ({ seed, injectFaults }) => {
     const world = new World(seed, {
-      pools: POOLS,
+      pools: LARGE_POOLS,
       failureProbability: 0,
       cancelNoticeProbability: 0.5,
     });
@@ -226,7 +209,7 @@
 
 // Guards against tasks of a cancelled job that start because the cancellation arrives before the job.
 test("starts no task of a job whose notice arrives after that of its cancellation", async () => {
-  const world = new World(1, { pools: POOLS });
+  const world = new World(1, { pools: LARGE_POOLS });
   await vi.advanceTimersByTimeAsync(2_000);
   world.store.faults.silencesWatches = true;
   const term = world.owner!.term!;
--- a/packages/scheduler/src/crash_model_test.ts
+++ b/packages/scheduler/src/crash_model_test.ts
@@ -10,6 +10,7 @@
   crossWithSeeds,
   type FaultInjector,
   isAt,
+  LARGE_POOLS,
   STEP_MS,
   useSimulatedTime,
   World,
@@ -22,12 +23,7 @@
 /** Every so many jobs, one has a task that crashes its workers. */
 const DEADLY_JOB_INTERVAL = 8;
 const LASTING_JOB_INTERVAL = 4;
-const POOLS = [
-  ...Array.from({ length: 6 }, () => "pool-a"),
-  ...Array.from({ length: 6 }, () => "pool-b"),
-  ...Array.from({ length: 4 }, () => "spare"),
-];
-const VM_NAMES = POOLS.map((_, index) => `vm-${index}`);
+const VM_NAMES = LARGE_POOLS.map((_, index) => `vm-${index}`);
 
 type StepKind = "plain" | "gang" | "lasting";
 /** When a task crashes its worker, given how long its work takes. */
@@ -46,10 +42,6 @@
   readonly lastingJobInterval?: number;
 }
 
-function anyVm(world: World): string {
-  return VM_NAMES[world.random.between(0, VM_NAMES.length - 1)]!;
-}
-
 function isEvery(intervalMs: number, atMs: number): boolean {
   return atMs < TRAFFIC_MS && atMs % intervalMs === 0;
 }
@@ -93,7 +85,7 @@
     name: "VMs crash by themselves, one after another",
     injectFaults: (world, atMs) => {
       if (isEvery(750, atMs)) {
-        world.fleet.crash(anyVm(world), LONG_DOWN_MS);
+        world.fleet.crash(world.anyVm(), LONG_DOWN_MS);
       }
     },
   },
@@ -101,7 +93,7 @@
     name: "only VMs that crash by themselves, and no such task",
     injectFaults: (world, atMs) => {
       if (isEvery(500, atMs)) {
-        world.fleet.crash(anyVm(world), LONG_DOWN_MS);
+        world.fleet.crash(world.anyVm(), LONG_DOWN_MS);
       }
     },
     deadlyJobInterval: Infinity,
@@ -121,7 +113,7 @@
     name: "VMs crash by themselves, restart under the same id, and the owner is killed",
     injectFaults: (world, atMs) => {
       if (isEvery(1_000, atMs)) {
-        world.fleet.crash(anyVm(world), 400, { keepsId: true });
+        world.fleet.crash(world.anyVm(), 400, { keepsId: true });
       }
       if (isAt(5_000, atMs)) {
         world.restartOwner();
@@ -162,7 +154,7 @@
     name: "workers drain and leave",
     injectFaults: (world, atMs) => {
       if (isEvery(1_500, atMs)) {
-        world.fleet.drain(anyVm(world), 2_000);
+        world.fleet.drain(world.anyVm(), 2_000);
       }
     },
   },
@@ -252,7 +244,7 @@
 test.each(crossWithSeeds(SCENARIOS, SEEDS))(
   "tasks that crash their workers, $name, seed $seed: are given up, and no other job fails",
   async ({ seed, injectFaults, crashTime = AT_ONCE, kind = "plain", ...intervals }) => {
-    const world = new World(seed, { pools: POOLS, rackCount: 4, failureProbability: 0 });
+    const world = new World(seed, { pools: LARGE_POOLS, rackCount: 4, failureProbability: 0 });
     const interval = intervals.deadlyJobInterval ?? DEADLY_JOB_INTERVAL;
     const lastingInterval = intervals.lastingJobInterval ?? LASTING_JOB_INTERVAL;
     await vi.advanceTimersByTimeAsync(2_000);
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -190,6 +190,13 @@
   "spare",
 ];
 
+/** The pools of a fleet that is large enough to spread tasks and to lose several VMs. */
+export const LARGE_POOLS = [
+  ...Array.from({ length: 6 }, () => "pool-a"),
+  ...Array.from({ length: 6 }, () => "pool-b"),
+  ...Array.from({ length: 4 }, () => "spare"),
+];
+
 /** A simulated site: nodes, a store, and a small fleet. */
 export class World {
   readonly random: testing.seededRandom.SeededRandom;
@@ -371,6 +378,20 @@
       store.silencesWatches || this.nodes.some(({ isAlive }) => !isAlive);
   }
 
+  /** The name of a random VM. */
+  anyVm(): string {
+    const { vmNames } = this.fleet;
+    return vmNames[this.random.between(0, vmNames.length - 1)]!;
+  }
+
+  /** Hands the ownership over, and restarts the former owner's process. */
+  async replaceOwner(): Promise<void> {
+    const { owner } = this;
+    await owner?.release();
+    owner?.kill();
+    setTimeout(() => owner?.start(), RESTART_DELAY_MS);
+  }
+
   /** Kills the owner's process, and starts it again after `RESTART_DELAY_MS`. */
   restartOwner(): void {
     const { owner } = this;
--- a/packages/scheduler/src/worker_capacity_model_test.ts
+++ b/packages/scheduler/src/worker_capacity_model_test.ts
@@ -34,7 +34,7 @@
 function changeCapacities(world: World, atMs: number): void {
   const { random, fleet } = world;
   if (atMs < TRAFFIC_MS && random.chance(0.25)) {
-    const vm = fleet.vmNames[random.between(0, fleet.vmNames.length - 1)]!;
+    const vm = world.anyVm();
     setShare(world, vm, SHARES[random.between(0, SHARES.length - 1)]!);
   } else if (isAt(TRAFFIC_MS, atMs)) {
     fleet.vmNames.forEach((vm) => setShare(world, vm, 1));
