--- a/review/stand_ins_2/harness.mjs
+++ b/review/stand_ins_2/harness.mjs
@@ -23,12 +23,20 @@
   return /^run = "(.*)"$/m.exec(deploy)[1].split(" ");
 }
 
+/** A free port below those that outgoing connections get, as a listener may come back to it later. */
 async function freePort(host) {
-  const server = net.createServer();
-  await new Promise((resolve, reject) => server.once("error", reject).listen(0, host, resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (let attempt = 0; attempt < 100; attempt++) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false)).listen(port, host, () => resolve(true));
+    });
+    if (isFree) {
+      await new Promise((resolve) => server.close(resolve));
+      return port;
+    }
+  }
+  throw new Error(`no free port on ${host}`);
 }
 
 /** Forwards connections to one address; while it is cut, nothing passes and new ones get no answer. */
--- a/review/stand_ins_2/worker.mjs
+++ b/review/stand_ins_2/worker.mjs
@@ -24,7 +24,10 @@
 const closedRuns = new Map();
 const waiting = new Set();
 
-const tell = (event) => process.send?.({ ...event, worker: options.id, born, atMs: Date.now() });
+const tell = (event) => {
+  if (process.connected) process.send({ ...event, worker: options.id, born, atMs: Date.now() });
+};
+process.on("disconnect", () => process.exit(0));
 
 function close(task, run) {
   closedRuns.set(task, Math.max(closedRuns.get(task) ?? 0, run));
