--- a/review/stand_ins_2/harness.mjs
+++ b/review/stand_ins_2/harness.mjs
@@ -247,7 +247,7 @@
   }
 
   /** Adds a machine with a worker; nodes reach it through a link that can be cut. */
-  async addMachine({ service, rack, cpu = 16_000, memMb = 32_768 }) {
+  async addMachine({ service, rack, cpu = 16_000, memMb = 32_768, gpu = 0 }) {
     const name = `m-${this.machines.size + 1}`;
     const listenAddress = `${HOST}:${await freePort(HOST)}`;
     const link = new Link();
@@ -255,7 +255,7 @@
       name,
       service,
       labels: ["a", rack],
-      capacity: { cpu, "mem-mb": memMb, gpu: 0 },
+      capacity: { cpu, "mem-mb": memMb, gpu },
       link,
       listenAddress,
       address: await link.open(listenAddress),
