--- a/review/stand_ins_2/harness.mjs
+++ b/review/stand_ins_2/harness.mjs
@@ -39,7 +39,10 @@
   throw new Error(`no free port on ${host}`);
 }
 
-/** Forwards connections to one address; while it is cut, nothing passes and new ones get no answer. */
+/**
+ * Forwards connections to one address. While it is cut, nothing passes: new connections open, as those to a
+ * process that hangs, and get no answer.
+ */
 class Link {
   #isCut = false;
   #pairs = new Set();
@@ -99,7 +102,6 @@
   nodes = [];
   /** What workers did: `start`, `stop` (order taken), `end`, `up` and `died`, with their times. */
   events = [];
-  vmOrders = [];
   #record;
   #dir = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
   #startedAtMs = Date.now();
@@ -225,16 +227,6 @@
     return record?.isHeld ? this.nodes.find(({ name }) => name === record.node) : undefined;
   }
 
-  /** Kills a node and starts it again after `downMs`, as the platform does. */
-  async killNode(node, downMs = 500) {
-    this.note(`${node.name} is killed (SIGKILL)`);
-    const exited = new Promise((resolve) => node.child.once("exit", resolve));
-    node.child.kill("SIGKILL");
-    await exited;
-    await delay(downMs);
-    this.startNode(node);
-  }
-
   /** Stops a node as planned work does, with SIGTERM, and starts it again once it has ended. */
   async restartNode(node) {
     this.note(`${node.name} gets SIGTERM`);
@@ -300,12 +292,12 @@
   }
 
   /** Ends a life with all that runs in it. */
-  async crashWorker(machine, { isListedDown = true } = {}) {
+  async crashWorker(machine) {
     const { child, id } = machine;
     const exited = new Promise((resolve) => child.once("exit", resolve));
     child.kill("SIGKILL");
     await exited;
-    if (isListedDown) machine.state = "down";
+    machine.state = "down";
     this.events.push({ kind: "died", worker: id, machine: machine.name, atMs: Date.now() });
     this.note(`${machine.name} (${id}): its process is killed`);
   }
@@ -345,7 +337,6 @@
     const body = JSON.parse(Buffer.concat(chunks).toString());
     const machine = this.machines.get(body.machine);
     const token = Number(request.headers["x-fencing-token"] ?? 0);
-    this.vmOrders.push({ ...body, path: request.url, token, atMs: Date.now() });
     this.note(`VM service: ${request.url} ${JSON.stringify(body)} token ${token}`);
     if (machine === undefined) return reply(400, {});
     if (token < (this.#vmTokens.get(machine.name) ?? 0)) return reply(409, { reason: "fence" });
--- a/review/stand_ins_2/store.mjs
+++ b/review/stand_ins_2/store.mjs
@@ -21,8 +21,6 @@
   #waiting = new Set();
   #revision = 100;
   #lastLease = 0;
-  /** Called before each call of a node; may return a status to refuse it with. */
-  refuse = () => undefined;
   server = http.createServer((request, response) => void this.#serve(request, response));
 
   text(key) {
@@ -70,8 +68,6 @@
       this.register(body.key, body.entry);
       return reply(200, {});
     }
-    const refused = this.refuse(request, url);
-    if (refused !== undefined) return reply(refused);
     await delay(ANSWER_DELAY_MS);
     const [, call, id] = url.pathname.split("/");
     const answer = await this.#handle(request.method, call, id, url.searchParams, body);
