--- a/review/stand_ins_2/harness.mjs
+++ b/review/stand_ins_2/harness.mjs
@@ -451,6 +451,13 @@
     deployment.note("the case took too long");
     void deployment.stop().then(() => process.exit(2));
   }, 115_000);
+  // Whatever ends the case early, no process is left behind.
+  const abort = (reason) => {
+    console.log(`could not run: ${reason?.stack ?? reason}`);
+    void deployment.stop().then(() => process.exit(2));
+  };
+  process.once("uncaughtException", abort);
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.once(signal, () => abort(signal));
   try {
     const faults = await play(deployment);
     if (faults !== undefined) {
