Acknowledge no ends to a worker that may have restarted

Callers saw a task that was done run again (in the model: "started after it was done") after its worker had restarted under its id.

Cause: a report request carries the number of the last stored end, and each incarnation numbers its ends from 1. A request meant for the previous incarnation made the next one discard ends that nobody had read. The report that followed lacked them, so their tasks were started again.

Change: IncarnationProof tells from start times and clocks in answers whether the incarnation has been seen since the last start order was sent. Until it has, a report request acknowledges nothing; the next one does.

Ruled out: runs that are taken for lost.

The tests of worker_session_test.ts for a start without an answer and for one that shows a younger process fail without the change (2 of 3).

--- a/packages/policy/src/scheduling/mod.ts
+++ b/packages/policy/src/scheduling/mod.ts
@@ -8,6 +8,7 @@
 export * as demandTrend from "./demand_trend.ts";
 export * as endProgress from "./end_progress.ts";
 export * as evacuation from "./evacuation.ts";
+export * as incarnationProof from "./incarnation_proof.ts";
 export * as jobRecord from "./job_record.ts";
 export * as ownerEligibility from "./owner_eligibility.ts";
 export * as ownershipProof from "./ownership_proof.ts";
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -75,6 +75,7 @@
   readonly #startLimiter = new OrderLimiter();
   #isStopped = false;
   readonly #retrySignal = new WakeSignal();
+  readonly #incarnation = new policy.scheduling.incarnationProof.IncarnationProof();
   #isResponding = true;
   #reportRequestedAtMs = 0;
   #retryPeriodMs = RETRY_INTERVAL_MS;
@@ -173,17 +174,19 @@
       let askedAtMs = clock.nowMs();
       const outcome = await this.#startLimiter.run(() => {
         askedAtMs = clock.nowMs();
-        return this.#canStillStart(run)
-          ? client.start(this.#address(), {
-            task: run.task.name,
-            runId: run.runId,
-            payload: run.step.job.job.spec.payload,
-            fencingToken,
-            leaseUntilWorkerMs,
-            ...(run.task.checkpoint === "" ? {} : { checkpoint: run.task.checkpoint }),
-            ...(ticket === undefined ? {} : { ticket }),
-          })
-          : undefined;
+        if (!this.#canStillStart(run)) {
+          return undefined;
+        }
+        this.#incarnation.recordStartSent(askedAtMs);
+        return client.start(this.#address(), {
+          task: run.task.name,
+          runId: run.runId,
+          payload: run.step.job.job.spec.payload,
+          fencingToken,
+          leaseUntilWorkerMs,
+          ...(run.task.checkpoint === "" ? {} : { checkpoint: run.task.checkpoint }),
+          ...(ticket === undefined ? {} : { ticket }),
+        });
       });
       if (outcome === undefined) {
         continue;
@@ -328,7 +331,8 @@
     this.#reportRequestedAtMs = sentAtMs;
     // An unresponsive worker's lease must be left to expire, or its runs would never count as over.
     const renewsLease = this.#isResponding && worker.hasClock && canIssueOrders();
-    const acknowledgedEnd = worker.ends.stored;
+    // The next incarnation would take the acknowledgement for one of its own ends.
+    const acknowledgedEnd = this.#incarnation.isInDoubt(askedAtMs) ? 0 : worker.ends.stored;
     const answer = await client.hold(this.#address(), {
       fencingToken,
       acknowledgedEnd,
@@ -346,6 +350,13 @@
       this.#dropWorker();
       return false;
     }
+    if (answer.report.startedUnixMs !== undefined) {
+      this.#incarnation.recordReport({
+        sentAtMs: askedAtMs,
+        receivedAtMs: clock.nowMs(),
+        workerClockMs: answer.report.workerClockMs,
+      });
+    }
     const receivedAtMs = clock.steadyMs();
     scheduler.applyReport(worker, answer.report, { sentAtMs, receivedAtMs });
     this.#options.statistics.recordReport(
@@ -371,10 +382,10 @@
 
   /** Updates the worker's responsiveness and the ownership proof from the outcome of a request. */
   #recordOutcome(
-    outcome: { readonly kind: string },
+    outcome: schema.scheduling.OrderOutcome | { readonly kind: "report" },
     askedAtMs: number,
   ): void {
-    const { worker, log, statistics, onWorkerProof, onFenced } = this.#options;
+    const { worker, clock, log, statistics, onWorkerProof, onFenced } = this.#options;
     statistics.recordWorkerCall(outcome.kind);
     const isResponding = outcome.kind !== "unknown";
     if (isResponding !== this.#isResponding) {
@@ -384,6 +395,14 @@
       });
       this.#isResponding = isResponding;
     }
+    if (outcome.kind === "done") {
+      const { workerClockMs } = outcome;
+      this.#incarnation.recordAnswer({
+        sentAtMs: askedAtMs,
+        receivedAtMs: clock.nowMs(),
+        workerClockMs,
+      });
+    }
     if (outcome.kind === "fenced") {
       onFenced();
     } else if (outcome.kind === "other-life") {
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -298,3 +298,68 @@
   expect(askedCount - askedBefore).toBeLessThanOrEqual(5);
   session.stop();
 });
+
+const START_ANSWERS: readonly {
+  readonly name: string;
+  /** The worker's clock in the answer to the start, if there is one. */
+  readonly workerClockMs: (nowMs: number) => number | undefined;
+  readonly firstAcknowledgedEnd: number;
+}[] = [
+  { name: "gets no answer", workerClockMs: () => undefined, firstAcknowledgedEnd: 0 },
+  { name: "shows a younger process", workerClockMs: () => 3_000, firstAcknowledgedEnd: 0 },
+  { name: "shows the same process", workerClockMs: (nowMs) => nowMs, firstAcknowledgedEnd: 7 },
+];
+
+// Guards against ends of a restarted worker that it discards, as an earlier incarnation had ends of their numbers.
+test.each(START_ANSWERS)(
+  "after a start whose answer $name, first acknowledges end $firstAcknowledgedEnd",
+  async ({ workerClockMs, firstAcknowledgedEnd }) => {
+    const parts = termFixture();
+    const { scheduler } = parts;
+    scheduler.setConfig({
+      version: 1,
+      queues: [testing.schedulingFixtures.queue("quick")],
+      pools: [],
+      workspaces: [],
+      maxBodyBytes: 1,
+    });
+    scheduler.settle(0, "test");
+    /** The end acknowledged by each report request, with the time of the request. */
+    const acknowledged: { readonly atMs: number; readonly end: number }[] = [];
+    let startedAtMs = Infinity;
+    const session = openSession(parts, {
+      hold: async (_worker, { acknowledgedEnd, waitMs }) => {
+        acknowledged.push({ atMs: Date.now(), end: acknowledgedEnd });
+        // The request that is sent together with the start gets no answer.
+        const isAnswered = Date.now() !== startedAtMs;
+        await testing.waitFor.pause(waitMs + 2);
+        if (!isAnswered) {
+          return { kind: "unknown", reason: "test" };
+        }
+        const reported = { task: "j.0.0.0", runId: 1, checkpoint: "", percent: 1, load: 0 };
+        const running = startedAtMs === Infinity ? [] : [reported];
+        const report = { startedUnixMs: 1, workerClockMs: Date.now(), running, ends: [] };
+        return { kind: "report", report: { ...report, hasMoreEnds: false } };
+      },
+      start: async () => {
+        await testing.waitFor.pause(1);
+        const clockMs = workerClockMs(Date.now());
+        return clockMs === undefined
+          ? { kind: "unknown", reason: "test" }
+          : { kind: "done", workerClockMs: clockMs };
+      },
+    });
+    await vi.advanceTimersByTimeAsync(1_000);
+    session.markEndsStored(7);
+    await vi.advanceTimersByTimeAsync(9_000);
+    putJob(scheduler, "j");
+    startedAtMs = Date.now();
+    const [order] = scheduler.decide({ nowMs: startedAtMs, wallMs: startedAtMs });
+    void session.start((order as Extract<typeof order, { kind: "start" }>).run, undefined);
+    await vi.advanceTimersByTimeAsync(3_000);
+    session.stop();
+    const ends = acknowledged.filter(({ atMs }) => atMs > startedAtMs).map(({ end }) => end);
+    expect(ends[0]).toBe(firstAcknowledgedEnd);
+    expect(ends.at(-1)).toBe(7);
+  },
+);
