Keep the runs that a restarted worker may have begun

Cause: an order names its worker by the id, which a restart keeps, and the answer to a start does not say which incarnation gave it. When a report or a registration showed another start time, all runs of the record were taken for lost, also those whose start had reached the next incarnation or was under way to it, and their tasks were placed again.

Change: the record of the next incarnation takes over each run whose start may have reached it: sent, and neither listed by the previous incarnation nor settled before that was last seen. A confirmed one stays until the next report lists or lacks it; any other is stopped, which also bars a late copy. The next incarnation is followed from its first report on, without waiting for its registration, and its capacity counts as unknown until then. Registrations of replaced incarnations stay barred, also after a list names the id as up.

Ruled out: an idle worker that is not asked for reports; a report before each start narrows the window, but an order may cross the restart all the same.

--- a/packages/policy/src/scheduling/ended_incarnations.ts
+++ b/packages/policy/src/scheduling/ended_incarnations.ts
@@ -9,27 +9,33 @@
 type WorkerInfo = schema.scheduling.WorkerInfo;
 
 interface EndedIncarnation {
-  readonly startedUnixMs: number;
   readonly endedAtMs: number;
+  /** Whether a later incarnation has been seen, so that this one cannot be alive. */
+  readonly isReplaced: boolean;
 }
 
-/** The last incarnation of each worker id that is known to be over. */
+/** The incarnations of each worker id that are known to be over, as long as the id is registered. */
 export class EndedIncarnations {
-  readonly #ended = new Map<string, EndedIncarnation>();
+  /** By worker id and start time. */
+  readonly #ended = new Map<string, Map<number, EndedIncarnation>>();
 
-  record({ workerId, startedUnixMs }: WorkerInfo, nowMs: number): void {
-    this.#ended.set(workerId, { startedUnixMs, endedAtMs: nowMs });
+  record({ workerId, startedUnixMs }: WorkerInfo, ended: EndedIncarnation): void {
+    const incarnations = this.#ended.get(workerId) ?? new Map<number, EndedIncarnation>();
+    this.#ended.set(workerId, incarnations);
+    incarnations.set(startedUnixMs, ended);
   }
 
   has({ workerId, startedUnixMs }: WorkerInfo): boolean {
-    return this.#ended.get(workerId)?.startedUnixMs === startedUnixMs;
+    return this.#ended.get(workerId)?.has(startedUnixMs) ?? false;
   }
 
   /** Records that a list of VMs, requested at `askedAtMs`, names the worker as running. */
   recordAlive(workerId: string, askedAtMs: number): void {
-    const ended = this.#ended.get(workerId);
-    if (ended !== undefined && ended.endedAtMs < askedAtMs) {
-      this.#ended.delete(workerId);
+    const incarnations = this.#ended.get(workerId);
+    for (const [startedUnixMs, { endedAtMs, isReplaced }] of incarnations ?? []) {
+      if (endedAtMs < askedAtMs && !isReplaced) {
+        incarnations!.delete(startedUnixMs);
+      }
     }
   }
 
--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -36,6 +36,10 @@
   readonly suspectUntilMs: number;
   /** Until when tasks of other jobs must not start on the worker. */
   readonly isolatedUntilMs: number;
+  /** When the last start order was sent; undefined before, and if a previous owner started the run. */
+  startSentAtMs: number | undefined;
+  /** When the last start order was answered or given up; undefined while it is under way. */
+  startSettledAtMs: number | undefined;
   /** When the worker confirmed the start; undefined before. */
   confirmedAtMs: number | undefined;
   /** When a report last showed the run at work; undefined before. */
@@ -66,6 +70,23 @@
   return `${taskName}#${runId}`;
 }
 
+/**
+ * Whether the run may have begun on a later incarnation of its worker than the one it was ordered from.
+ * Orders name a worker by its id, which a restart keeps. No later incarnation had begun at
+ * `noSuccessorBeforeMs`.
+ */
+export function mayHaveReachedSuccessor(run: Run, noSuccessorBeforeMs: number): boolean {
+  const { startSentAtMs, startSettledAtMs, reportedAtMs, delivery } = run;
+  if (startSentAtMs === undefined) {
+    return false;
+  }
+  if (startSettledAtMs === undefined) {
+    return true;
+  }
+  const isReported = reportedAtMs !== undefined && reportedAtMs >= startSettledAtMs;
+  return delivery !== "refused" && !isReported && startSettledAtMs >= noSuccessorBeforeMs;
+}
+
 /** One task of one occurrence of a job's timetable. */
 export class TaskRecord {
   readonly name: string;
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -6,7 +6,14 @@
  * @module
  */
 import type * as schema from "@jackdawlink/schema";
-import { JobRecord, type Run, runKey, type StepRecord, type TaskRecord } from "./job_record.ts";
+import {
+  JobRecord,
+  mayHaveReachedSuccessor,
+  type Run,
+  runKey,
+  type StepRecord,
+  type TaskRecord,
+} from "./job_record.ts";
 import * as stepOrder from "./step_order.ts";
 import * as crashSuspicion from "./crash_suspicion.ts";
 import { AdviceCache, type Tickets } from "./advice_cache.ts";
@@ -206,8 +213,8 @@
   }
 
   /**
-   * Adds or updates a worker. A different start time under the same id means a restart, which lost
-   * its runs. Returns undefined if the registration is that of an incarnation that is over.
+   * Adds or updates a worker. A different start time under the same id means a restart. Returns undefined
+   * if the registration is that of an incarnation that is over.
    */
   putWorker(info: schema.scheduling.WorkerInfo, nowMs: number): WorkerRecord | undefined {
     if (this.#endedIncarnations.has(info)) {
@@ -224,13 +231,56 @@
       if (present.info.pool === info.pool) {
         this.recordCrash(present, nowMs, "its process has restarted");
       }
-      this.dropWorker(present, nowMs, "the worker restarted");
+      return this.replaceWorker(present, info, { nowMs, reason: "the worker restarted" });
     }
     const worker = new WorkerRecord(info, nowMs);
     this.workers.set(info.workerId, worker);
     return worker;
   }
 
+  /**
+   * Replaces a worker by a later incarnation under the same id. A run whose start may have reached that one
+   * is kept until its report lists the run or, if the start got no answer, until a stop rules the run out;
+   * all others are lost. Returns undefined if the worker has been removed already.
+   */
+  replaceWorker(worker: WorkerRecord, info: schema.scheduling.WorkerInfo, { nowMs, reason }: {
+    readonly nowMs: number;
+    readonly reason: string;
+  }): WorkerRecord | undefined {
+    if (this.workers.get(worker.info.workerId) !== worker) {
+      return undefined;
+    }
+    const kept = [...worker.runs.values()].filter((run) =>
+      mayHaveReachedSuccessor(run, worker.noSuccessorBeforeMs)
+    );
+    kept.forEach((run) => worker.removeRun(run, nowMs));
+    this.#dropIncarnation(worker, { nowMs, reason, isReplaced: true });
+    const successor = new WorkerRecord(info, nowMs);
+    this.workers.set(info.workerId, successor);
+    kept.forEach((run) => this.#keepRun(run, successor));
+    return successor;
+  }
+
+  /** Keeps a run on the next incarnation of its worker; it is stopped unless its start has been confirmed. */
+  #keepRun(run: Run, successor: WorkerRecord): void {
+    const isConfirmed = run.state === "running" && run.startSettledAtMs !== undefined;
+    successor.addRun(run);
+    run.reportedAtMs = undefined;
+    run.verifyAfterMs = undefined;
+    this.#options.log.info("Run may be on the worker's next incarnation", {
+      job: run.step.job.job.jobId,
+      task: run.task.name,
+      run: run.runId,
+      worker: run.workerId,
+      isConfirmed,
+    });
+    if (!isConfirmed) {
+      run.confirmedAtMs = undefined;
+      run.state = "starting";
+      this.withdrawStart(run, "the worker restarted while the start was under way");
+    }
+  }
+
   /** Withdraws all unconfirmed starts on a worker whose capacity has shrunk below what it holds. */
   #withdrawExcessStarts(worker: WorkerRecord): void {
     if (resources.fits(worker.used, worker.info.total)) {
@@ -284,8 +334,17 @@
 
   /** Removes a worker whose process is gone, and all its runs. */
   dropWorker(worker: WorkerRecord, nowMs: number, reason: string): void {
+    this.#dropIncarnation(worker, { nowMs, reason, isReplaced: false });
+  }
+
+  #dropIncarnation(worker: WorkerRecord, { nowMs, reason, isReplaced }: {
+    readonly nowMs: number;
+    readonly reason: string;
+    /** Whether a later incarnation of the worker has been seen. */
+    readonly isReplaced: boolean;
+  }): void {
     worker.hasEnded = true;
-    this.#endedIncarnations.record(worker.info, nowMs);
+    this.#endedIncarnations.record(worker.info, { endedAtMs: nowMs, isReplaced });
     this.#advice.forgetWorker(worker.info.workerId);
     for (const run of [...worker.runs.values()]) {
       this.#loseRun(run, nowMs, reason);
@@ -425,6 +484,9 @@
       });
       return;
     }
+    if (report.startedUnixMs !== undefined) {
+      worker.noSuccessorBeforeMs = Math.max(worker.noSuccessorBeforeMs, at.sentAtMs);
+    }
     const isFirstReport = !worker.hasClock;
     worker.setClock(report.workerClockMs, at.receivedAtMs);
     if (isFirstReport) {
@@ -496,6 +558,12 @@
       (this.#retired.has(path.jobId) || this.#cancelledEarly.has(path.jobId));
   }
 
+  /** Records that a start order is being sent. */
+  recordStartSent(run: Run, nowMs: number): void {
+    run.startSentAtMs = nowMs;
+    run.startSettledAtMs = undefined;
+  }
+
   /** Applies the outcome of a start order. */
   recordStartOutcome(run: Run, outcome: schema.scheduling.OrderOutcome, { nowMs, isRepeated }: {
     readonly nowMs: number;
@@ -506,6 +574,7 @@
     if (worker?.runs.get(runKey(run.task.name, run.runId)) !== run) {
       return;
     }
+    run.startSettledAtMs = nowMs;
     run.delivery = outcome.kind === "unknown" && outcome.isSent === false &&
         (!isRepeated || run.delivery === "refused")
       ? "refused"
@@ -960,6 +1029,8 @@
       delivery: "pending",
       suspectUntilMs,
       isolatedUntilMs: worker.isFreeFor(step.job) ? suspectUntilMs : 0,
+      startSentAtMs: undefined,
+      startSettledAtMs: undefined,
       confirmedAtMs: undefined,
       reportedAtMs: undefined,
       verifyAfterMs: undefined,
--- a/packages/policy/src/scheduling/test/fixtures.ts
+++ b/packages/policy/src/scheduling/test/fixtures.ts
@@ -87,6 +87,8 @@
     delivery: "sent",
     suspectUntilMs: 0,
     isolatedUntilMs: 0,
+    startSentAtMs: 0,
+    startSettledAtMs: 1,
     confirmedAtMs: 1,
     reportedAtMs: undefined,
     verifyAfterMs: undefined,
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -75,6 +75,9 @@
   idleSinceMs = 0;
   readonly ends = new EndProgress();
 
+  /** No incarnation that follows this one had begun at this time. */
+  noSuccessorBeforeMs = Number.NEGATIVE_INFINITY;
+
   /** When the scheduler first learned of the worker. */
   readonly knownSinceMs: number;
 
--- a/packages/scheduler/src/owner_term.ts
+++ b/packages/scheduler/src/owner_term.ts
@@ -351,6 +351,7 @@
       needsWorkerProof: () =>
         !this.ownershipProof.isStoreProofValid(clock.nowMs() + RETRY_INTERVAL_MS),
       onWorkerProof: (id, askedAtMs) => this.ownershipProof.recordWorkerProof(id, askedAtMs),
+      onReplaced: (successor) => this.#sessions.openSuccessor(successor),
       onChange: () => this.#scheduleDecision(),
       onFenced: () => onFenced(`worker ${worker.info.workerId} has seen a higher fencing token`),
     });
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -61,6 +61,8 @@
    * upper reading.
    */
   readonly onWorkerProof: (workerId: string, askedAtMs: number) => void;
+  /** Called when a later incarnation has taken the worker's place, whose record is given. */
+  readonly onReplaced: (successor: WorkerRecord) => void;
   /** Called when something has changed that scheduling decisions depend on. */
   readonly onChange: () => void;
   /** Called when the worker has refused the fencing token as outdated. */
@@ -177,6 +179,7 @@
         if (!this.#canStillStart(run)) {
           return undefined;
         }
+        scheduler.recordStartSent(run, clock.steadyMs());
         this.#incarnation.recordStartSent(askedAtMs);
         return client.start(this.#address(), {
           task: run.task.name,
@@ -346,11 +349,12 @@
     if (answer.kind !== "report") {
       return false;
     }
-    if (this.#isFromOtherIncarnation(answer.report)) {
-      this.#dropWorker();
-      return false;
-    }
-    if (answer.report.startedUnixMs !== undefined) {
+    const { startedUnixMs } = answer.report;
+    if (startedUnixMs !== undefined) {
+      if (startedUnixMs !== worker.info.startedUnixMs) {
+        this.#replaceWorker(startedUnixMs);
+        return false;
+      }
       this.#incarnation.recordReport({
         sentAtMs: askedAtMs,
         receivedAtMs: clock.nowMs(),
@@ -366,17 +370,30 @@
     return true;
   }
 
-  /** Whether the report comes from a worker process that started at another time. */
-  #isFromOtherIncarnation(report: schema.scheduling.WorkerReport): boolean {
-    const known = this.worker.info.startedUnixMs;
-    return report.startedUnixMs !== undefined && report.startedUnixMs !== known;
+  /** Replaces the worker by the incarnation that has answered, which may not have registered yet. */
+  #replaceWorker(startedUnixMs: number): void {
+    const { scheduler, clock, worker, onReplaced, onChange } = this.#options;
+    const nowMs = clock.steadyMs();
+    const reason = "another incarnation answers under its id";
+    this.stop();
+    scheduler.recordCrash(worker, nowMs, reason);
+    const info = { ...worker.info, startedUnixMs };
+    const successor = scheduler.replaceWorker(worker, info, { nowMs, reason });
+    if (successor !== undefined) {
+      successor.isListed = worker.isListed;
+      onReplaced(successor);
+    }
+    onChange();
   }
 
+  /** Drops the worker, as one of another id has answered at its address. */
   #dropWorker(): void {
     const { scheduler, clock, worker, onChange } = this.#options;
+    const nowMs = clock.steadyMs();
+    const reason = "another worker answers at its address";
     this.stop();
-    scheduler.recordCrash(worker, clock.steadyMs(), "another incarnation answers at its address");
-    scheduler.dropWorker(worker, clock.steadyMs(), "another incarnation answers at its address");
+    scheduler.recordCrash(worker, nowMs, reason);
+    scheduler.dropWorker(worker, nowMs, reason);
     onChange();
   }
 
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -34,6 +34,7 @@
     isCapacityConfirmed: () => true,
     needsWorkerProof: () => false,
     onWorkerProof: () => {},
+    onReplaced: () => {},
     onChange: () => {},
     onFenced: () => {},
   });
--- a/packages/scheduler/src/worker_sessions.ts
+++ b/packages/scheduler/src/worker_sessions.ts
@@ -141,6 +141,17 @@
     return () => ends.forEach(([session, end]) => session.markEndsStored(end));
   }
 
+  /**
+   * Opens a session with an incarnation that has answered in place of the registered one. The capacity in the
+   * registration may not be its own.
+   */
+  openSuccessor(worker: WorkerRecord): void {
+    const { workerId, startedUnixMs } = worker.info;
+    this.#options.log.info("Worker restarted", { worker: workerId, startedUnixMs });
+    this.#writtenAtMs.delete(workerId);
+    this.#open(worker);
+  }
+
   stop(): void {
     this.#sessions.forEach((session) => session.stop());
   }
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -31,6 +31,8 @@
 /** Speed of the workers' clocks relative to real time. */
 const WORKER_CLOCK_RATE = 0.98;
 const LEASE_CHECK_INTERVAL_MS = 20;
+/** Workers shorten a longer lease to this. */
+const MAX_LEASE_MS = 10_000;
 /** How long a VM is down whose worker a task has crashed. */
 const CRASH_DOWN_MS = 3_200;
 const GANG_END_DELAY_MS = 50;
@@ -282,10 +284,10 @@
   /** Kills the worker of a VM; the VM starts a new worker after `downMs`, by default with a new id. */
   crash(vm: string, downMs: number, { keepsId = false } = {}): void {
     const record = this.#vms.get(vm)!;
-    if (record.state === "up" && record.worker !== undefined) {
-      const workerId = keepsId ? record.worker.workerId : undefined;
+    const { worker } = record;
+    if (record.state === "up" && worker !== undefined) {
       this.#endWorker(record, "down", ENTRY_EXPIRY_MS);
-      setTimeout(() => this.#bringUp(record, workerId), downMs);
+      setTimeout(() => this.#bringUp(record, keepsId ? worker : undefined), downMs);
     }
   }
 
@@ -391,15 +393,18 @@
     return known;
   }
 
-  #bringUp(record: ModelVm, workerId?: string): void {
+  /** Starts a worker on a VM, under the id of `previous` if that is given. */
+  #bringUp(record: ModelVm, previous?: ModelWorker): void {
     record.state = "up";
     if (record.pool !== this.#options.standbyPool) {
-      this.#startWorker(record, workerId);
+      this.#startWorker(record, previous);
     }
   }
 
-  #startWorker(record: ModelVm, workerId = `w${this.#workers.length + 1}`): void {
+  #startWorker(record: ModelVm, previous?: ModelWorker): void {
+    const workerId = previous?.workerId ?? `w${this.#workers.length + 1}`;
     const worker = new ModelWorker(workerId, record.vm, this.#options.total);
+    worker.entryWrittenAtMs = previous?.entryWrittenAtMs ?? 0;
     record.worker = worker;
     this.#workers.push(worker);
     this.#workersByAddress.set(worker.workerId, worker);
@@ -564,7 +569,7 @@
       ]);
     }
     await pause(LATENCY_MS);
-    if (this.#reachableWorker(from.node, address) === undefined || !from.isAlive()) {
+    if (this.#reachableWorker(from.node, address) !== worker || !from.isAlive()) {
       await this.#noAnswer(from);
       return unknown;
     }
@@ -705,7 +710,11 @@
   }
 
   #renewLease(worker: ModelWorker, leaseUntilWorkerMs: number | undefined): void {
-    worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilWorkerMs ?? 0);
+    const latestMs = worker.clockMs() + MAX_LEASE_MS;
+    worker.leaseUntilMs = Math.max(
+      worker.leaseUntilMs,
+      Math.min(leaseUntilWorkerMs ?? 0, latestMs),
+    );
   }
 
   #checkFencingToken(worker: ModelWorker, fencingToken: number): OrderOutcome | undefined {
