Allow a restarted worker the longest lease of orders for its predecessor

Cause: the end of a lease is a time on the worker's clock, which starts anew with its process. An order meant for the previous incarnation gives the next one a lease of up to 10 s, where the owner allowed for 6 s after the first report. If the worker was cut off then, its runs counted as over while they were at work. A run kept on an incarnation that never reported had no end.

Change: the record of a later incarnation counts on the longest lease, from its first report, or from when it was first known if none comes.

worker_restart_test.ts: both cases of "for the longest lease" failed before.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -255,7 +255,7 @@
     );
     kept.forEach((run) => worker.removeRun(run, nowMs));
     this.#dropIncarnation(worker, { nowMs, reason, isReplaced: true });
-    const successor = new WorkerRecord(info, nowMs);
+    const successor = new WorkerRecord(info, nowMs, { isSuccessor: true });
     this.workers.set(info.workerId, successor);
     kept.forEach((run) => this.#keepRun(run, successor));
     return successor;
@@ -449,7 +449,7 @@
    */
   expireLeases(nowMs: number): void {
     for (const worker of [...this.workers.values()]) {
-      if (worker.runs.size > 0 && worker.hasClock && nowMs > worker.leaseExpiryMs()) {
+      if (worker.runs.size > 0 && nowMs > worker.leaseExpiryMs()) {
         this.#options.log.info("Worker lease expired", {
           worker: worker.info.workerId,
           runs: worker.runs.size,
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -15,10 +15,14 @@
  * renewals by reports.
  */
 export const WORKER_LEASE_MS = 6_000;
+/** Workers shorten a longer lease to this. */
+export const MAX_WORKER_LEASE_MS = 10_000;
 /** The fraction by which a worker's clock may run slow. */
 const MAX_CLOCK_DRIFT = 0.02;
 /** Allowance for response and timer delays, in addition to clock drift. */
 const LEASE_MARGIN_MS = 150;
+/** How long an order for an earlier incarnation may be under way once a later one is known. */
+const MAX_ORDER_DELAY_MS = 500;
 /** How often a worker renews its registration. */
 export const HEARTBEAT_MS = 1_500;
 /**
@@ -80,11 +84,14 @@
 
   /** When the scheduler first learned of the worker. */
   readonly knownSinceMs: number;
+  /** Whether orders for an earlier incarnation may have reached this one. */
+  readonly isSuccessor: boolean;
 
-  constructor(info: schema.scheduling.WorkerInfo, nowMs: number) {
+  constructor(info: schema.scheduling.WorkerInfo, nowMs: number, { isSuccessor = false } = {}) {
     this.info = info;
     this.knownSinceMs = nowMs;
     this.idleSinceMs = nowMs;
+    this.isSuccessor = isSuccessor;
   }
 
   get free(): schema.scheduling.Resources {
@@ -165,14 +172,21 @@
     return leaseUntilWorkerMs;
   }
 
-  /** Assumes that a previous owner renewed the lease just before it was fenced. */
+  /**
+   * Assumes that the lease was extended just before the first report: by a previous owner, or for an earlier
+   * incarnation, to whose clock its end then refers.
+   */
   recordPreviousLease(): void {
-    const leaseUntilWorkerMs = this.#workerClockMs + WORKER_LEASE_MS;
+    const leaseMs = this.isSuccessor ? MAX_WORKER_LEASE_MS : WORKER_LEASE_MS;
+    const leaseUntilWorkerMs = this.#workerClockMs + leaseMs;
     this.leaseUntilWorkerMs = Math.max(this.leaseUntilWorkerMs, leaseUntilWorkerMs);
   }
 
   /** The latest time, on the local clock, at which a run may still be active on the worker. */
   leaseExpiryMs(): number {
+    if (!this.hasClock) {
+      return this.knownSinceMs + MAX_ORDER_DELAY_MS + MAX_WORKER_LEASE_MS / (1 - MAX_CLOCK_DRIFT);
+    }
     const remainingMs = Math.max(0, this.leaseUntilWorkerMs - this.#workerClockMs);
     return this.#clockReadAtMs + remainingMs / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS;
   }
--- a/packages/policy/src/scheduling/worker_restart_test.ts
+++ b/packages/policy/src/scheduling/worker_restart_test.ts
@@ -8,6 +8,8 @@
 const SENT_MS = 10_000;
 const ANSWERED_MS = 10_010;
 const RESTART_SEEN_MS = 10_100;
+/** Later than any lease of the runs. */
+const LEASES_END_MS = 30_000;
 const RESTARTED = fixtures.workerInfo("w1", { startedUnixMs: 2 });
 
 /** The orders of a decision, as kind and worker. */
@@ -170,3 +172,27 @@
     expect(scheduler.workers.get("w1")).toBe(third);
   },
 );
+
+// Guards against runs that count as over while a lease for the previous incarnation keeps them at work.
+test.each([
+  { name: "that has reported", hasReported: true, keptForMs: 10_300, lostAfterMs: 10_500 },
+  { name: "that has not reported", hasReported: false, keptForMs: 10_600, lostAfterMs: 10_800 },
+])(
+  "keeps the runs of a restarted worker $name for the longest lease",
+  ({ hasReported, keptForMs, lostAfterMs }) => {
+    const { scheduler, run } = orderedRun();
+    confirm(scheduler, run);
+    const successor = scheduler.putWorker(RESTARTED, RESTART_SEEN_MS)!;
+    if (hasReported) {
+      const report = fixtures.emptyReport({ startedUnixMs: 2, running: [REPORTED] });
+      const at = { sentAtMs: RESTART_SEEN_MS, receivedAtMs: RESTART_SEEN_MS };
+      scheduler.applyReport(successor, report, at);
+    }
+    const runsAfter = [keptForMs, lostAfterMs].map((afterMs) => {
+      scheduler.expireLeases(RESTART_SEEN_MS + afterMs);
+      return successor.runs.size;
+    });
+    expect(runsAfter).toEqual([1, 0]);
+    expect(orders(scheduler, LEASES_END_MS)).toEqual(["start w2"]);
+  },
+);
