Keep a start that may have reached a worker whose VM is listed as down

Lists are 250 ms apart.

worker_restart_test.ts: both cases of "when a list shows the VM as down" failed before.

--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -317,7 +317,7 @@
    * unless somebody has ordered or announced the end.
    */
   recordCrash(worker: WorkerRecord, nowMs: number, seenAs: string): void {
-    if (worker.hasEnded || !crashSuspicion.canHaveCrashed(worker)) {
+    if (worker.hasEnded || worker.isDown || !crashSuspicion.canHaveCrashed(worker)) {
       return;
     }
     const suspects = this.#crashSuspicion.recordCrash(worker, nowMs);
@@ -376,7 +376,7 @@
         if (seenAs !== undefined) {
           this.recordCrash(worker, nowMs, seenAs);
         }
-        this.dropWorker(worker, nowMs, "its VM is down");
+        this.#dropListedAsDown(worker, vms.get(worker.info.vm), { askedAtMs, nowMs });
       }
     }
     this.#vmListAskedAtMs = askedAtMs;
@@ -395,6 +395,36 @@
     this.#settleAfterCensus(nowMs);
   }
 
+  /**
+   * Drops a worker that a list doesn't show as up. Its VM was down at `askedAtMs` or later, and the worker may
+   * have started again since under its id; it is kept while a start may have reached that incarnation.
+   */
+  #dropListedAsDown(
+    worker: WorkerRecord,
+    vm: schema.scheduling.ListedVm | undefined,
+    { askedAtMs, nowMs }: { readonly askedAtMs: number; readonly nowMs: number },
+  ): void {
+    const reason = "its VM is down";
+    worker.noSuccessorBeforeMs = Math.max(worker.noSuccessorBeforeMs, askedAtMs);
+    const kept = vm?.state === "up"
+      ? []
+      : [...worker.runs.values()].filter((run) =>
+        mayHaveReachedSuccessor(run, worker.noSuccessorBeforeMs)
+      );
+    if (kept.length === 0) {
+      this.dropWorker(worker, nowMs, reason);
+      return;
+    }
+    worker.isDown = true;
+    for (const run of [...worker.runs.values()]) {
+      if (!kept.includes(run)) {
+        this.#loseRun(run, nowMs, reason);
+      } else if (run.state === "starting") {
+        this.withdrawStart(run, reason);
+      }
+    }
+  }
+
   /**
    * How a list shows that a worker has crashed; undefined if it does not. A VM that is up with another
    * worker may have been moved or maintained, unless that would have shown in an earlier list.
@@ -485,6 +515,7 @@
       return;
     }
     if (report.startedUnixMs !== undefined) {
+      worker.isDown = worker.isDown && at.sentAtMs <= worker.noSuccessorBeforeMs;
       worker.noSuccessorBeforeMs = Math.max(worker.noSuccessorBeforeMs, at.sentAtMs);
     }
     const isFirstReport = !worker.hasClock;
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -79,6 +79,8 @@
   idleSinceMs = 0;
   readonly ends = new EndProgress();
 
+  /** True if a list shows the worker's VM as down, while a run may be on an incarnation that has begun since. */
+  isDown = false;
   /** No incarnation that follows this one had begun at this time. */
   noSuccessorBeforeMs = Number.NEGATIVE_INFINITY;
 
@@ -225,8 +227,8 @@
 
   /** Whether the worker can be given tasks now. */
   isSchedulable(nowMs: number): boolean {
-    return this.isListed && this.isCapacityConfirmed && this.hasReported && !this.info.isDraining &&
-      this.cordon === undefined &&
+    return this.isListed && this.isCapacityConfirmed && this.hasReported && !this.isDown &&
+      !this.info.isDraining && this.cordon === undefined &&
       this.unknownTasks.size === 0 && this.strayRuns.size === 0 && !this.isQuarantined(nowMs);
   }
 }
--- a/packages/policy/src/scheduling/worker_restart_test.ts
+++ b/packages/policy/src/scheduling/worker_restart_test.ts
@@ -196,3 +196,31 @@
     expect(orders(scheduler, LEASES_END_MS)).toEqual(["start w2"]);
   },
 );
+
+const DOWN = { vm: "vm-w1", pool: "pool", state: "down", labels: [], workerId: undefined } as const;
+
+// Guards against a task that starts elsewhere as its worker's VM is listed as down and is up again already.
+test.each([
+  { name: "that is under way", isAnswered: false, ordersAfter: ["stop w1"] },
+  { name: "that was confirmed after the request", isAnswered: true, ordersAfter: [] },
+])(
+  "keeps a start $name when a list shows the VM as down, until the next list does",
+  ({ isAnswered, ordersAfter }) => {
+    const { scheduler, worker, run } = orderedRun();
+    if (isAnswered) {
+      confirm(scheduler, run);
+    } else {
+      scheduler.recordStartSent(run, SENT_MS);
+    }
+    const other = { ...DOWN, vm: "vm-w2", state: "up", workerId: "w2" } as const;
+    const listed = [DOWN, other].map((vm) => ({ ...vm, total: fixtures.TOTAL }));
+    scheduler.applyVmList(listed, { askedAtMs: 10_005, nowMs: 10_015 });
+    expect([orders(scheduler, 10_020), worker.runs.size]).toEqual([ordersAfter, 1]);
+    scheduler.recordStartOutcome(run, { kind: "unknown", reason: "silent" }, {
+      nowMs: 10_400,
+      isRepeated: false,
+    });
+    scheduler.applyVmList(listed, { askedAtMs: 10_450, nowMs: 10_460 });
+    expect(orders(scheduler, 10_470)).toEqual(["start w2"]);
+  },
+);
