Count what a workspace may have at work unseen against its limit

Cause: the limit was checked against runs that the owner tracks. Until the takeover has settled, a worker that is cut off may run tasks of earlier jobs that it has not reported. Those jobs were held back, but a job accepted after the takeover was placed against a usage that lacked them. A cancelled job whose runs were unseen was forgotten at once, so a second owner could not count them.

Change: a start has to fit beside what may be at work unseen: the tasks of the workspace's earlier jobs that are neither done nor tracked, at most the capacity of the workers that have yet to report (unseen_usage.ts). Workspaces without a limit and those without earlier jobs wait for nothing. A cancelled or failed job is forgotten only once the takeover has settled. One log line names each workspace that this holds back.

Ruled out: to wait for the census before any start, which would hold back every workspace for seconds at each change of owner beside a worker that is cut off.

Evidence: the model's witness now adds up what all workers run, in every model test.

--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -352,6 +352,23 @@
     return ready;
   }
 
+  /** By step, how many tasks of the occurrences that are due are neither done nor have a run. */
+  unassignedTasks(
+    wallMs: number,
+  ): { readonly spec: schema.scheduling.Step; readonly count: number }[] {
+    const counts = this.job.spec.steps.map((spec) => ({ spec, count: 0 }));
+    const dueCount = this.#dueCount(wallMs);
+    for (let occurrence = this.#doneOccurrences.firstOpen; occurrence < dueCount; occurrence++) {
+      if (!this.#doneOccurrences.has(occurrence)) {
+        const steps = this.#occurrences.get(occurrence);
+        counts.forEach((each, number) =>
+          each.count += steps?.[number]!.waitingCount ?? each.spec.taskCount
+        );
+      }
+    }
+    return counts;
+  }
+
   /** How many occurrences are due. */
   #dueCount(wallMs: number): number {
     const { timetable } = this.job.spec;
--- a/packages/policy/src/scheduling/resources.ts
+++ b/packages/policy/src/scheduling/resources.ts
@@ -31,6 +31,15 @@
   };
 }
 
+/** The smaller amount of each resource. */
+export function min(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillicores: Math.min(a.cpuMillicores, b.cpuMillicores),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    gpuCount: Math.min(a.gpuCount, b.gpuCount),
+  };
+}
+
 export function isEqual(a: Resources, b: Resources): boolean {
   return a.cpuMillicores === b.cpuMillicores && a.memoryMb === b.memoryMb &&
     a.gpuCount === b.gpuCount;
--- a/packages/policy/src/scheduling/scheduler.ts
+++ b/packages/policy/src/scheduling/scheduler.ts
@@ -25,6 +25,7 @@
 import { parseTaskName } from "./task_names.ts";
 import { groupByPool, type PoolWorkers } from "./pool_workers.ts";
 import { WorkerRecord } from "./worker_record.ts";
+import { boundUnseenUsage, unreportedCapacity } from "./unseen_usage.ts";
 import { WorkspaceUsage } from "./workspace_usage.ts";
 
 /** Run ids reserved per term, so that later terms use higher ids; no task starts this often. */
@@ -127,6 +128,10 @@
   readonly #queues = new Map<string, schema.scheduling.Queue>();
   /** When the last list of VMs was requested. */
   #vmListAskedAtMs = Number.NEGATIVE_INFINITY;
+  /** By id, the capacity of the workers that the last list of this term shows as running; undefined before. */
+  #listedTotals: ReadonlyMap<string, schema.scheduling.Resources> | undefined;
+  /** The workspaces that unseen runs have held back, so that each is logged once. */
+  readonly #heldBackWorkspaces = new Set<string>();
   /** Crashes of workers, and jobs given up because a task caused them. */
   readonly crashCounts = { crashes: 0, givenUp: 0 };
   /**
@@ -386,6 +391,13 @@
     if (this.isSettled) {
       return;
     }
+    if (askedAtMs >= this.#options.takeover.atMs) {
+      this.#listedTotals = new Map(
+        listed.flatMap(({ workerId, total }) =>
+          workerId !== undefined && alive.has(workerId) ? [[workerId, total] as const] : []
+        ),
+      );
+    }
     const hasReported = (id: string) => this.workers.get(id)?.hasReported ?? false;
     this.#census.recordList(listed, { askedAtMs, hasReported });
     const isOfThisTerm = askedAtMs >= this.#options.takeover.atMs;
@@ -464,9 +476,22 @@
     return [...this.workers.values()].some((worker) => worker.hasUnlistedEnds(nowMs));
   }
 
+  /**
+   * Whether nothing of the job is needed any more but its final state. While it may have runs that no worker
+   * has reported, they count against its workspace's limit, also under a next owner.
+   */
+  canRetire(job: JobRecord): boolean {
+    return job.isRetirable() && (job.state === "complete" || !this.#mayHaveUnreportedRuns(job));
+  }
+
   /** Marks the takeover as settled: no run of a previous owner can be unknown any more. */
   settle(nowMs: number, reason: string): void {
     this.isSettled = true;
+    for (const job of this.jobs.values()) {
+      if (job.isRetirable()) {
+        this.#dirty.add(job);
+      }
+    }
     this.#options.log.info("Takeover settled", {
       waitedMs: Math.round(nowMs - this.#options.takeover.atMs),
       reason,
@@ -823,6 +848,7 @@
     }
     const pools = groupByPool(this.workers.values(), now.nowMs);
     const reserved = new Set<string>();
+    const unseenUsage = new Map<string, schema.scheduling.Resources>();
     const jobIdsOfUnknownTasks = this.#jobIdsOfUnknownTasks();
     // Tasks that need a worker of their own come first, as they would find none after the others.
     const needsWorker = ready.filter(({ step }) =>
@@ -838,11 +864,41 @@
       const mayHaveUnreportedRuns = this.#mayHaveUnreportedRuns(step.job) ||
         jobIdsOfUnknownTasks.has(step.job.job.jobId);
       if (queue !== undefined && pool !== undefined && !mayHaveUnreportedRuns) {
-        this.#placeStep(step, { pool, reserved, nowMs: now.nowMs, queue });
+        const { workspace } = step.job.job;
+        const unseen = unseenUsage.get(workspace) ?? this.#unseenUsage(workspace, now.wallMs);
+        unseenUsage.set(workspace, unseen);
+        this.#placeStep(step, { pool, reserved, nowMs: now.nowMs, queue, unseen });
       }
     }
   }
 
+  /** What a workspace with a limit may have at work that no worker has reported since the takeover. */
+  #unseenUsage(workspace: string, wallMs: number): schema.scheduling.Resources {
+    if (this.isSettled || !this.#workspaces.isLimited(workspace)) {
+      return resources.NO_RESOURCES;
+    }
+    const jobs = [...this.jobs.values()].filter((job) =>
+      job.job.workspace === workspace && this.#mayHaveUnreportedRuns(job)
+    );
+    return boundUnseenUsage(jobs, { capacity: this.#unreportedCapacity(), wallMs });
+  }
+
+  /** The capacity of the workers that have yet to report; undefined before a list has shown them. */
+  #unreportedCapacity(): schema.scheduling.Resources | undefined {
+    const listed = this.#listedTotals;
+    if (listed === undefined) {
+      return undefined;
+    }
+    const ids = new Set([...listed.keys(), ...this.workers.keys()]);
+    return unreportedCapacity([...ids].map((id) => {
+      const worker = this.workers.get(id);
+      return {
+        hasReported: worker !== undefined && worker.hasReported && worker.unknownTasks.size === 0,
+        totals: [listed.get(id), worker?.info.total].filter((total) => total !== undefined),
+      };
+    }));
+  }
+
   #tasksForOwnWorkers(step: StepRecord, nowMs: number): TaskRecord[] {
     return [...step.knownTasks].filter((task) => this.#needsOwnWorker(task, nowMs));
   }
@@ -884,8 +940,11 @@
     readonly reserved: Set<string>;
     readonly nowMs: number;
     readonly queue: schema.scheduling.Queue;
+    /** What the job's workspace may have at work beside its known runs. */
+    readonly unseen: schema.scheduling.Resources;
   }): void {
-    const { pool, reserved, nowMs, queue } = context;
+    const { pool, reserved, nowMs, queue, unseen } = context;
+    const { workspace } = step.job.job;
     const { workers } = pool;
     const tickets = queue.advice === undefined ? undefined : this.#advice.ticketsFor(step, nowMs);
     const held = step.hasCrashes ? heldTasks(step) : NO_TASKS;
@@ -898,7 +957,8 @@
       if (held.has(task)) {
         continue;
       }
-      if (!this.#workspaces.hasCapacity(step.job.job.workspace, step.spec.resources)) {
+      if (!this.#workspaces.hasCapacity(workspace, step.spec.resources, unseen)) {
+        this.#logHeldBack(step, unseen);
         break;
       }
       const choice = { step, pool, reserved, nowMs, allowed: tickets };
@@ -930,6 +990,24 @@
     }
   }
 
+  /** Logs that a workspace has to wait for the takeover, unless its known runs use up its limit alone. */
+  #logHeldBack({ name, spec, job }: StepRecord, unseen: schema.scheduling.Resources): void {
+    const { workspace } = job.job;
+    if (
+      !this.#heldBackWorkspaces.has(workspace) &&
+      this.#workspaces.hasCapacity(workspace, spec.resources)
+    ) {
+      this.#heldBackWorkspaces.add(workspace);
+      this.#options.log.info("Workspace held back by runs that may be at work unseen", {
+        workspace,
+        step: name,
+        usedMillicores: this.#workspaces.used(workspace).cpuMillicores,
+        unseenMillicores: unseen.cpuMillicores,
+        limitMillicores: this.#workspaces.limit(workspace).cpuMillicores,
+      });
+    }
+  }
+
   #chooseWorker(task: TaskRecord, { step, pool, reserved, nowMs, allowed }: {
     readonly step: StepRecord;
     readonly pool: PoolWorkers;
--- a/packages/policy/src/scheduling/workspace_usage.ts
+++ b/packages/policy/src/scheduling/workspace_usage.ts
@@ -35,9 +35,14 @@
     this.#used.set(workspace, resources.add(this.used(workspace), amount, factor));
   }
 
-  /** Whether the workspace's limit leaves room for the amount. */
-  hasCapacity(workspace: string, amount: Resources): boolean {
-    const used = resources.add(this.used(workspace), amount);
+  /** Whether the workspace has a limit for any resource. */
+  isLimited(workspace: string): boolean {
+    return !resources.isEqual(this.limit(workspace), resources.NO_RESOURCES);
+  }
+
+  /** Whether the workspace's limit leaves room for the amount beside `unseen`, which is not charged. */
+  hasCapacity(workspace: string, amount: Resources, unseen = resources.NO_RESOURCES): boolean {
+    const used = resources.add(resources.add(this.used(workspace), unseen), amount);
     return resources.isWithinLimit(used, this.limit(workspace));
   }
 
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -122,7 +122,7 @@
     const written = jobs.map((job) => ({
       job,
       state: job.state,
-      isFinal: job.isRetirable(),
+      isFinal: scheduler.canRetire(job),
       markCrashesStored: job.snapshotCrashes(),
     }));
     const answer = await store.transact({
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -19,6 +19,7 @@
 
 const TOTAL = { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 };
 const MAX_ATTEMPTS = 3;
+const WORKSPACE_LIMIT = { cpuMillicores: 60_000, memoryMb: 0, gpuCount: 0 };
 const CANCEL_RETRY_INTERVAL_MS = 250;
 const RESTART_DELAY_MS = 600;
 /** A node is in touch once the store has served it for this long. */
@@ -44,7 +45,7 @@
     name: "acme",
     keys: ["k"],
     weight: 100,
-    limit: { cpuMillicores: 60_000, memoryMb: 0, gpuCount: 0 },
+    limit: WORKSPACE_LIMIT,
   }],
 };
 
@@ -247,6 +248,7 @@
       }),
       isGang: (task) => this.#stepOf(task).isGang,
       standbyPool: "spare",
+      workspaceLimitMillicores: WORKSPACE_LIMIT.cpuMillicores,
       encodeWorker: (info) => JSON.stringify(info),
     });
     pools.forEach((pool, index) =>
--- a/packages/testing/src/scheduling_model/model_fleet.ts
+++ b/packages/testing/src/scheduling_model/model_fleet.ts
@@ -163,6 +163,8 @@
   /** Whether the tasks of the same step and run id end together. */
   readonly isGang?: (task: string) => boolean;
   readonly standbyPool: string;
+  /** The limit of the workspace that all jobs belong to. */
+  readonly workspaceLimitMillicores: number;
   readonly encodeWorker: (info: schema.scheduling.WorkerInfo) => string;
 }
 
@@ -617,6 +619,11 @@
       { workerId: worker.workerId, runId: order.runId },
       isLate ? { unreachableSinceMs: this.#unreachableSinceMs.get(worker.workerId) } : {},
     );
+    witness.recordWorkspaceUsage(order.task, {
+      usedMillicores: this.#usedMillicores(),
+      taskMillicores: run.resources.cpuMillicores,
+      limitMillicores: this.#options.workspaceLimitMillicores,
+    });
     // Nobody can recall an order that is carried out late, so it is judged by any earlier capacity.
     const totals = worker.totalsWithin(isLate ? Infinity : SHRINK_NOTICE_MS);
     if (!totals.some((total) => fits(worker, total))) {
@@ -631,6 +638,12 @@
     return done(worker);
   }
 
+  /** What the runs on all workers use, including those that are being stopped. */
+  #usedMillicores(): number {
+    const runs = [...this.#vms.values()].flatMap(({ worker }) => [...worker?.runs.values() ?? []]);
+    return runs.reduce((sum, { resources }) => sum + resources.cpuMillicores, 0);
+  }
+
   /** Crashes a worker if the run is still at work there. */
   #crashFrom(worker: ModelWorker, run: ModelRun): void {
     if (worker.isAlive && worker.runs.get(run.task) === run) {
--- a/packages/testing/src/scheduling_model/run_witness.ts
+++ b/packages/testing/src/scheduling_model/run_witness.ts
@@ -17,6 +17,8 @@
 const CANCEL_BOUND_MS = 3_000;
 /** How long the workers may take to carry out the stops. */
 const STOP_BOUND_MS = 900;
+/** How far a workspace may exceed its limit, apart from one task. */
+const LIMIT_TOLERANCE = 1.1;
 /** How long after a start that nobody could have stopped the job's cancellation counts for it. */
 const LATE_START_BOUND_MS = 3_000;
 
@@ -183,6 +185,25 @@
     }
   }
 
+  /**
+   * A task started with which the workspace has `usedMillicores` at work on all workers; it may exceed its
+   * limit by a tenth and one task.
+   */
+  recordWorkspaceUsage(
+    task: string,
+    { usedMillicores, taskMillicores, limitMillicores }: {
+      readonly usedMillicores: number;
+      readonly taskMillicores: number;
+      readonly limitMillicores: number;
+    },
+  ): void {
+    if (usedMillicores > limitMillicores * LIMIT_TOLERANCE + taskMillicores) {
+      this.violations.push(
+        `${Date.now()} ${task} brings the workspace to ${usedMillicores} of ${limitMillicores}`,
+      );
+    }
+  }
+
   recordOverload(workerId: string): void {
     this.violations.push(`${Date.now()} ${workerId} has more tasks than room`);
   }
