--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -350,17 +350,15 @@
       return false;
     }
     const { startedUnixMs } = answer.report;
-    if (startedUnixMs !== undefined) {
-      if (startedUnixMs !== worker.info.startedUnixMs) {
-        this.#replaceWorker(startedUnixMs);
-        return false;
-      }
-      this.#incarnation.recordReport({
-        sentAtMs: askedAtMs,
-        receivedAtMs: clock.nowMs(),
-        workerClockMs: answer.report.workerClockMs,
-      });
+    if (startedUnixMs !== undefined && startedUnixMs !== worker.info.startedUnixMs) {
+      this.#replaceWorker(startedUnixMs);
+      return false;
     }
+    this.#incarnation.recordReport({
+      sentAtMs: askedAtMs,
+      receivedAtMs: clock.nowMs(),
+      workerClockMs: answer.report.workerClockMs,
+    });
     const receivedAtMs = clock.steadyMs();
     scheduler.applyReport(worker, answer.report, { sentAtMs, receivedAtMs });
     this.#options.statistics.recordReport(
--- a/packages/scheduler/src/worker_session_test.ts
+++ b/packages/scheduler/src/worker_session_test.ts
@@ -305,7 +305,15 @@
   /** The worker's clock in the answer to the start, if there is one. */
   readonly workerClockMs: (nowMs: number) => number | undefined;
   readonly firstAcknowledgedEnd: number;
+  /** The start time in the worker's reports; one that gives none must get its acknowledgements too. */
+  readonly startedUnixMs?: number | undefined;
 }[] = [
+  {
+    name: "gets no answer, of a worker whose reports lack its start time",
+    workerClockMs: () => undefined,
+    firstAcknowledgedEnd: 0,
+    startedUnixMs: undefined,
+  },
   { name: "gets no answer", workerClockMs: () => undefined, firstAcknowledgedEnd: 0 },
   { name: "shows a younger process", workerClockMs: () => 3_000, firstAcknowledgedEnd: 0 },
   { name: "shows the same process", workerClockMs: (nowMs) => nowMs, firstAcknowledgedEnd: 7 },
@@ -314,7 +322,8 @@
 // Guards against ends of a restarted worker that it discards, as an earlier incarnation had ends of their numbers.
 test.each(START_ANSWERS)(
   "after a start whose answer $name, first acknowledges end $firstAcknowledgedEnd",
-  async ({ workerClockMs, firstAcknowledgedEnd }) => {
+  async ({ workerClockMs, firstAcknowledgedEnd, ...given }) => {
+    const { startedUnixMs } = { startedUnixMs: 1, ...given };
     const parts = termFixture();
     const { scheduler } = parts;
     scheduler.setConfig({
@@ -339,7 +348,7 @@
         }
         const reported = { task: "j.0.0.0", runId: 1, checkpoint: "", percent: 1, load: 0 };
         const running = startedAtMs === Infinity ? [] : [reported];
-        const report = { startedUnixMs: 1, workerClockMs: Date.now(), running, ends: [] };
+        const report = { startedUnixMs, workerClockMs: Date.now(), running, ends: [] };
         return { kind: "report", report: { ...report, hasMoreEnds: false } };
       },
       start: async () => {
