--- a/packages/policy/src/scheduling/job_record.ts
+++ b/packages/policy/src/scheduling/job_record.ts
@@ -362,7 +362,7 @@
       if (!this.#doneOccurrences.has(occurrence)) {
         const steps = this.#occurrences.get(occurrence);
         counts.forEach((each, number) =>
-          each.count += steps?.[number]!.waitingCount ?? each.spec.taskCount
+          each.count += steps?.[number]?.waitingCount ?? each.spec.taskCount
         );
       }
     }
--- a/packages/scheduler/src/journal.ts
+++ b/packages/scheduler/src/journal.ts
@@ -97,7 +97,10 @@
         jobsAhead: scheduler.dirtyJobCount,
         confirm: snapshotEnds(),
       });
-      const jobs = scheduler.takeDirtyJobs(MAX_PUTS_PER_TRANSACTION, putCountOf);
+      const jobs = scheduler.takeDirtyJobs(
+        MAX_PUTS_PER_TRANSACTION,
+        (job) => scheduler.canRetire(job) ? 2 : 1,
+      );
       if (jobs.length > 0 && !await this.#write(jobs)) {
         jobs.forEach((job) => scheduler.markDirty(job));
         this.#pendingConfirmations = [];
@@ -176,10 +179,6 @@
   }
 }
 
-function putCountOf(job: JobRecord): number {
-  return job.isRetirable() ? 2 : 1;
-}
-
 function progressItemOf(job: JobRecord): ports.scheduling.StorePut {
   return { key: storeKeys.progressKey(job.job.jobId), value: JSON.stringify(job.progress()) };
 }
