Share the traffic of the takeover and restart models

The loop that submits jobs and checks what is shown of them stood in two tests, and the restart behind a cut from the store in two more. No check changes.

--- a/packages/scheduler/src/restart_model_test.ts
+++ b/packages/scheduler/src/restart_model_test.ts
@@ -5,12 +5,12 @@
  *
  * @module
  */
-import { expect, test, vi } from "vitest";
+import { expect, test } from "vitest";
 import {
   crossWithSeeds,
   type FaultInjector,
   isAt,
-  STEP_MS,
+  playTraffic,
   useSimulatedTime,
   World,
 } from "./test/model_world.ts";
@@ -20,14 +20,8 @@
 const SEEDS = [1, 2, 3, 4];
 /** How long a restarting worker cannot write its registration. */
 const CUT_MS = 5_000;
-
-/** Restarts the worker of a random VM, which cannot reach the store for some time after. */
-function restartBehindCut(world: World, downMs: number): void {
-  const vm = world.anyVm();
-  world.fleet.faults.vmsCutFromStore.add(vm);
-  world.fleet.crash(vm, downMs, { keepsId: true });
-  setTimeout(() => world.fleet.faults.vmsCutFromStore.delete(vm), CUT_MS);
-}
+/** Long enough for leases to expire. */
+const LONG_CUT_MS = 9_000;
 
 function isEvery(intervalMs: number, atMs: number): boolean {
   return atMs < TRAFFIC_MS && atMs % intervalMs === 0;
@@ -46,7 +40,7 @@
     name: "workers that are cut off from the store restart",
     injectFaults: (world, atMs) => {
       if (isEvery(500, atMs)) {
-        restartBehindCut(world, 20);
+        world.restartBehindCut(world.anyVm(), { downMs: 20, cutMs: CUT_MS });
       }
     },
   },
@@ -54,7 +48,7 @@
     name: "workers that are cut off from the store restart, and lists show their VMs as down",
     injectFaults: (world, atMs) => {
       if (isEvery(500, atMs)) {
-        restartBehindCut(world, 700);
+        world.restartBehindCut(world.anyVm(), { downMs: 700, cutMs: CUT_MS });
       }
     },
   },
@@ -64,7 +58,7 @@
       world.fleet.faults.answerLossProbability = atMs < TRAFFIC_MS ? 0.1 : 0;
       world.fleet.faults.lateOrderProbability = atMs < TRAFFIC_MS ? 0.05 : 0;
       if (isEvery(500, atMs)) {
-        restartBehindCut(world, 20);
+        world.restartBehindCut(world.anyVm(), { downMs: 20, cutMs: CUT_MS });
       }
     },
   },
@@ -72,7 +66,7 @@
     name: "workers that are cut off from the store restart while the owner is killed",
     injectFaults: (world, atMs) => {
       if (isEvery(500, atMs)) {
-        restartBehindCut(world, 20);
+        world.restartBehindCut(world.anyVm(), { downMs: 20, cutMs: CUT_MS });
       }
       if (isAt(4_000, atMs) || isAt(9_000, atMs)) {
         world.restartOwner();
@@ -85,13 +79,10 @@
       if (isEvery(1_500, atMs)) {
         const vm = world.anyVm();
         const worker = world.fleet.workerOf(vm);
-        world.fleet.faults.vmsCutFromStore.add(vm);
-        world.fleet.crash(vm, 20, { keepsId: true });
-        setTimeout(() => world.fleet.faults.blockedLinks.add(`*>${worker}`), 150);
-        setTimeout(() => {
-          world.fleet.faults.blockedLinks.delete(`*>${worker}`);
-          world.fleet.faults.vmsCutFromStore.delete(vm);
-        }, 9_000);
+        const { blockedLinks } = world.fleet.faults;
+        world.restartBehindCut(vm, { downMs: 20, cutMs: LONG_CUT_MS });
+        setTimeout(() => blockedLinks.add(`*>${worker}`), 150);
+        setTimeout(() => blockedLinks.delete(`*>${worker}`), LONG_CUT_MS);
       }
     },
   },
@@ -104,22 +95,11 @@
   "$name, seed $seed: violates no guarantee and finishes all jobs",
   async ({ seed, injectFaults }) => {
     const world = new World(seed);
-    await vi.advanceTimersByTimeAsync(2_000);
-    for (let atMs = 0; atMs < TRAFFIC_MS + SETTLE_MS; atMs += STEP_MS) {
-      injectFaults(world, atMs);
-      if (atMs < TRAFFIC_MS && world.random.chance(0.8)) {
-        void world.submit();
-      }
-      await vi.advanceTimersByTimeAsync(STEP_MS);
-      for (const jobId of world.jobIds) {
-        if (world.storedState(jobId) === "complete") {
-          world.witness.recordReportedComplete(jobId);
-        }
-      }
-    }
-    const unfinished = world.jobIds.filter((jobId) =>
-      !["complete", "failed"].includes(world.storedState(jobId))
-    );
+    const unfinished = await playTraffic(world, {
+      injectFaults,
+      trafficMs: TRAFFIC_MS,
+      settleMs: SETTLE_MS,
+    });
     world.nodes.forEach((node) => node.kill());
     expect({ violations: world.witness.violations, unfinished }).toEqual({
       violations: [],
--- a/packages/scheduler/src/takeover_model_test.ts
+++ b/packages/scheduler/src/takeover_model_test.ts
@@ -13,6 +13,7 @@
   DOCUMENTS,
   type FaultInjector,
   isAt,
+  playTraffic,
   STEP_MS,
   useSimulatedTime,
   World,
@@ -202,25 +203,12 @@
   "$name, seed $seed: violates no guarantee and finishes all jobs",
   async ({ seed, injectFaults }) => {
     const world = new World(seed);
-    await vi.advanceTimersByTimeAsync(2_000);
-    for (let atMs = 0; atMs < TRAFFIC_MS + SETTLE_MS; atMs += STEP_MS) {
-      injectFaults(world, atMs);
-      if (atMs < TRAFFIC_MS && world.random.chance(0.8)) {
-        void world.submit();
-      }
-      if (atMs < TRAFFIC_MS && world.random.chance(0.03) && world.jobIds.length > 0) {
-        void world.cancel(world.jobIds.at(-1)!);
-      }
-      await vi.advanceTimersByTimeAsync(STEP_MS);
-      for (const jobId of world.jobIds) {
-        if (world.storedState(jobId) === "complete") {
-          world.witness.recordReportedComplete(jobId);
-        }
-      }
-    }
-    const unfinished = world.jobIds.filter((jobId) =>
-      !["complete", "failed", "cancelled"].includes(world.storedState(jobId))
-    );
+    const unfinished = await playTraffic(world, {
+      injectFaults,
+      trafficMs: TRAFFIC_MS,
+      settleMs: SETTLE_MS,
+      cancelProbability: 0.03,
+    });
     world.nodes.forEach((node) => node.kill());
     expect({ violations: world.witness.violations, unfinished }).toEqual({
       violations: [],
--- a/packages/scheduler/src/test/model_world.ts
+++ b/packages/scheduler/src/test/model_world.ts
@@ -422,6 +422,17 @@
     setTimeout(() => this.store.faults.rejectedNodes.delete(cut), durationMs);
   }
 
+  /** Restarts a VM's worker under its id, which cannot reach the store for `cutMs` from then on. */
+  restartBehindCut(
+    vm: string,
+    { downMs, cutMs }: { readonly downMs: number; readonly cutMs: number },
+  ): void {
+    const { vmsCutFromStore } = this.fleet.faults;
+    vmsCutFromStore.add(vm);
+    this.fleet.crash(vm, downMs, { keepsId: true });
+    setTimeout(() => vmsCutFromStore.delete(vm), cutMs);
+  }
+
   /** Requests maintenance of VMs, as an operator does. */
   startWave(wave: schema.scheduling.MaintenanceWave): void {
     this.store.write(`${DOCUMENTS.wavePrefix}${wave.wave}`, JSON.stringify(wave));
@@ -470,6 +481,43 @@
   return atMs >= timeMs && atMs < timeMs + STEP_MS;
 }
 
+/**
+ * Submits random jobs for `trafficMs`, of which some are cancelled, and lets them end for `settleMs`. Returns
+ * the ids of the jobs that are not over then.
+ */
+export async function playTraffic(
+  world: World,
+  { injectFaults, trafficMs, settleMs, cancelProbability = 0 }: {
+    readonly injectFaults: FaultInjector;
+    readonly trafficMs: number;
+    readonly settleMs: number;
+    /** The probability of a cancellation in a step. */
+    readonly cancelProbability?: number;
+  },
+): Promise<string[]> {
+  await vi.advanceTimersByTimeAsync(2_000);
+  for (let atMs = 0; atMs < trafficMs + settleMs; atMs += STEP_MS) {
+    injectFaults(world, atMs);
+    if (atMs < trafficMs && world.random.chance(0.8)) {
+      void world.submit();
+    }
+    const isCancelling = atMs < trafficMs && cancelProbability > 0 &&
+      world.random.chance(cancelProbability);
+    if (isCancelling && world.jobIds.length > 0) {
+      void world.cancel(world.jobIds.at(-1)!);
+    }
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+    for (const jobId of world.jobIds) {
+      if (world.storedState(jobId) === "complete") {
+        world.witness.recordReportedComplete(jobId);
+      }
+    }
+  }
+  return world.jobIds.filter((jobId) =>
+    !["complete", "failed", "cancelled"].includes(world.storedState(jobId))
+  );
+}
+
 /** Combines each scenario with each seed. */
 export function crossWithSeeds<
   T extends { readonly name: string; readonly injectFaults: FaultInjector },
--- a/packages/scheduler/src/workspace_limit_model_test.ts
+++ b/packages/scheduler/src/workspace_limit_model_test.ts
@@ -69,10 +69,7 @@
     name: "workers that are cut off from the store restart while the owner hands over",
     injectFaults: (world, atMs) => {
       if (atMs < TRAFFIC_MS && atMs % 500 === 0) {
-        const vm = world.anyVm();
-        world.fleet.faults.vmsCutFromStore.add(vm);
-        world.fleet.crash(vm, 20, { keepsId: true });
-        setTimeout(() => world.fleet.faults.vmsCutFromStore.delete(vm), CUT_MS);
+        world.restartBehindCut(world.anyVm(), { downMs: 20, cutMs: CUT_MS });
       }
       if (isAt(5_000, atMs)) {
         void world.replaceOwner();
