Doubt a worker's incarnation only after a start without an answer

Cause: every start that was under way put the incarnation in doubt, so that a busy owner's report requests acknowledged nothing, came back at once with the same ends, and used the processor time that answers waited for.

Change: only a start that got no answer, and an answer whose clock is that of a younger process, raise the doubt; a report made after it ends it. The time constants go.

A start that is under way itself is not doubted: a restarted worker would have to end its run before the start is answered.

--- a/packages/policy/src/scheduling/incarnation_proof.ts
+++ b/packages/policy/src/scheduling/incarnation_proof.ts
@@ -9,9 +9,6 @@
 
 /** A clock that starts anew with the worker's process need not start at zero. */
 const MAX_FIRST_CLOCK_MS = 1_000;
-/** A worker takes longer to restart and to run a task to its end. */
-const MIN_RESTART_MS = 200;
-
 /** An answer of a worker, whose clock was read between the request and the answer. */
 export interface ClockReading {
   readonly sentAtMs: number;
@@ -25,11 +22,12 @@
   #aliveAtMs = Number.NEGATIVE_INFINITY;
   /** The earliest time at which the worker's clock can have started, by the readings so far. */
   #clockStartMs = Number.NEGATIVE_INFINITY;
-  #lastStartSentAtMs = Number.NEGATIVE_INFINITY;
+  /** When it was last unclear which incarnation a start order had reached. */
+  #doubtfulAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Records that a start order is being sent. */
-  recordStartSent(sentAtMs: number): void {
-    this.#lastStartSentAtMs = sentAtMs;
+  /** Records that a start order got no answer, though it may have been carried out. */
+  recordUnanswered(nowMs: number): void {
+    this.#doubtfulAtMs = nowMs;
   }
 
   /**
@@ -37,8 +35,11 @@
    * that shows more time than has passed since the incarnation was seen belongs to that incarnation.
    */
   recordAnswer(reading: ClockReading): void {
-    if (reading.workerClockMs - MAX_FIRST_CLOCK_MS > reading.receivedAtMs - this.#aliveAtMs) {
+    const { workerClockMs, receivedAtMs } = reading;
+    if (workerClockMs - MAX_FIRST_CLOCK_MS > receivedAtMs - this.#aliveAtMs) {
       this.recordReport(reading);
+    } else {
+      this.#doubtfulAtMs = receivedAtMs;
     }
   }
 
@@ -49,8 +50,8 @@
     this.#aliveAtMs = Math.max(this.#aliveAtMs, this.#clockStartMs + workerClockMs);
   }
 
-  /** Whether a later incarnation may have begun and ended a run, so that it must not get an acknowledgement. */
-  isInDoubt(nowMs: number): boolean {
-    return this.#lastStartSentAtMs > this.#aliveAtMs && nowMs - this.#aliveAtMs > MIN_RESTART_MS;
+  /** Whether a later incarnation may have run a task, so that it must not get an acknowledgement. */
+  get isInDoubt(): boolean {
+    return this.#doubtfulAtMs > this.#aliveAtMs;
   }
 }
--- a/packages/scheduler/src/worker_session.ts
+++ b/packages/scheduler/src/worker_session.ts
@@ -180,7 +180,6 @@
           return undefined;
         }
         scheduler.recordStartSent(run, clock.steadyMs());
-        this.#incarnation.recordStartSent(askedAtMs);
         return client.start(this.#address(), {
           task: run.task.name,
           runId: run.runId,
@@ -198,6 +197,9 @@
         return;
       }
       this.#recordOutcome(outcome, askedAtMs);
+      if (outcome.kind === "unknown" && outcome.isSent !== false) {
+        this.#incarnation.recordUnanswered(clock.nowMs());
+      }
       scheduler.recordStartOutcome(run, outcome, { nowMs: clock.steadyMs(), isRepeated });
       if (outcome.kind !== "unknown") {
         this.#options.onChange();
@@ -335,7 +337,7 @@
     // An unresponsive worker's lease must be left to expire, or its runs would never count as over.
     const renewsLease = this.#isResponding && worker.hasClock && canIssueOrders();
     // The next incarnation would take the acknowledgement for one of its own ends.
-    const acknowledgedEnd = this.#incarnation.isInDoubt(askedAtMs) ? 0 : worker.ends.stored;
+    const acknowledgedEnd = this.#incarnation.isInDoubt ? 0 : worker.ends.stored;
     const answer = await client.hold(this.#address(), {
       fencingToken,
       acknowledgedEnd,
