--- a/packages/policy/src/scheduling/incarnation_proof.ts
+++ b/packages/policy/src/scheduling/incarnation_proof.ts
@@ -9,6 +9,7 @@
 
 /** A clock that starts anew with the worker's process need not start at zero. */
 const MAX_FIRST_CLOCK_MS = 1_000;
+
 /** An answer of a worker, whose clock was read between the request and the answer. */
 export interface ClockReading {
   readonly sentAtMs: number;
--- a/packages/policy/src/scheduling/worker_record.ts
+++ b/packages/policy/src/scheduling/worker_record.ts
@@ -16,7 +16,7 @@
  */
 export const WORKER_LEASE_MS = 6_000;
 /** Workers shorten a longer lease to this. */
-export const MAX_WORKER_LEASE_MS = 10_000;
+const MAX_WORKER_LEASE_MS = 10_000;
 /** The fraction by which a worker's clock may run slow. */
 const MAX_CLOCK_DRIFT = 0.02;
 /** Allowance for response and timer delays, in addition to clock drift. */
